--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,209 @@
+//! Sizes, rates, costs and time.
+
+use super::*;
+
+macro_rules! unit {
+    ($(#[$doc:meta])* $name:ident, $inner:ty, $suffix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl Display for $name {
+            fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+                write!(formatter, concat!("{} ", $suffix), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = UnitError;
+
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                let number = text.strip_suffix($suffix).unwrap_or(text).trim();
+                number.parse().map(Self).map_err(|_| UnitError { text: text.into(), unit: $suffix })
+            }
+        }
+
+        impl std::ops::Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0 + other.0)
+            }
+        }
+
+        impl std::ops::AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                self.0 += other.0;
+            }
+        }
+    };
+}
+
+unit!(
+    /// A count of tokens.
+    Tokens,
+    u64,
+    "tokens"
+);
+unit!(
+    /// A count of bytes.
+    ByteSize,
+    u64,
+    "bytes"
+);
+unit!(
+    /// Money in the operator's currency.
+    Cost,
+    f64,
+    "units"
+);
+unit!(
+    /// A rate of token generation.
+    TokensPerSecond,
+    f64,
+    "tokens/s"
+);
+unit!(
+    /// A rate of requests.
+    RequestsPerSecond,
+    f64,
+    "requests/s"
+);
+
+impl Eq for Tokens {}
+impl Eq for ByteSize {}
+
+/// Why a text is not a quantity.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("The quantity {text:?} must be a number in {unit}.")]
+pub struct UnitError {
+    /// The text that was read.
+    pub text: SmolStr,
+    /// The unit that was expected.
+    pub unit: &'static str,
+}
+
+/// A share between 0 and 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Share(f64);
+
+impl Share {
+    /// The whole.
+    pub const ONE: Self = Self(1.0);
+    /// Nothing.
+    pub const ZERO: Self = Self(0.0);
+
+    /// Returns the share, or nothing if the number is outside 0 to 1.
+    #[must_use]
+    pub fn new(number: f64) -> Option<Self> {
+        (0.0..=1.0).contains(&number).then_some(Self(number))
+    }
+
+    /// Returns the share as a number.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl Display for Share {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for Share {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let wrong = || UnitError { text: text.into(), unit: "a share between 0 and 1" };
+        text.parse().ok().and_then(Self::new).ok_or_else(wrong)
+    }
+}
+
+impl<'de> Deserialize<'de> for Share {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let number = f64::deserialize(deserializer)?;
+        Self::new(number).ok_or_else(|| {
+            serde::de::Error::custom(format!("the share {number} must lie between 0 and 1"))
+        })
+    }
+}
+
+/// A point in time, or a length of time, in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The latest point in time.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Returns the time since an earlier point, or zero if the point is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the length as the standard library writes it.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl std::ops::Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl Display for Millis {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} ms", self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let number = text.strip_suffix("ms").unwrap_or(text).trim();
+        number.parse().map(Self).map_err(|_| UnitError { text: text.into(), unit: "ms" })
+    }
+}
+
+/// The one source of time.
+///
+/// `now` never goes back and starts near zero; `unix` is the wall clock, which may step.
+#[derive(Clone, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    #[must_use]
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the time since the start.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        Millis(self.start.elapsed().as_millis() as u64)
+    }
+
+    /// Returns the wall clock's time since 1970.
+    #[must_use]
+    pub fn unix(&self) -> Millis {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Millis(since.as_millis() as u64)
+    }
+}
