Add the pure control core with queue, servers, platform types and peers

Cause: every decision has to be testable without sockets or clocks. Change: Control::handle(now, event) -> commands; cheapest-version policy by prior, one fair queue a pool, a server table, the fold of the configuration stream, the platform's HTTP client. Conclusion: the modules can grow behind these types.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -9,9 +9,12 @@
 mod check;
 mod document;
 mod error;
+mod fold;
+mod key_index;
 mod model;
 mod pool;
 mod preset;
+mod record;
 mod service;
 mod team;
 
@@ -19,9 +22,12 @@
     check::check_document,
     document::ConfigurationDocument,
     error::ConfigurationError,
+    fold::{ConfigurationFold, PublicationOutcome},
+    key_index::KeyIndex,
     model::{ModelEntry, RolloutPlan, RolloutStage, VersionEntry, VersionState},
     pool::{FenceRule, PoolEntry, PoolKind},
     preset::PresetEntry,
+    record::{ConfigurationChange, ConfigurationRecord},
     service::ServiceEntry,
     team::{AccessKey, TeamEntry, TeamLimits, hash_key},
 };
--- a/src/configuration/model.rs
+++ b/src/configuration/model.rs
@@ -22,6 +22,9 @@
     /// Whether it takes new work.
     #[serde(default)]
     pub state: VersionState,
+    /// Raised by an operator to bring back a version that its evidence withdrew.
+    #[serde(default)]
+    pub generation: u32,
     /// The cost of a million prompt tokens.
     pub cost_per_million_prompt_tokens: Cost,
     /// The cost of a million generated tokens.
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,37 @@
+//! The control core: every decision of an entry VM.
+//!
+//! [`Control::handle`] takes the time and one [`Event`] and returns the [`Command`]s that follow.
+//! It opens no socket, reads no system clock, starts no thread and draws no unseeded random
+//! number, so that a test or a bench drives the code that ships.
+//!
+//! A request passes through these steps: it arrives ([`arrive`]), waits in the queue of its pool,
+//! is dispatched to a backend server ([`dispatch`]), and each attempt ends in a whole answer or a
+//! fault ([`attempt`]). No attempt starts without passing `Control::may_start`.
+
+use super::*;
+
+mod arrive;
+mod attempt;
+mod command;
+mod core;
+mod decision;
+mod dispatch;
+mod event;
+mod learn;
+mod operate;
+mod peers;
+mod refusal;
+mod request;
+
+pub use {
+    command::{AttemptStart, Command, ReleaseRule, RepeatRule},
+    core::{Control, VmIdentity},
+    decision::{PassedOver, RouteDecision},
+    event::{
+        AnswerMode, Arrival, ArrivalTarget, AttemptFault, AttemptOutcome, AttemptReport, Event,
+        TokenUsage,
+    },
+    operate::{OperatorAnswer, OperatorRequest, ServerStatus, VmStatus},
+    refusal::{Refusal, RefusalCode},
+    request::{AttemptRun, AttemptState, RequestPhase, RequestState, RunState, WorkTarget},
+};
--- /dev/null
+++ b/src/control/arrive.rs
@@ -0,0 +1,231 @@
+use super::*;
+
+impl Control {
+    /// The tokens that a request is expected to generate when it does not say.
+    const DEFAULT_OUTPUT_TOKENS: u64 = 256;
+
+    pub(super) fn on_arrival(&mut self, now: Millis, arrival: Arrival) {
+        let request = arrival.request;
+        if let Err(refusal) = self.admit(now, arrival) {
+            tracing::info!(
+                request = %self.request_id(request),
+                code = refusal.code.as_str(),
+                reason = %refusal.message,
+                "refused"
+            );
+            self.emit(Command::Refuse { request, refusal });
+        }
+    }
+
+    fn admit(&mut self, now: Millis, arrival: Arrival) -> Result<(), Refusal> {
+        let document = self.serving_document()?;
+        let (team, subscriber) = self.identify(&arrival)?;
+        if arrival.target == ArrivalTarget::ModelList {
+            let models = Self::allowed_models(&document, &team);
+            self.emit(Command::ListModels { request: arrival.request, models });
+            return Ok(());
+        }
+        let profile = Self::profile(now, &document, &arrival, team, subscriber);
+        let plan = self.plan(now, &document, &arrival, &profile)?;
+        self.enqueue(now, &document, arrival, profile, plan)
+    }
+
+    fn serving_document(&self) -> Result<Arc<ConfigurationDocument>, Refusal> {
+        if self.stopping {
+            let message = "This entry VM is shutting down; send the request again.";
+            return Err(Refusal::not_run(RefusalCode::Unavailable, message));
+        }
+        self.configuration.document().cloned().ok_or_else(|| {
+            let message = "This entry VM has no configuration yet; send the request again.";
+            Refusal::not_run(RefusalCode::Unavailable, message)
+        })
+    }
+
+    fn identify(&self, arrival: &Arrival) -> Result<(TeamId, SubscriberId), Refusal> {
+        let found = arrival.key.as_ref().and_then(|key| self.keys.get(key));
+        found.cloned().ok_or_else(|| {
+            let message = "The bearer key is missing or unknown; send a valid key.";
+            Refusal::not_run(RefusalCode::Unauthorised, message)
+        })
+    }
+
+    fn allowed_models(document: &ConfigurationDocument, team: &TeamId) -> Vec<SmolStr> {
+        let entry = &document.teams[team];
+        let mut models = BTreeSet::new();
+        for (id, version) in document.versions() {
+            if entry.allows(&id) && version.state == VersionState::Live {
+                models.insert(SmolStr::new(id.model.as_str()));
+                models.insert(SmolStr::new(id.to_string()));
+            }
+        }
+        models.into_iter().collect()
+    }
+
+    fn profile(
+        now: Millis,
+        document: &ConfigurationDocument,
+        arrival: &Arrival,
+        team: TeamId,
+        subscriber: SubscriberId,
+    ) -> RequestProfile {
+        let wait = arrival.deadline.unwrap_or(document.teams[&team].deadline_ms);
+        let output = match arrival.max_tokens {
+            Tokens(0) => Tokens(Self::DEFAULT_OUTPUT_TOKENS),
+            tokens => tokens,
+        };
+        RequestProfile {
+            team,
+            subscriber,
+            class: SizeClass::of(arrival.prompt_tokens, output),
+            prompt_tokens: arrival.prompt_tokens,
+            expected_output: output,
+            mode: arrival.mode,
+            arrived: now,
+            deadline: now + wait,
+        }
+    }
+
+    fn plan(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        arrival: &Arrival,
+        profile: &RequestProfile,
+    ) -> Result<RoutePlan, Refusal> {
+        match &arrival.target {
+            ArrivalTarget::Model(selector) => self.plan_model(now, document, selector, profile),
+            ArrivalTarget::Service(name) => Self::plan_service(document, name, profile),
+            ArrivalTarget::ModelList => unreachable!("a list of models needs no plan"),
+        }
+    }
+
+    fn plan_service(
+        document: &ConfigurationDocument,
+        name: &str,
+        profile: &RequestProfile,
+    ) -> Result<RoutePlan, Refusal> {
+        let id = name.parse::<ServiceId>().ok();
+        let found = id.as_ref().and_then(|id| document.services.get(id).map(|entry| (id, entry)));
+        let Some((id, entry)) = found else {
+            let message = format!("There is no service {name:?}; correct the path.");
+            return Err(Refusal::not_run(RefusalCode::NotFound, message));
+        };
+        if !document.teams[&profile.team].services.contains(id) {
+            let message = format!("The team may not use the service {id}.");
+            return Err(Refusal::not_run(RefusalCode::Forbidden, message));
+        }
+        let step = PlanStep {
+            target: WorkTarget::Service(id.clone()),
+            pool: entry.pool.clone(),
+            accept_score: None,
+            expected_cost: entry.cost_per_call,
+        };
+        Ok(RoutePlan { steps: vec![step], reason: "named".into(), passed_over: Vec::new() })
+    }
+
+    fn plan_model(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        selector: &str,
+        profile: &RequestProfile,
+    ) -> Result<RoutePlan, Refusal> {
+        let team = &document.teams[&profile.team];
+        let mut known = false;
+        let mut allowed = false;
+        let mut candidates = Vec::new();
+        let mut ruled_out = Vec::new();
+        for (id, entry) in document.versions() {
+            if !Self::selects(selector, &id) {
+                continue;
+            }
+            known = true;
+            if !team.allows(&id) {
+                ruled_out.push(Self::passed(&id, "not allowed"));
+                continue;
+            }
+            allowed = true;
+            if entry.state == VersionState::Withdrawn {
+                ruled_out.push(Self::passed(&id, "withdrawn"));
+                continue;
+            }
+            candidates.push(id);
+        }
+        if !known {
+            let message = format!("There is no model {selector:?}; see GET /v1/models.");
+            return Err(Refusal::not_run(RefusalCode::NotFound, message));
+        }
+        if !allowed {
+            let message = format!("The team may not use {selector:?}; see GET /v1/models.");
+            return Err(Refusal::not_run(RefusalCode::Forbidden, message));
+        }
+        let view = RoutingView { document, candidates: &candidates, ruled_out: &ruled_out };
+        self.policy.plan(now, &view, profile)
+    }
+
+    fn selects(selector: &str, id: &VersionId) -> bool {
+        match selector.split_once('@') {
+            None => selector == "auto" || selector == id.model.as_str(),
+            Some((model, version)) => model == id.model.as_str() && version == id.version.as_str(),
+        }
+    }
+
+    fn passed(candidate: &impl Display, reason: &str) -> PassedOver {
+        PassedOver { candidate: candidate.to_string().into(), reason: reason.into() }
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        arrival: Arrival,
+        profile: RequestProfile,
+        plan: RoutePlan,
+    ) -> Result<(), Refusal> {
+        let queued: usize = self.queues.values().map(FairQueue::len).sum();
+        if queued >= document.preset_in_force().queue_limit as usize {
+            let message = "The queue is full; send the request again later.";
+            return Err(Refusal::not_run(RefusalCode::Unavailable, message)
+                .with_retry_after(Self::retry_after(arrival.request)));
+        }
+        let request = arrival.request;
+        let state = RequestState {
+            arrival,
+            profile,
+            plan,
+            step: 0,
+            phase: RequestPhase::Queued,
+            attempts: Vec::new(),
+            released: None,
+        };
+        let pool = state.plan.steps[0].pool.clone();
+        let entry = Self::queue_entry(document, request, &state);
+        self.requests.insert(request, state);
+        self.queues.entry(pool.clone()).or_default().push(entry);
+        self.dispatch(now, &pool);
+        Ok(())
+    }
+
+    pub(super) fn queue_entry(
+        document: &ConfigurationDocument,
+        request: RequestNumber,
+        state: &RequestState,
+    ) -> QueueEntry {
+        QueueEntry {
+            request,
+            team: state.profile.team.clone(),
+            subscriber: state.profile.subscriber.clone(),
+            class: state.profile.class,
+            cost: state.plan.steps[state.step].expected_cost,
+            weight: document.teams.get(&state.profile.team).map_or(1.0, |team| team.weight),
+        }
+    }
+
+    /// Spreads callers that come back, by the number of their request.
+    pub(super) fn retry_after(request: RequestNumber) -> Millis {
+        const BASE_MS: u64 = 500;
+        const SPREAD_MS: u64 = 1_000;
+        let hash = xxhash_rust::xxh3::xxh3_64(&request.0.to_le_bytes());
+        Millis(BASE_MS + hash % SPREAD_MS)
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -125,6 +125,18 @@
     /// One try of a request at one backend server, unique within its request.
     AttemptId
 );
+number_id!(
+    /// The count of a request within one incarnation of an entry VM.
+    RequestNumber
+);
+number_id!(
+    /// A call of an operator or a peer that waits for its answer.
+    CallId
+);
+number_id!(
+    /// An append to the platform's log that waits for its answer.
+    AppendId
+);
 number_id!(
     /// The fencing number of an order to an engine.
     Fence
@@ -177,7 +189,7 @@
     /// The incarnation of that VM.
     pub incarnation: Incarnation,
     /// The count of requests in that incarnation.
-    pub number: u64,
+    pub number: RequestNumber,
 }
 
 impl Display for RequestId {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,24 +5,39 @@
 //! does no input or output of its own.
 
 use {
+    bytes::Bytes,
+    rustc_hash::FxHashMap,
     serde::{Deserialize, Deserializer, Serialize, Serializer},
     smol_str::SmolStr,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet, VecDeque},
         ffi::OsString,
         fmt::{self, Display, Formatter},
+        future::Future,
+        net::SocketAddr,
+        pin::Pin,
         process::ExitCode,
         str::FromStr,
+        sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
+pub mod admission;
 pub mod command;
 pub mod configuration;
+pub mod control;
+pub mod health;
 pub mod ids;
+pub mod peer;
+pub mod platform;
+pub mod routing;
 pub mod units;
 
-use {ids::*, units::*};
+use {
+    admission::*, configuration::*, control::*, health::*, ids::*, peer::*, platform::*,
+    routing::*, units::*,
+};
 
 /// Runs the program with its arguments and returns its exit code.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,181 @@
+//! Requests through the control core, with no input or output.
+
+use guavapass::{
+    configuration::{ConfigurationChange, ConfigurationDocument, ConfigurationRecord, hash_key},
+    control::*,
+    ids::{AttemptId, Offset, RequestNumber, Revision},
+    platform::{LogPage, LogRecord, MemberState, MembershipList, ServerMember},
+    routing::CheapestPolicy,
+    units::{Millis, Tokens},
+};
+
+const DOCUMENT: &str = r#"{
+    "schema": 1,
+    "pools": {
+        "planning": {
+            "kind": "engine", "slots": 2, "long_slots": 1, "progress_timeout_ms": 5000
+        }
+    },
+    "models": { "planner": { "stable": "1", "versions": {
+        "1": {
+            "pool": "planning", "cost_per_million_prompt_tokens": 1.0,
+            "cost_per_million_output_tokens": 4.0, "prior_quality": 0.9,
+            "first_token_ms": 100, "stream_rate": 50.0
+        },
+        "2": {
+            "pool": "planning", "cost_per_million_prompt_tokens": 5.0,
+            "cost_per_million_output_tokens": 20.0, "prior_quality": 0.95,
+            "first_token_ms": 100, "stream_rate": 50.0, "state": "withdrawn"
+        }
+    } } },
+    "teams": { "crews": {
+        "keys": [{ "subscriber": "ana", "sha256": "KEY" }],
+        "allowed": ["planner"], "quality_target": 0.85, "deadline_ms": 10000
+    } },
+    "presets": { "ordinary": {} },
+    "preset": "ordinary"
+}"#;
+
+struct CoreBench {
+    control: Control,
+    now: Millis,
+}
+
+impl CoreBench {
+    fn new() -> Self {
+        let identity = VmIdentity {
+            vm: "vm-1".parse().unwrap(),
+            incarnation: guavapass::ids::Incarnation(1),
+            data_centre: "norte".parse().unwrap(),
+        };
+        let control = Control::new(identity, Box::new(CheapestPolicy));
+        Self { control, now: Millis(1) }
+    }
+
+    fn publish(&mut self) {
+        let text = DOCUMENT.replace("KEY", &hash_key("secret"));
+        let document: ConfigurationDocument = serde_json::from_str(&text).unwrap();
+        let record = ConfigurationRecord {
+            schema: 1,
+            publication: "first".into(),
+            base: Revision(0),
+            change: ConfigurationChange::Document(Box::new(document)),
+        };
+        let record = serde_json::to_vec(&record).unwrap().into();
+        let records = vec![LogRecord { offset: Offset(0), record }];
+        let page = LogPage { oldest: Offset(0), next: Offset(1), records };
+        let stream = "configuration".parse().unwrap();
+        self.control.handle(self.now, Event::Read { stream, result: Ok(page) });
+    }
+
+    fn list_server(&mut self) {
+        let member = ServerMember {
+            id: "engine-1".parse().unwrap(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            data_centre: "norte".parse().unwrap(),
+            pool: "planning".parse().unwrap(),
+            state: MemberState::Live,
+        };
+        let list = MembershipList { entry_vms: Vec::new(), backend_servers: vec![member] };
+        self.control.handle(self.now, Event::Listed(Ok(list)));
+    }
+
+    fn ask(&mut self, number: u64, key: &str, model: &str) -> Vec<Command> {
+        let arrival = Arrival {
+            request: RequestNumber(number),
+            key: Some(hash_key(key)),
+            target: ArrivalTarget::Model(model.into()),
+            mode: AnswerMode::Whole,
+            prompt_tokens: Tokens(10),
+            max_tokens: Tokens(10),
+            prefix: 0,
+            fingerprint: number,
+            session: None,
+            idempotency_key: None,
+            deadline: None,
+        };
+        self.control.handle(self.now, Event::Arrived(arrival))
+    }
+
+    fn report(&mut self, number: u64, report: AttemptReport) -> Vec<Command> {
+        let request = RequestNumber(number);
+        let attempt = AttemptId(1);
+        self.control.handle(self.now, Event::Attempt { request, attempt, report })
+    }
+}
+
+fn started(commands: &[Command]) -> Option<&AttemptStart> {
+    commands.iter().find_map(|command| match command {
+        Command::Start(start) => Some(start),
+        _ => None,
+    })
+}
+
+fn refusal(commands: &[Command]) -> &Refusal {
+    let refusal = commands.iter().find_map(|command| match command {
+        Command::Refuse { refusal, .. } => Some(refusal),
+        _ => None,
+    });
+    refusal.expect("a refusal is among the commands")
+}
+
+#[test]
+fn arrival_starts_on_free_server() {
+    let mut bench = CoreBench::new();
+    bench.publish();
+    bench.list_server();
+    let commands = bench.ask(1, "secret", "auto");
+    assert_eq!(started(&commands).unwrap().target.to_string(), "planner@1");
+}
+
+#[test]
+fn arrival_without_configuration() {
+    let mut bench = CoreBench::new();
+    let commands = bench.ask(1, "secret", "auto");
+    assert_eq!(refusal(&commands).code, RefusalCode::Unavailable);
+    assert_eq!(refusal(&commands).run, RunState::NotRun);
+}
+
+#[test]
+fn arrival_unknown_key() {
+    let mut bench = CoreBench::new();
+    bench.publish();
+    let commands = bench.ask(1, "guess", "auto");
+    assert_eq!(refusal(&commands).code, RefusalCode::Unauthorised);
+}
+
+#[test]
+fn arrival_withdrawn_version() {
+    let mut bench = CoreBench::new();
+    bench.publish();
+    bench.list_server();
+    let commands = bench.ask(1, "secret", "planner@2");
+    assert_eq!(refusal(&commands).code, RefusalCode::Unavailable);
+}
+
+#[test]
+fn queue_waits_for_slot() {
+    let mut bench = CoreBench::new();
+    bench.publish();
+    bench.list_server();
+    bench.ask(1, "secret", "auto");
+    bench.ask(2, "secret", "auto");
+    assert!(started(&bench.ask(3, "secret", "auto")).is_none());
+    let outcome = AttemptOutcome::Whole { status: 200, usage: TokenUsage::default() };
+    let commands = bench.report(1, AttemptReport::Ended(outcome));
+    assert_eq!(started(&commands).unwrap().request, RequestNumber(3));
+}
+
+#[test]
+fn failed_attempt_says_how_far() {
+    let mut bench = CoreBench::new();
+    bench.publish();
+    bench.list_server();
+    bench.ask(1, "secret", "auto");
+    bench.report(1, AttemptReport::Writing);
+    bench.report(1, AttemptReport::Head);
+    let fault = AttemptFault::Truncated;
+    let outcome = AttemptOutcome::Failed { fault, output_tokens: Tokens(3) };
+    let commands = bench.report(1, AttemptReport::Ended(outcome));
+    assert_eq!(refusal(&commands).run, RunState::Ran);
+}
--- a/tests/ids.rs
+++ b/tests/ids.rs
@@ -10,7 +10,7 @@
     let id: RequestId = "vm-1.7.42".parse().unwrap();
     assert_eq!(id.vm.as_str(), "vm-1");
     assert_eq!(id.incarnation.0, 7);
-    assert_eq!(id.number, 42);
+    assert_eq!(id.number.0, 42);
     assert_eq!(id.to_string(), "vm-1.7.42");
 }
 
