--- a/src/command.rs
+++ b/src/command.rs
@@ -1,18 +1,45 @@
 //! The command line.
+//!
+//! Every command is a file in this folder with a `command` that describes its arguments and a
+//! `run` that carries it out. Exit codes: 0 for success, 1 if the work failed, 2 if the arguments
+//! or a file are wrong.
 
 use super::*;
+use clap::{Arg, ArgMatches, Command as CommandLine};
+
+mod check;
+mod command_error;
+mod logs;
+mod serve;
+
+pub use command_error::CommandError;
 
 /// Parses the arguments and runs the command they name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let matches = clap::Command::new("guavapass")
-        .about("A model-aware router for versions and cascades")
-        .version(env!("CARGO_PKG_VERSION"))
-        .try_get_matches_from(arguments);
-    match matches {
-        Ok(_) => ExitCode::SUCCESS,
+    let matches = match command_line().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
         Err(error) => {
             let _ = error.print();
-            ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(2))
+            return ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(2));
         }
-    }
+    };
+    let result = match matches.subcommand() {
+        Some(("serve", matches)) => serve::run(matches),
+        Some(("check", matches)) => check::run(matches),
+        _ => Ok(ExitCode::SUCCESS),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        ExitCode::from(error.exit_code())
+    })
+}
+
+fn command_line() -> CommandLine {
+    CommandLine::new("guavapass")
+        .about("A model-aware router for versions and cascades")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(serve::command())
+        .subcommand(check::command())
 }
--- /dev/null
+++ b/src/command/command_error.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A document cannot be read.
+    #[error(transparent)]
+    Document(#[from] DocumentError),
+    /// A configuration is not acceptable.
+    #[error("{file}: {cause}")]
+    Configuration {
+        /// The file.
+        file: SmolStr,
+        /// The cause.
+        cause: ConfigurationError,
+    },
+    /// The entry VM cannot start.
+    #[error(transparent)]
+    Vm(#[from] VmError),
+    /// The operating system refused something.
+    #[error("The system refused: {0}.")]
+    System(#[from] std::io::Error),
+}
+
+impl CommandError {
+    /// Returns the exit code: 2 for wrong input, 1 for failed work.
+    #[must_use]
+    pub const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Settings(_) | Self::Document(_) | Self::Configuration { .. } => 2,
+            Self::Vm(_) | Self::System(_) => 1,
+        }
+    }
+}
--- /dev/null
+++ b/src/command/serve.rs
@@ -0,0 +1,53 @@
+//! `guavapass serve`: runs an entry VM.
+
+use super::*;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Describes the command.
+pub fn command() -> CommandLine {
+    CommandLine::new("serve").about("Run an entry VM").arg(
+        Arg::new("settings")
+            .value_name("FILE")
+            .required(true)
+            .help("The settings of the entry VM, JSON with comments"),
+    )
+}
+
+/// Runs an entry VM until a signal has ended it.
+///
+/// # Errors
+///
+/// Returns why the settings cannot be used or the VM cannot start.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, CommandError> {
+    let path = matches.get_one::<String>("settings").map(PathBuf::from).unwrap_or_default();
+    let settings = EntrySettings::read(&path)?;
+    let file = SmolStr::new(path.display().to_string());
+    let (operators, peers) = settings.secrets(&file)?;
+    logs::start(&settings.log);
+    let vm = EntryVm::start(&settings, operators, peers)?;
+    tracing::info!(
+        vm = %settings.vm,
+        callers = %vm.callers,
+        operators = %vm.operators,
+        peers = %vm.peers,
+        "serving"
+    );
+    let handle = vm.handle().clone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name("signals".into()).spawn(move || {
+        runtime.block_on(async move {
+            let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
+            let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                tracing::info!("told to end");
+                handle.send(Event::Shutdown);
+            }
+        });
+    })?;
+    vm.wait();
+    Ok(ExitCode::SUCCESS)
+}
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -221,11 +221,12 @@
         }
     }
 
-    /// Spreads callers that come back, by the number of their request.
-    pub(super) fn retry_after(request: RequestNumber) -> Millis {
+    /// Returns when a refused caller may come back, spread by the number of its request.
+    #[must_use]
+    pub fn retry_after(request: RequestNumber) -> Millis {
         const BASE_MS: u64 = 500;
         const SPREAD_MS: u64 = 1_000;
-        let hash = xxhash_rust::xxh3::xxh3_64(&request.0.to_le_bytes());
+        let hash = xxh3_64(&request.0.to_le_bytes());
         Millis(BASE_MS + hash % SPREAD_MS)
     }
 }
--- a/src/control/attempt.rs
+++ b/src/control/attempt.rs
@@ -45,8 +45,10 @@
                 None
             }
             AttemptOutcome::Failed { fault, output_tokens } => {
-                if fault == AttemptFault::Declined {
-                    entry.run = AttemptRun::Declined;
+                match fault {
+                    AttemptFault::Declined => entry.run = AttemptRun::Declined,
+                    AttemptFault::Unreachable => entry.run = AttemptRun::Opening,
+                    _ => {}
                 }
                 entry.output_tokens = output_tokens;
                 Some(fault)
--- /dev/null
+++ b/src/driver/control_thread.rs
@@ -0,0 +1,155 @@
+use super::{control_handle::ControlInbox, *};
+use crossbeam_channel::RecvTimeoutError;
+
+/// Runs the core and passes its commands on.
+pub(super) struct ControlThread {
+    pub(super) control: Control,
+    pub(super) clock: Clock,
+    pub(super) inbox: ControlInbox,
+    pub(super) errands: ErrandRunner,
+    pub(super) metrics: MetricClient,
+    pub(super) ready: Arc<AtomicBool>,
+    pub(super) mailboxes: FxHashMap<RequestNumber, RequestMailbox>,
+    pub(super) operators: BTreeMap<CallId, tokio::sync::oneshot::Sender<OperatorAnswer>>,
+    pub(super) calls: u64,
+}
+
+impl ControlThread {
+    const TICK_MS: u64 = 10;
+    const SWEEP_MS: u64 = 1_000;
+    /// The inputs handled between two looks at the other channel.
+    const BATCH: usize = 64;
+
+    /// Runs until the core says stop or every sender is gone.
+    pub(super) fn run(mut self) {
+        let mut next_tick = Millis(0);
+        let mut next_sweep = Millis(0);
+        loop {
+            let now = self.clock.now();
+            if now >= next_tick {
+                next_tick = now + Millis(Self::TICK_MS);
+                if self.handle(Event::Tick).is_break() {
+                    return;
+                }
+            }
+            if now >= next_sweep {
+                next_sweep = now + Millis(Self::SWEEP_MS);
+                self.sweep();
+            }
+            if self.receive(next_tick).is_break() {
+                return;
+            }
+        }
+    }
+
+    fn receive(&mut self, next_tick: Millis) -> ControlFlow<()> {
+        for _ in 0..Self::BATCH {
+            let Ok(input) = self.inbox.events.try_recv() else { break };
+            self.take(input)?;
+        }
+        for _ in 0..Self::BATCH {
+            let Ok(input) = self.inbox.arrivals.try_recv() else { break };
+            self.take(input)?;
+        }
+        if !self.inbox.events.is_empty() || !self.inbox.arrivals.is_empty() {
+            return ControlFlow::Continue(());
+        }
+        let wait = next_tick.since(self.clock.now()).duration();
+        let received = crossbeam_channel::select! {
+            recv(self.inbox.events) -> input => input.map_err(|_| RecvTimeoutError::Disconnected),
+            recv(self.inbox.arrivals) -> input => input.map_err(|_| RecvTimeoutError::Disconnected),
+            default(wait) => Err(RecvTimeoutError::Timeout),
+        };
+        match received {
+            Ok(input) => self.take(input),
+            Err(RecvTimeoutError::Timeout) => ControlFlow::Continue(()),
+            Err(RecvTimeoutError::Disconnected) => ControlFlow::Break(()),
+        }
+    }
+
+    fn take(&mut self, input: ControlInput) -> ControlFlow<()> {
+        match input {
+            ControlInput::Event(event) => self.handle(event),
+            ControlInput::Request(arrival, mailbox) => {
+                self.mailboxes.insert(arrival.request, mailbox);
+                self.handle(Event::Arrived(arrival))
+            }
+            ControlInput::Operator(request, sender) => {
+                self.calls += 1;
+                let call = CallId(self.calls);
+                self.operators.insert(call, sender);
+                self.handle(Event::Operator { call, request })
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) -> ControlFlow<()> {
+        let commands = self.control.handle(self.clock.now(), event);
+        for command in commands {
+            self.obey(command)?;
+        }
+        self.ready.store(self.control.is_ready(), Ordering::Relaxed);
+        ControlFlow::Continue(())
+    }
+
+    fn obey(&mut self, command: Command) -> ControlFlow<()> {
+        match command {
+            Command::Start(start) => {
+                self.metrics.count("attempts");
+                self.post(start.request, Directive::Start(Box::new(start)));
+            }
+            Command::Release { request, attempt } => {
+                self.post(request, Directive::Release(attempt));
+            }
+            Command::Cancel { request, attempt } => {
+                self.post(request, Directive::Cancel(attempt));
+            }
+            Command::Refuse { request, refusal } => {
+                self.metrics.count_by("refusals", refusal.code.as_str());
+                self.post(request, Directive::Refuse(refusal));
+            }
+            Command::ListModels { request, models } => {
+                self.post(request, Directive::ListModels(models));
+            }
+            Command::AnswerOperator { call, answer } => {
+                if let Some(sender) = self.operators.remove(&call) {
+                    let _ = sender.send(answer);
+                }
+            }
+            Command::LogRoute(decision) => Self::log(&decision),
+            Command::Stop => return ControlFlow::Break(()),
+            command => self.errands.run(command),
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn post(&mut self, request: RequestNumber, directive: Directive) {
+        if let Some(mailbox) = self.mailboxes.get(&request) {
+            let _ = mailbox.send(directive);
+        }
+    }
+
+    fn log(decision: &RouteDecision) {
+        let passed_over = serde_json::to_string(&decision.passed_over).unwrap_or_default();
+        tracing::info!(
+            request = %decision.request,
+            attempt = %decision.attempt,
+            team = %decision.team,
+            target = %decision.target,
+            server = %decision.server,
+            reason = %decision.reason,
+            waited_ms = decision.waited.0,
+            %passed_over,
+            "route"
+        );
+    }
+
+    /// Forgets the mailboxes of requests that have ended, and reports the state.
+    fn sweep(&mut self) {
+        self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
+        let status = self.control.status(self.clock.now());
+        self.metrics.gauge("requests", status.requests as u64);
+        self.metrics.gauge("queued", status.queued as u64);
+        self.metrics.gauge("revision", status.revision.0);
+    }
+}
--- /dev/null
+++ b/src/driver/entry_vm.rs
@@ -0,0 +1,206 @@
+use super::*;
+use std::{io, net::TcpListener, thread::JoinHandle};
+use xitca_web::HttpServer;
+
+/// A running entry VM.
+pub struct EntryVm {
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for operators.
+    pub operators: SocketAddr,
+    /// The address for peers.
+    pub peers: SocketAddr,
+    handle: ControlHandle,
+    control: Option<JoinHandle<()>>,
+    servers: Vec<Box<dyn Fn() + Send + Sync>>,
+    _runtime: tokio::runtime::Runtime,
+}
+
+/// Why an entry VM cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum VmError {
+    /// An address cannot be listened on.
+    #[error("The address {address} cannot be listened on ({cause}); free it or choose another.")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        cause: io::Error,
+    },
+    /// A thread or socket cannot be had.
+    #[error("The process cannot start its threads: {0}.")]
+    Start(#[from] io::Error),
+}
+
+impl EntryVm {
+    const OPERATOR_THREADS: usize = 1;
+    const ERRAND_THREADS: usize = 2;
+
+    /// Starts an entry VM with its secrets for operators and for peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns why an address or a thread cannot be had.
+    pub fn start(
+        settings: &EntrySettings,
+        operator_secrets: Vec<Secret>,
+        peer_secrets: Vec<Secret>,
+    ) -> Result<Self, VmError> {
+        let callers = listen(settings.callers.listen)?;
+        let operators = listen(settings.operators.listen)?;
+        let peers = listen(settings.peers.listen)?;
+        let clock = Clock::start();
+        let identity = VmIdentity {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(clock.unix().0),
+            data_centre: settings.data_centre.clone(),
+        };
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(Self::ERRAND_THREADS)
+            .thread_name("errands")
+            .enable_all()
+            .build()?;
+        let (handle, inbox) = ControlHandle::new();
+        let shelf = Arc::new(AnswerShelf::default());
+        let ready = Arc::new(AtomicBool::new(false));
+        let errands = {
+            let _guard = runtime.enter();
+            errand_runner(settings, &identity, &peer_secrets, &runtime, &handle, &shelf)
+        };
+        let thread = ControlThread {
+            control: Control::new(identity.clone(), Box::new(CheapestPolicy)),
+            clock,
+            inbox,
+            errands,
+            metrics: MetricClient::new(settings.metrics.as_ref())?,
+            ready: Arc::clone(&ready),
+            mailboxes: FxHashMap::default(),
+            operators: BTreeMap::new(),
+            calls: 0,
+        };
+        let control =
+            std::thread::Builder::new().name("control".into()).spawn(move || thread.run())?;
+        let caller_desk =
+            CallerDesk::new(settings.callers.clone(), identity, &handle, shelf, &ready);
+        let operator_desk = OperatorDesk::new(operator_secrets, handle.clone(), Arc::clone(&ready));
+        let peer_desk = PeerDesk::new(peer_secrets, handle.clone());
+        let threads = settings.callers.threads;
+        let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
+        let servers = vec![
+            serve_callers(callers, threads, caller_desk)?,
+            serve_operators(operators, Self::OPERATOR_THREADS, operator_desk)?,
+            serve_peers(peers, Self::OPERATOR_THREADS, peer_desk)?,
+        ];
+        Ok(Self {
+            callers: addresses.0,
+            operators: addresses.1,
+            peers: addresses.2,
+            handle,
+            control: Some(control),
+            servers,
+            _runtime: runtime,
+        })
+    }
+
+    /// Returns a handle to the control thread.
+    #[must_use]
+    pub const fn handle(&self) -> &ControlHandle {
+        &self.handle
+    }
+
+    /// Tells the VM to end after its work.
+    pub fn shut_down(&self) {
+        self.handle.send(Event::Shutdown);
+    }
+
+    /// Waits until the control thread has ended, then stops the listeners.
+    pub fn wait(mut self) {
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
+        }
+    }
+}
+
+impl Drop for EntryVm {
+    fn drop(&mut self) {
+        for stop in &self.servers {
+            stop();
+        }
+    }
+}
+
+fn address(listener: &TcpListener) -> io::Result<SocketAddr> {
+    listener.local_addr()
+}
+
+/// Binds a listener whose accepted sockets send small segments at once.
+fn listen(address: SocketAddr) -> Result<TcpListener, VmError> {
+    const BACKLOG: i32 = 4_096;
+    let open = || -> io::Result<TcpListener> {
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_tcp_nodelay(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        Ok(socket.into())
+    };
+    open().map_err(|cause| VmError::Listen { address, cause })
+}
+
+fn errand_runner(
+    settings: &EntrySettings,
+    identity: &VmIdentity,
+    peer_secrets: &[Secret],
+    runtime: &tokio::runtime::Runtime,
+    handle: &ControlHandle,
+    shelf: &Arc<AnswerShelf>,
+) -> ErrandRunner {
+    let platform = Arc::new(HttpPlatform::new(settings.platform.address));
+    let name = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
+    ErrandRunner {
+        runtime: runtime.handle().clone(),
+        handle: handle.clone(),
+        log: platform.clone(),
+        members: platform.clone(),
+        loads: platform.clone(),
+        ratings: platform,
+        shelf: Arc::clone(shelf),
+        peers: Arc::new(PeerClient::new(name, peer_secrets[0].clone())),
+    }
+}
+
+macro_rules! serve_with {
+    ($name:ident, $desk:ty) => {
+        fn $name(
+            listener: TcpListener,
+            threads: usize,
+            desk: $desk,
+        ) -> io::Result<Box<dyn Fn() + Send + Sync>> {
+            let desk = Arc::new(desk);
+            let service = xitca_web::service::fn_service(move |request: WebRequest| {
+                let desk = Arc::clone(&desk);
+                async move { Ok::<_, Infallible>(desk.serve(request).await) }
+            });
+            let mut server = HttpServer::serve(service)
+                .worker_threads(threads)
+                .disable_signal()
+                .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
+                .listen(listener)?
+                .run();
+            let handle = server.handle()?;
+            std::thread::Builder::new().name(stringify!($name).into()).spawn(move || {
+                if let Err(error) = server.wait() {
+                    tracing::error!(%error, "listener ended");
+                }
+            })?;
+            Ok(Box::new(move || handle.stop(false)))
+        }
+    };
+}
+
+const KEEP_ALIVE_SECONDS: u64 = 60;
+
+serve_with!(serve_callers, CallerDesk);
+serve_with!(serve_operators, OperatorDesk);
+serve_with!(serve_peers, PeerDesk);
--- /dev/null
+++ b/src/driver/errands.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+/// Carries out commands that call the platform, backend servers or peers.
+pub(super) struct ErrandRunner {
+    pub(super) runtime: tokio::runtime::Handle,
+    pub(super) handle: ControlHandle,
+    pub(super) log: Arc<dyn LogService>,
+    pub(super) members: Arc<dyn MembershipService>,
+    pub(super) loads: Arc<dyn LoadReports>,
+    pub(super) ratings: Arc<dyn RatingService>,
+    pub(super) shelf: Arc<AnswerShelf>,
+    pub(super) peers: Arc<PeerClient>,
+}
+
+impl ErrandRunner {
+    /// Starts a command; its result comes back as an event.
+    pub(super) fn run(&self, command: Command) {
+        let handle = self.handle.clone();
+        match command {
+            Command::Append { append, stream, records } => {
+                let log = Arc::clone(&self.log);
+                self.runtime.spawn(async move {
+                    let result = log.append(&stream, &records).await;
+                    handle.send(Event::Appended { append, result });
+                });
+            }
+            Command::Read { stream, from, wait } => {
+                let log = Arc::clone(&self.log);
+                self.runtime.spawn(async move {
+                    let result = log.read(&stream, from, wait).await;
+                    handle.send(Event::Read { stream, result });
+                });
+            }
+            Command::ListMembers => {
+                let members = Arc::clone(&self.members);
+                self.runtime.spawn(async move {
+                    handle.send(Event::Listed(members.members().await));
+                });
+            }
+            Command::ReadLoad { server, address } => {
+                let loads = Arc::clone(&self.loads);
+                self.runtime.spawn(async move {
+                    let result = loads.load(address).await;
+                    handle.send(Event::Loaded { server, result });
+                });
+            }
+            Command::Rate { request, attempt, version } => self.rate(request, attempt, version),
+            Command::Send { to: _, address, message } => {
+                let peers = Arc::clone(&self.peers);
+                self.runtime.spawn(async move { peers.send(address, &message).await });
+            }
+            Command::Start(_)
+            | Command::Release { .. }
+            | Command::Cancel { .. }
+            | Command::Refuse { .. }
+            | Command::ListModels { .. }
+            | Command::AnswerOperator { .. }
+            | Command::LogRoute(_)
+            | Command::Stop => tracing::error!(?command, "not an errand"),
+        }
+    }
+
+    fn rate(&self, request: RequestNumber, attempt: AttemptId, version: VersionId) {
+        let Some((question, answer)) = self.shelf.get(request, attempt) else { return };
+        let ratings = Arc::clone(&self.ratings);
+        let handle = self.handle.clone();
+        self.runtime.spawn(async move {
+            let result = ratings.rate(&version, &question, &answer).await;
+            handle.send(Event::Rated { request, attempt, result });
+        });
+    }
+}
--- /dev/null
+++ b/src/driver/metrics.rs
@@ -0,0 +1,51 @@
+use super::*;
+use cadence::{
+    BufferedUdpMetricSink, Counted, CountedExt, Gauged, NopMetricSink, QueuingMetricSink,
+    StatsdClient,
+};
+use std::{io, net::UdpSocket};
+
+/// Sends metrics to a `StatsD` server, or nowhere.
+#[derive(Clone, Debug)]
+pub struct MetricClient {
+    client: Arc<StatsdClient>,
+}
+
+impl MetricClient {
+    /// Returns a client for the settings; without settings it sends nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no socket could be opened.
+    pub fn new(settings: Option<&MetricSettings>) -> io::Result<Self> {
+        let Some(settings) = settings else {
+            let client = StatsdClient::from_sink("guavapass", NopMetricSink);
+            return Ok(Self { client: Arc::new(client) });
+        };
+        let any: SocketAddr = match settings.statsd {
+            SocketAddr::V4(_) => SocketAddr::from(([0, 0, 0, 0], 0)),
+            SocketAddr::V6(_) => SocketAddr::from(([0_u16; 8], 0)),
+        };
+        let socket = UdpSocket::bind(any)?;
+        socket.set_nonblocking(true)?;
+        let sink =
+            BufferedUdpMetricSink::from(settings.statsd, socket).map_err(io::Error::other)?;
+        let sink = QueuingMetricSink::from(sink);
+        Ok(Self { client: Arc::new(StatsdClient::from_sink(&settings.prefix, sink)) })
+    }
+
+    /// Counts one occurrence.
+    pub fn count(&self, name: &str) {
+        let _ = self.client.incr(name);
+    }
+
+    /// Counts one occurrence of a kind.
+    pub fn count_by(&self, name: &str, kind: &str) {
+        let _ = self.client.count_with_tags(name, 1).with_tag("kind", kind).try_send();
+    }
+
+    /// Reports a level.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,32 +11,47 @@
     smol_str::SmolStr,
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
+        convert::Infallible,
         ffi::OsString,
         fmt::{self, Display, Formatter},
         future::Future,
         net::SocketAddr,
+        ops::ControlFlow,
+        path::{Path, PathBuf},
         pin::Pin,
         process::ExitCode,
         str::FromStr,
-        sync::Arc,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
+    xitca_web::{
+        body::{Body, RequestBody, ResponseBody, StreamDataBody},
+        http::RequestExt,
+    },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 pub mod admission;
 pub mod command;
 pub mod configuration;
 pub mod control;
+pub mod document;
+pub mod driver;
 pub mod health;
 pub mod ids;
 pub mod peer;
 pub mod platform;
 pub mod routing;
+pub mod settings;
+pub mod traffic;
 pub mod units;
 
 use {
-    admission::*, configuration::*, control::*, health::*, ids::*, peer::*, platform::*,
-    routing::*, units::*,
+    admission::*, configuration::*, control::*, document::*, driver::*, health::*, ids::*, peer::*,
+    platform::*, routing::*, settings::*, traffic::*, units::*,
 };
 
 /// Runs the program with its arguments and returns its exit code.
--- /dev/null
+++ b/src/settings/settings_file.rs
@@ -0,0 +1,147 @@
+use super::*;
+
+/// The settings of an entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The name of the VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The listener for callers.
+    pub callers: CallerSettings,
+    /// The listener for operators.
+    pub operators: ListenerSettings,
+    /// The listener for peers.
+    pub peers: ListenerSettings,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Metrics; off if absent.
+    #[serde(default)]
+    pub metrics: Option<MetricSettings>,
+    /// How the process ends.
+    #[serde(default)]
+    pub shutdown: ShutdownSettings,
+}
+
+/// Where the platform is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The address of its services.
+    pub address: SocketAddr,
+}
+
+/// Where metrics go.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MetricSettings {
+    /// The address of the `StatsD` server.
+    pub statsd: SocketAddr,
+    /// The prefix of each metric's name.
+    #[serde(default = "default_prefix")]
+    pub prefix: SmolStr,
+}
+
+fn default_prefix() -> SmolStr {
+    "guavapass".into()
+}
+
+/// How the process ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShutdownSettings {
+    /// How long the balancer goes on sending requests to a VM that is not ready.
+    #[serde(default = "default_balancer_lag")]
+    pub balancer_lag_ms: Millis,
+}
+
+const fn default_balancer_lag() -> Millis {
+    Millis(5_000)
+}
+
+impl Default for ShutdownSettings {
+    fn default() -> Self {
+        Self { balancer_lag_ms: default_balancer_lag() }
+    }
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let settings: Self = read_document(path)?;
+        settings.check(&SmolStr::new(path.display().to_string()))?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &SmolStr) -> Result<(), SettingsError> {
+        let range = |field, found: &dyn Display, holds: bool, expected| {
+            if holds {
+                return Ok(());
+            }
+            Err(SettingsError::Range {
+                file: file.clone(),
+                field,
+                found: found.to_string().into(),
+                expected,
+            })
+        };
+        let callers = &self.callers;
+        let threads = callers.threads;
+        range("callers.threads", &threads, (1..=256).contains(&threads), "from 1 to 256")?;
+        let body = callers.body_limit_bytes;
+        range("callers.body_limit_bytes", &body, body.0 > 0, "at least 1")?;
+        let answer = callers.answer_limit_bytes;
+        range("callers.answer_limit_bytes", &answer, answer.0 > 0, "at least 1")?;
+        let timeout = callers.body_timeout_ms;
+        range("callers.body_timeout_ms", &timeout, timeout.0 > 0, "at least 1")?;
+        self.secrets(file)?;
+        Ok(())
+    }
+
+    /// Reads the secrets of the operators and of the peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first secret that is missing or too short.
+    pub fn secrets(&self, file: &SmolStr) -> Result<(Vec<Secret>, Vec<Secret>), SettingsError> {
+        let operators = read_secrets(file, "operators.secret_files", &self.operators.secret_files)?;
+        let peers = read_secrets(file, "peers.secret_files", &self.peers.secret_files)?;
+        Ok((operators, peers))
+    }
+}
+
+fn read_secrets(
+    file: &SmolStr,
+    field: &'static str,
+    paths: &[PathBuf],
+) -> Result<Vec<Secret>, SettingsError> {
+    if paths.is_empty() || paths.len() > 2 {
+        return Err(SettingsError::Range {
+            file: file.clone(),
+            field,
+            found: format!("a list of {}", paths.len()).into(),
+            expected: "a list of 1 or 2 files",
+        });
+    }
+    paths.iter().map(|path| read_secret(file, field, path)).collect()
+}
+
+fn read_secret(file: &SmolStr, field: &'static str, path: &Path) -> Result<Secret, SettingsError> {
+    let secret: SmolStr = path.display().to_string().into();
+    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Secret {
+        file: file.clone(),
+        field,
+        secret: secret.clone(),
+        cause: error.to_string().into(),
+    })?;
+    Secret::new(text.trim().as_bytes())
+        .ok_or_else(|| SettingsError::ShortSecret { file: file.clone(), secret })
+}
--- /dev/null
+++ b/src/traffic.rs
@@ -0,0 +1,39 @@
+//! Callers' requests and backend servers' answers on the wire.
+//!
+//! A [`CallerDesk`] reads a request, tells the control thread and obeys its directives. Each
+//! attempt is a task of its own ([`upstream`]) that passes the answer on through a small bounded
+//! channel, so that a slow caller slows its backend server down and a caller that goes away
+//! cancels its upstream work.
+
+use super::*;
+
+mod answer_shelf;
+mod attempt_event;
+mod caller_desk;
+mod caller_request;
+mod exchange;
+mod operator_desk;
+mod peer_desk;
+mod reply;
+mod sse_scanner;
+mod upstream;
+
+pub use {
+    answer_shelf::AnswerShelf,
+    caller_desk::CallerDesk,
+    operator_desk::{OPERATOR_PATH, OperatorDesk},
+    peer_desk::{PEER_PATH, PeerDesk},
+    sse_scanner::SseScanner,
+};
+
+use {
+    attempt_event::AttemptEvent,
+    caller_desk::DeskShared,
+    caller_request::{CallerRequest, RequestError},
+    exchange::CallerExchange,
+};
+
+/// A request as xitca-web hands it over.
+pub type WebRequest = http::Request<RequestExt<RequestBody>>;
+/// A response as xitca-web takes it.
+pub type WebResponse = http::Response<ResponseBody>;
--- /dev/null
+++ b/src/traffic/answer_shelf.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+/// Keeps the text of recent requests and answers for the rating service, within a bound.
+#[derive(Debug, Default)]
+pub struct AnswerShelf {
+    inner: Mutex<ShelfInner>,
+}
+
+#[derive(Debug, Default)]
+struct ShelfInner {
+    texts: FxHashMap<(RequestNumber, AttemptId), (Arc<str>, Arc<str>)>,
+    order: VecDeque<(RequestNumber, AttemptId)>,
+}
+
+impl AnswerShelf {
+    const LIMIT: usize = 2_048;
+    const TEXT_LIMIT_BYTES: usize = 8_192;
+
+    /// Keeps a request's and its answer's text, cut to a bound.
+    pub fn put(&self, request: RequestNumber, attempt: AttemptId, question: &str, answer: &str) {
+        let Ok(mut inner) = self.inner.lock() else { return };
+        let key = (request, attempt);
+        inner.texts.insert(key, (Self::cut(question), Self::cut(answer)));
+        inner.order.push_back(key);
+        if inner.order.len() > Self::LIMIT
+            && let Some(oldest) = inner.order.pop_front()
+        {
+            inner.texts.remove(&oldest);
+        }
+    }
+
+    /// Takes the texts of an attempt.
+    pub fn get(&self, request: RequestNumber, attempt: AttemptId) -> Option<(Arc<str>, Arc<str>)> {
+        self.inner.lock().ok()?.texts.get(&(request, attempt)).cloned()
+    }
+
+    fn cut(text: &str) -> Arc<str> {
+        text[..text.floor_char_boundary(Self::TEXT_LIMIT_BYTES.min(text.len()))].into()
+    }
+}
--- /dev/null
+++ b/src/traffic/caller_desk.rs
@@ -0,0 +1,217 @@
+use super::*;
+use std::cell::RefCell;
+
+/// Serves callers.
+pub struct CallerDesk {
+    shared: Arc<DeskShared>,
+}
+
+/// What all exchanges with callers share.
+pub(super) struct DeskShared {
+    pub(super) settings: CallerSettings,
+    pub(super) identity: VmIdentity,
+    pub(super) handle: ControlHandle,
+    pub(super) shelf: Arc<AnswerShelf>,
+    ready: Arc<AtomicBool>,
+    numbers: AtomicU64,
+}
+
+thread_local! {
+    static CLIENT: RefCell<Option<upstream::UpstreamClient>> = const { RefCell::new(None) };
+}
+
+impl DeskShared {
+    /// Returns the connections of this thread.
+    pub(super) fn client() -> upstream::UpstreamClient {
+        CLIENT.with_borrow_mut(|client| client.get_or_insert_with(upstream::client).clone())
+    }
+
+    /// Returns the full id of a request.
+    pub(super) fn request_id(&self, number: RequestNumber) -> RequestId {
+        RequestId { vm: self.identity.vm.clone(), incarnation: self.identity.incarnation, number }
+    }
+}
+
+/// What a path asks for.
+enum Route {
+    Health,
+    Ready,
+    Models,
+    Chat,
+    Service(SmolStr),
+}
+
+impl CallerDesk {
+    /// Returns a desk.
+    #[must_use]
+    pub fn new(
+        settings: CallerSettings,
+        identity: VmIdentity,
+        handle: &ControlHandle,
+        shelf: Arc<AnswerShelf>,
+        ready: &Arc<AtomicBool>,
+    ) -> Self {
+        let shared = DeskShared {
+            settings,
+            identity,
+            handle: handle.clone(),
+            shelf,
+            ready: Arc::clone(ready),
+            numbers: AtomicU64::new(1),
+        };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// Answers one request.
+    pub async fn serve(&self, request: WebRequest) -> WebResponse {
+        match Self::route(&request) {
+            Ok(Route::Health) => reply::plain(200, "ok\n"),
+            Ok(Route::Ready) if self.shared.ready.load(Ordering::Relaxed) => {
+                reply::plain(200, "ready\n")
+            }
+            Ok(Route::Ready) => reply::plain(503, "not ready\n"),
+            Ok(route) => self.take(request, route).await,
+            Err(error) => self.refuse(&error.refusal()),
+        }
+    }
+
+    fn route(request: &WebRequest) -> Result<Route, RequestError> {
+        let path = request.uri().path();
+        match (request.method(), path) {
+            (&http::Method::GET, "/healthz") => Ok(Route::Health),
+            (&http::Method::GET, "/readyz") => Ok(Route::Ready),
+            (&http::Method::GET, "/v1/models") => Ok(Route::Models),
+            (&http::Method::POST, "/v1/chat/completions") => Ok(Route::Chat),
+            _ => {
+                let rest = path.strip_prefix("/services/").ok_or(RequestError::NotFound)?;
+                let service = rest.split('/').next().unwrap_or_default();
+                Ok(Route::Service(service.into()))
+            }
+        }
+    }
+
+    fn next_number(&self) -> RequestNumber {
+        RequestNumber(self.shared.numbers.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn refuse(&self, refusal: &Refusal) -> WebResponse {
+        reply::refusal(refusal, &self.shared.request_id(self.next_number()))
+    }
+
+    async fn take(&self, request: WebRequest, route: Route) -> WebResponse {
+        let (head, body) = request.into_parts();
+        let (_, body) = body.replace_body(());
+        let number = self.next_number();
+        let read = self.read(&head, body, &route).await;
+        let arrival = read.and_then(|request| {
+            let arrival =
+                request.arrival(number, &head.headers, Self::target(&route, &request)?)?;
+            Ok((request, arrival))
+        });
+        let (request, arrival) = match arrival {
+            Ok(arrival) => arrival,
+            Err(error) => {
+                return reply::refusal(&error.refusal(), &self.shared.request_id(number));
+            }
+        };
+        let (mailbox, directives) = tokio::sync::mpsc::unbounded_channel();
+        if let Err(refusal) = self.shared.handle.arrive(arrival, mailbox) {
+            return reply::refusal(&refusal, &self.shared.request_id(number));
+        }
+        let shared = Arc::clone(&self.shared);
+        CallerExchange::new(shared, Arc::new(request), number, directives).respond().await
+    }
+
+    async fn read(
+        &self,
+        head: &http::request::Parts,
+        body: RequestBody,
+        route: &Route,
+    ) -> Result<CallerRequest, RequestError> {
+        let settings = &self.shared.settings;
+        let limit = settings.body_limit_bytes;
+        let declared = head.headers.get(http::header::CONTENT_LENGTH);
+        let declared = declared.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if declared.is_some_and(|length| length > limit.0) {
+            return Err(RequestError::TooLarge { limit });
+        }
+        let timeout = settings.body_timeout_ms;
+        let body = tokio::time::timeout(timeout.duration(), read_body(body, limit))
+            .await
+            .map_err(|_| RequestError::TooSlow { limit: timeout })??;
+        let chat = match route {
+            Route::Chat => Some(parse_chat(&body)?),
+            _ => None,
+        };
+        let streams = chat.as_ref().and_then(|chat| chat.get("stream")?.as_bool());
+        let mode = if streams == Some(true) { AnswerMode::Stream } else { AnswerMode::Whole };
+        let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+        Ok(CallerRequest {
+            method: head.method.clone(),
+            path: upstream_path(path, route),
+            headers: upstream_headers(&head.headers),
+            body,
+            chat,
+            mode,
+        })
+    }
+
+    fn target(route: &Route, request: &CallerRequest) -> Result<ArrivalTarget, RequestError> {
+        match route {
+            Route::Service(service) => Ok(ArrivalTarget::Service(service.clone())),
+            Route::Chat => {
+                let model = request.chat.as_ref().and_then(|chat| chat.get("model")?.as_str());
+                let expected = "a model, model@version or \"auto\"";
+                let model = model.ok_or(RequestError::Field { field: "model", expected })?;
+                Ok(ArrivalTarget::Model(model.into()))
+            }
+            Route::Health | Route::Ready | Route::Models => Ok(ArrivalTarget::ModelList),
+        }
+    }
+}
+
+fn parse_chat(body: &[u8]) -> Result<serde_json::Value, RequestError> {
+    let chat: serde_json::Value = serde_json::from_slice(body)
+        .map_err(|error| RequestError::Json { cause: error.to_string().into() })?;
+    if !chat.get("messages").is_some_and(serde_json::Value::is_array) {
+        return Err(RequestError::Field { field: "messages", expected: "a list of messages" });
+    }
+    Ok(chat)
+}
+
+/// Returns the path for the backend server: a service gets what follows its name.
+fn upstream_path(path: &str, route: &Route) -> SmolStr {
+    let Route::Service(service) = route else { return path.into() };
+    let rest = path.strip_prefix("/services/").and_then(|rest| rest.strip_prefix(service.as_str()));
+    match rest {
+        Some(rest) if rest.starts_with('/') => rest.into(),
+        Some(rest) => format!("/{rest}").into(),
+        None => path.into(),
+    }
+}
+
+/// Returns the headers for the backend server: neither the caller's key nor what concerns one
+/// connection.
+fn upstream_headers(headers: &http::HeaderMap) -> http::HeaderMap {
+    let mut headers = headers.clone();
+    reply::strip_hop_headers(&mut headers);
+    headers.remove(http::header::AUTHORIZATION);
+    headers.remove(http::header::HOST);
+    headers.remove(http::header::EXPECT);
+    headers
+}
+
+pub(super) async fn read_body(body: RequestBody, limit: ByteSize) -> Result<Bytes, RequestError> {
+    let mut body = std::pin::pin!(body);
+    let mut bytes = Vec::new();
+    loop {
+        let frame = std::future::poll_fn(|context| body.as_mut().poll_frame(context)).await;
+        let Some(frame) = frame else { return Ok(bytes.into()) };
+        let Ok(frame) = frame else { return Err(RequestError::Broken) };
+        let Ok(data) = frame.into_data() else { continue };
+        if bytes.len() as u64 + data.len() as u64 > limit.0 {
+            return Err(RequestError::TooLarge { limit });
+        }
+        bytes.extend_from_slice(&data);
+    }
+}
--- /dev/null
+++ b/src/traffic/caller_request.rs
@@ -0,0 +1,167 @@
+use super::*;
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub(super) struct CallerRequest {
+    /// The method.
+    pub(super) method: http::Method,
+    /// The path and query for the backend server.
+    pub(super) path: SmolStr,
+    /// The headers for the backend server.
+    pub(super) headers: http::HeaderMap,
+    /// The body as the caller sent it.
+    pub(super) body: Bytes,
+    /// The body of a chat request, parsed.
+    pub(super) chat: Option<serde_json::Value>,
+    /// Whether the answer is streamed.
+    pub(super) mode: AnswerMode,
+}
+
+/// Why a caller's request cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum RequestError {
+    /// The body is not JSON.
+    #[error("The body is not valid JSON ({cause}); correct it.")]
+    Json {
+        /// The cause.
+        cause: SmolStr,
+    },
+    /// A field is missing or of the wrong type.
+    #[error("The field \"{field}\" must be {expected}.")]
+    Field {
+        /// The field.
+        field: &'static str,
+        /// What it must be.
+        expected: &'static str,
+    },
+    /// A header cannot be read.
+    #[error("The header {header} must be {expected}.")]
+    Header {
+        /// The header.
+        header: &'static str,
+        /// What it must be.
+        expected: &'static str,
+    },
+    /// The body is larger than the limit.
+    #[error("The body is larger than {limit}; send a smaller one.")]
+    TooLarge {
+        /// The limit.
+        limit: ByteSize,
+    },
+    /// The body did not arrive in time.
+    #[error("The body did not arrive within {limit}; send it faster.")]
+    TooSlow {
+        /// The limit.
+        limit: Millis,
+    },
+    /// The connection broke while the body was read.
+    #[error("The body ended early; send the request again.")]
+    Broken,
+    /// There is no such path.
+    #[error("There is nothing at this path; see the documentation.")]
+    NotFound,
+}
+
+impl RequestError {
+    /// Returns the refusal for the caller.
+    pub(super) fn refusal(&self) -> Refusal {
+        let code = match self {
+            Self::Json { .. } | Self::Field { .. } | Self::Header { .. } | Self::Broken => {
+                RefusalCode::BadRequest
+            }
+            Self::TooLarge { .. } => RefusalCode::TooLarge,
+            Self::TooSlow { .. } => RefusalCode::Timeout,
+            Self::NotFound => RefusalCode::NotFound,
+        };
+        Refusal::not_run(code, self.to_string())
+    }
+}
+
+impl CallerRequest {
+    /// The bytes of prompt text that count as one token.
+    const BYTES_PER_TOKEN: u64 = 4;
+    const PREFIX_BYTES: usize = 1_024;
+
+    /// Returns the body for a backend server that runs a target.
+    pub(super) fn upstream_body(&self, start: &AttemptStart) -> Bytes {
+        let (Some(chat), WorkTarget::Version(version)) = (&self.chat, &start.target) else {
+            return self.body.clone();
+        };
+        let mut chat = chat.clone();
+        if let Some(fields) = chat.as_object_mut() {
+            fields.insert("model".into(), version.to_string().into());
+            fields.insert("priority".into(), start.priority.into());
+        }
+        serde_json::to_vec(&chat).unwrap_or_default().into()
+    }
+
+    /// Returns the request as the control core sees it.
+    pub(super) fn arrival(
+        &self,
+        request: RequestNumber,
+        caller_headers: &http::HeaderMap,
+        target: ArrivalTarget,
+    ) -> Result<Arrival, RequestError> {
+        let deadline = match text_header(caller_headers, "guavapass-deadline-ms")? {
+            None => None,
+            Some(text) => Some(text.parse().map_err(|_| RequestError::Header {
+                header: "Guavapass-Deadline-Ms",
+                expected: "a whole number of milliseconds",
+            })?),
+        };
+        let session = text_header(caller_headers, "guavapass-session")?;
+        if session.is_some_and(|session| session.len() > 512) {
+            let expected = "a session's token, or an id of at most 128 characters";
+            return Err(RequestError::Header { header: "Guavapass-Session", expected });
+        }
+        let max_tokens = self.chat.as_ref().map_or(Ok(0), max_tokens)?;
+        Ok(Arrival {
+            request,
+            key: bearer(caller_headers).map(hash_key),
+            target,
+            mode: self.mode,
+            prompt_tokens: Tokens(self.body.len() as u64 / Self::BYTES_PER_TOKEN),
+            max_tokens: Tokens(max_tokens),
+            prefix: xxh3_64(&self.body[..self.body.len().min(Self::PREFIX_BYTES)]),
+            fingerprint: self.fingerprint(),
+            session: session.map(SmolStr::new),
+            idempotency_key: text_header(caller_headers, "idempotency-key")?.map(SmolStr::new),
+            deadline,
+        })
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let head = format!("{} {}\n", self.method, self.path);
+        xxh3_64(head.as_bytes()) ^ xxh3_64(&self.body).rotate_left(1)
+    }
+
+    /// Returns the text of the request for the rating service.
+    pub(super) fn question(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap_or_default()
+    }
+}
+
+fn max_tokens(chat: &serde_json::Value) -> Result<u64, RequestError> {
+    match chat.get("max_tokens") {
+        None | Some(serde_json::Value::Null) => Ok(0),
+        Some(value) => value
+            .as_u64()
+            .ok_or(RequestError::Field { field: "max_tokens", expected: "a whole number" }),
+    }
+}
+
+fn text_header<'a>(
+    headers: &'a http::HeaderMap,
+    header: &'static str,
+) -> Result<Option<&'a str>, RequestError> {
+    match headers.get(header).map(http::HeaderValue::to_str) {
+        None => Ok(None),
+        Some(Ok(text)) => Ok(Some(text)),
+        Some(Err(_)) => Err(RequestError::Header { header, expected: "printable ASCII" }),
+    }
+}
+
+/// Returns the bearer key of a request.
+pub(super) fn bearer(headers: &http::HeaderMap) -> Option<&str> {
+    headers.get(http::header::AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
--- /dev/null
+++ b/src/traffic/exchange.rs
@@ -0,0 +1,224 @@
+use super::{upstream::UpstreamAttempt, *};
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+
+/// The exchange with one caller: obeys directives and passes the released answer on.
+pub(super) struct CallerExchange {
+    desk: Arc<DeskShared>,
+    request: Arc<CallerRequest>,
+    number: RequestNumber,
+    directives: UnboundedReceiver<Directive>,
+    attempts: Vec<ExchangeAttempt>,
+    released: Option<AttemptId>,
+    answered: bool,
+}
+
+struct ExchangeAttempt {
+    id: AttemptId,
+    target: WorkTarget,
+    session: Option<SmolStr>,
+    events: Option<Receiver<AttemptEvent>>,
+}
+
+/// What happens next in an exchange.
+enum Step {
+    Directive(Option<Directive>),
+    Event(AttemptEvent),
+}
+
+impl CallerExchange {
+    /// The parts of a stream that wait for a slow caller.
+    const CHUNK_LIMIT: usize = 8;
+
+    pub(super) fn new(
+        desk: Arc<DeskShared>,
+        request: Arc<CallerRequest>,
+        number: RequestNumber,
+        directives: UnboundedReceiver<Directive>,
+    ) -> Self {
+        Self {
+            desk,
+            request,
+            number,
+            directives,
+            attempts: Vec::new(),
+            released: None,
+            answered: false,
+        }
+    }
+
+    /// Runs the exchange up to its response.
+    pub(super) async fn respond(mut self) -> WebResponse {
+        loop {
+            match self.step().await {
+                Step::Directive(None) => {
+                    let message = "This entry VM ended before the request did; ask again.";
+                    let refusal = Refusal::not_run(RefusalCode::Unavailable, message)
+                        .with_run(RunState::Unknown);
+                    return self.refuse(&refusal);
+                }
+                Step::Directive(Some(Directive::Refuse(refusal))) => return self.refuse(&refusal),
+                Step::Directive(Some(Directive::ListModels(models))) => {
+                    self.answered = true;
+                    return Self::list(&models);
+                }
+                Step::Directive(Some(directive)) => self.obey(directive),
+                Step::Event(AttemptEvent::Whole { head, body }) => {
+                    self.answered = true;
+                    return self.head(*head, ResponseBody::bytes(body));
+                }
+                Step::Event(AttemptEvent::Head(head)) => return self.stream(*head),
+                Step::Event(AttemptEvent::Chunk(_) | AttemptEvent::End) => {}
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let released = self.released;
+        let events = self
+            .attempts
+            .iter_mut()
+            .find(|attempt| Some(attempt.id) == released)
+            .and_then(|attempt| attempt.events.as_mut());
+        let Some(events) = events else {
+            return Step::Directive(self.directives.recv().await);
+        };
+        let event = tokio::select! {
+            biased;
+            event = events.recv() => event,
+            directive = self.directives.recv() => return Step::Directive(directive),
+        };
+        if let Some(event) = event {
+            return Step::Event(event);
+        }
+        self.drop_attempt(released);
+        Step::Directive(self.directives.recv().await)
+    }
+
+    /// Closes the channel of an attempt, which cancels it if it is under way.
+    fn drop_attempt(&mut self, id: Option<AttemptId>) {
+        for attempt in &mut self.attempts {
+            if Some(attempt.id) == id {
+                attempt.events = None;
+            }
+        }
+    }
+
+    fn obey(&mut self, directive: Directive) {
+        match directive {
+            Directive::Start(start) => self.start(*start),
+            Directive::Release(attempt) => self.released = Some(attempt),
+            Directive::Cancel(attempt) => self.drop_attempt(Some(attempt)),
+            Directive::Refuse(_) | Directive::ListModels(_) => {}
+        }
+    }
+
+    fn start(&mut self, start: AttemptStart) {
+        let (sender, receiver) = tokio::sync::mpsc::channel(Self::CHUNK_LIMIT);
+        if start.release == ReleaseRule::AtOnce {
+            self.released = Some(start.attempt);
+        }
+        self.attempts.push(ExchangeAttempt {
+            id: start.attempt,
+            target: start.target.clone(),
+            session: start.session.clone(),
+            events: Some(receiver),
+        });
+        let attempt = UpstreamAttempt {
+            start,
+            request: Arc::clone(&self.request),
+            client: DeskShared::client(),
+            handle: self.desk.handle.clone(),
+            shelf: Arc::clone(&self.desk.shelf),
+            answer_limit: self.desk.settings.answer_limit_bytes,
+            events: sender,
+        };
+        tokio::spawn(attempt.run());
+    }
+
+    fn refuse(&mut self, refusal: &Refusal) -> WebResponse {
+        self.answered = true;
+        reply::refusal(refusal, &self.desk.request_id(self.number))
+    }
+
+    fn list(models: &[SmolStr]) -> WebResponse {
+        let data: Vec<_> = models
+            .iter()
+            .map(|model| serde_json::json!({ "id": model, "object": "model" }))
+            .collect();
+        reply::json(200, &serde_json::json!({ "object": "list", "data": data }))
+    }
+
+    fn head(&self, head: http::response::Parts, body: ResponseBody) -> WebResponse {
+        let mut response = http::Response::new(body);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+        let headers = response.headers_mut();
+        reply::strip_hop_headers(headers);
+        let id = self.desk.request_id(self.number);
+        reply::insert_text(headers, "guavapass-request", &id.to_string());
+        let attempt = self.attempts.iter().find(|attempt| Some(attempt.id) == self.released);
+        if let Some(attempt) = attempt {
+            if let WorkTarget::Version(version) = &attempt.target {
+                reply::insert_text(headers, "guavapass-version", &version.to_string());
+            }
+            if let Some(session) = &attempt.session {
+                reply::insert_text(headers, "guavapass-session", session);
+            }
+        }
+        response
+    }
+
+    /// Returns the response of a stream, whose body goes on with the exchange.
+    fn stream(self, head: http::response::Parts) -> WebResponse {
+        let mut response = self.head(head, ResponseBody::empty());
+        let parts = futures_util::stream::unfold(Some(self), |exchange| async move {
+            let mut exchange = exchange?;
+            let (chunk, last) = exchange.next_chunk().await;
+            let rest = (!last).then_some(exchange);
+            chunk.map(|chunk| (Ok::<_, Infallible>(chunk), rest))
+        });
+        *response.body_mut() = ResponseBody::boxed(StreamDataBody::new(parts));
+        response
+    }
+
+    /// Returns the next part of a stream, and whether it is the last.
+    async fn next_chunk(&mut self) -> (Option<Bytes>, bool) {
+        loop {
+            match self.step().await {
+                Step::Event(AttemptEvent::Chunk(chunk)) => return (Some(chunk), false),
+                Step::Event(AttemptEvent::End) => {
+                    self.answered = true;
+                    return (None, true);
+                }
+                Step::Event(_) => {}
+                Step::Directive(Some(Directive::Refuse(refusal))) => {
+                    self.answered = true;
+                    return (Some(Self::error_event(&refusal)), true);
+                }
+                Step::Directive(Some(directive)) => self.obey(directive),
+                Step::Directive(None) => {
+                    self.answered = true;
+                    let message = "This entry VM ended before the stream did.";
+                    let refusal =
+                        Refusal::not_run(RefusalCode::Unavailable, message).with_run(RunState::Ran);
+                    return (Some(Self::error_event(&refusal)), true);
+                }
+            }
+        }
+    }
+
+    /// Returns the event that ends a broken stream.
+    fn error_event(refusal: &Refusal) -> Bytes {
+        let mut body = reply::refusal_body(refusal);
+        body["error"]["run"] = refusal.run.as_str().into();
+        format!("event: error\ndata: {body}\n\n").into()
+    }
+}
+
+impl Drop for CallerExchange {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.desk.handle.send(Event::CallerGone { request: self.number });
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic/sse_scanner.rs
@@ -0,0 +1,128 @@
+use super::*;
+
+/// Follows a stream of server-sent events: counts its events and finds its end and its usage.
+#[derive(Clone, Debug, Default)]
+pub struct SseScanner {
+    line: Vec<u8>,
+    events: u64,
+    done: bool,
+    after_done: bool,
+    usage: Option<TokenUsage>,
+    text: String,
+    overlong: bool,
+}
+
+impl SseScanner {
+    /// The longest line of an event.
+    const LINE_LIMIT_BYTES: usize = 1 << 20;
+    /// The text kept for the rating service.
+    const TEXT_LIMIT_BYTES: usize = 8_192;
+
+    /// Takes in the next bytes of the stream.
+    pub fn feed(&mut self, mut bytes: &[u8]) {
+        while let Some(end) = bytes.iter().position(|byte| *byte == b'\n') {
+            let (line, rest) = bytes.split_at(end);
+            bytes = &rest[1..];
+            if self.line.is_empty() {
+                self.take(line);
+            } else {
+                self.line.extend_from_slice(line);
+                let line = std::mem::take(&mut self.line);
+                self.take(&line);
+            }
+        }
+        if self.line.len() + bytes.len() > Self::LINE_LIMIT_BYTES {
+            self.overlong = true;
+            return;
+        }
+        self.line.extend_from_slice(bytes);
+    }
+
+    fn take(&mut self, line: &[u8]) {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let Some(data) = line.strip_prefix(b"data:") else { return };
+        let data = data.trim_ascii();
+        if self.done {
+            self.after_done = true;
+            return;
+        }
+        if data == b"[DONE]" {
+            self.done = true;
+            return;
+        }
+        self.events += 1;
+        if let Ok(event) = serde_json::from_slice::<StreamEvent>(data) {
+            self.take_event(&event);
+        }
+    }
+
+    fn take_event(&mut self, event: &StreamEvent) {
+        if let Some(usage) = &event.usage {
+            self.usage = Some(TokenUsage {
+                prompt: Tokens(usage.prompt_tokens),
+                output: Tokens(usage.completion_tokens),
+            });
+        }
+        let content = event.choices.first().and_then(|choice| choice.delta.content.as_deref());
+        if let Some(content) = content
+            && self.text.len() + content.len() <= Self::TEXT_LIMIT_BYTES
+        {
+            self.text.push_str(content);
+        }
+    }
+
+    /// Returns whether the stream has said that it is whole.
+    #[must_use]
+    pub const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Returns whether the stream breaks the protocol.
+    #[must_use]
+    pub const fn is_malformed(&self) -> bool {
+        self.after_done || self.overlong
+    }
+
+    /// Returns the tokens so far: as the stream says, or one an event.
+    #[must_use]
+    pub fn usage(&self) -> TokenUsage {
+        self.usage.unwrap_or(TokenUsage { prompt: Tokens(0), output: Tokens(self.events) })
+    }
+
+    /// Returns the start of the generated text.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamEvent {
+    #[serde(default)]
+    choices: Vec<StreamChoice>,
+    #[serde(default)]
+    usage: Option<UsageBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamChoice {
+    #[serde(default)]
+    delta: StreamDelta,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct StreamDelta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+/// The `usage` field of an answer.
+#[derive(Debug, Deserialize)]
+pub(super) struct UsageBody {
+    /// The tokens of the prompt.
+    #[serde(default)]
+    pub(super) prompt_tokens: u64,
+    /// The tokens generated.
+    #[serde(default)]
+    pub(super) completion_tokens: u64,
+}
--- /dev/null
+++ b/src/traffic/upstream.rs
@@ -0,0 +1,271 @@
+//! One attempt of a request at a backend server.
+
+use super::{sse_scanner::UsageBody, *};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioIo,
+};
+use tokio::sync::mpsc::Sender;
+
+/// The connections of one traffic thread to backend servers.
+pub(super) type UpstreamClient = Client<HttpConnector, Full<Bytes>>;
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// The tokens between two reports of progress.
+const PROGRESS_TOKENS: u64 = 32;
+
+/// Returns the client of a traffic thread.
+pub(super) fn client() -> UpstreamClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+    Client::builder(hyper_util::rt::TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// One attempt, run as a task of its own.
+pub(super) struct UpstreamAttempt {
+    pub(super) start: AttemptStart,
+    pub(super) request: Arc<CallerRequest>,
+    pub(super) client: UpstreamClient,
+    pub(super) handle: ControlHandle,
+    pub(super) shelf: Arc<AnswerShelf>,
+    pub(super) answer_limit: ByteSize,
+    pub(super) events: Sender<AttemptEvent>,
+}
+
+/// The tokens that had arrived when an attempt failed, and why it failed.
+struct Failure {
+    fault: AttemptFault,
+    output_tokens: Tokens,
+}
+
+impl From<AttemptFault> for Failure {
+    fn from(fault: AttemptFault) -> Self {
+        Self { fault, output_tokens: Tokens(0) }
+    }
+}
+
+impl UpstreamAttempt {
+    /// Runs the attempt and reports its end.
+    pub(super) async fn run(self) {
+        let events = self.events.clone();
+        let outcome = tokio::select! {
+            outcome = self.exchange() => outcome,
+            () = events.closed() => Err(AttemptFault::Cancelled.into()),
+        };
+        let outcome = outcome.unwrap_or_else(|failure: Failure| AttemptOutcome::Failed {
+            fault: failure.fault,
+            output_tokens: failure.output_tokens,
+        });
+        self.report(AttemptReport::Ended(outcome));
+    }
+
+    fn report(&self, report: AttemptReport) {
+        let (request, attempt) = (self.start.request, self.start.attempt);
+        self.handle.send(Event::Attempt { request, attempt, report });
+    }
+
+    async fn exchange(&self) -> Result<AttemptOutcome, Failure> {
+        let response = self.in_time(self.send()).await??;
+        self.report(AttemptReport::Head);
+        let (head, body) = response.into_parts();
+        if matches!(self.start.target, WorkTarget::Version(_)) {
+            Self::check_status(head.status)?;
+        }
+        let is_stream = head
+            .headers
+            .get(http::header::CONTENT_TYPE)
+            .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        match self.request.mode {
+            AnswerMode::Stream if is_stream => self.pass_stream(head, body).await,
+            AnswerMode::Stream if head.status.is_success() && self.request.chat.is_some() => {
+                Err(AttemptFault::Malformed.into())
+            }
+            _ => self.pass_whole(head, body).await,
+        }
+    }
+
+    /// Turns statuses of a model engine that are not answers into faults.
+    fn check_status(status: http::StatusCode) -> Result<(), AttemptFault> {
+        match status.as_u16() {
+            404 | 429 | 503 => Err(AttemptFault::Declined),
+            500..=599 => Err(AttemptFault::ServerError),
+            _ => Ok(()),
+        }
+    }
+
+    /// Bounds the wait for the next step of progress.
+    async fn in_time<T>(&self, step: impl Future<Output = T>) -> Result<T, AttemptFault> {
+        let timeout = self.start.progress_timeout.duration();
+        tokio::time::timeout(timeout, step).await.map_err(|_| AttemptFault::Silent)
+    }
+
+    async fn send(&self) -> Result<http::Response<Incoming>, AttemptFault> {
+        let request = self.upstream_request().ok_or(AttemptFault::Malformed)?;
+        match self.start.repeat {
+            RepeatRule::Repeatable => {
+                self.report(AttemptReport::Writing);
+                self.client.request(request).await.map_err(|error| {
+                    if error.is_connect() {
+                        AttemptFault::Unreachable
+                    } else {
+                        AttemptFault::Closed
+                    }
+                })
+            }
+            RepeatRule::Once => self.send_once(request).await,
+        }
+    }
+
+    /// Sends on a connection of its own, so that no byte is written before the report says so.
+    async fn send_once(
+        &self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, AttemptFault> {
+        let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let connect = tokio::net::TcpStream::connect(self.start.address);
+        let Ok(Ok(stream)) = tokio::time::timeout(timeout, connect).await else {
+            return Err(AttemptFault::Unreachable);
+        };
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+                .await
+                .map_err(|_| AttemptFault::Unreachable)?;
+        tokio::spawn(connection);
+        self.report(AttemptReport::Writing);
+        sender.send_request(request).await.map_err(|_| AttemptFault::Closed)
+    }
+
+    fn upstream_request(&self) -> Option<http::Request<Full<Bytes>>> {
+        let uri = match self.start.repeat {
+            RepeatRule::Repeatable => format!("http://{}{}", self.start.address, self.request.path),
+            RepeatRule::Once => self.request.path.to_string(),
+        };
+        let body = self.request.upstream_body(&self.start);
+        let mut request = http::Request::builder()
+            .method(self.request.method.clone())
+            .uri(uri)
+            .body(Full::new(body))
+            .ok()?;
+        *request.headers_mut() = self.request.headers.clone();
+        let host = http::HeaderValue::from_str(&self.start.address.to_string()).ok()?;
+        request.headers_mut().insert(http::header::HOST, host);
+        Some(request)
+    }
+
+    async fn pass_whole(
+        &self,
+        head: http::response::Parts,
+        mut body: Incoming,
+    ) -> Result<AttemptOutcome, Failure> {
+        let mut bytes = Vec::new();
+        while let Some(frame) = self.in_time(body.frame()).await? {
+            let frame = frame.map_err(|_| AttemptFault::Truncated)?;
+            let Ok(data) = frame.into_data() else { continue };
+            if bytes.len() + data.len() > self.answer_limit.0 as usize {
+                return Err(AttemptFault::TooLong.into());
+            }
+            bytes.extend_from_slice(&data);
+        }
+        let usage = self.check_whole(&head, &bytes)?;
+        let status = head.status.as_u16();
+        let event = AttemptEvent::Whole { head: Box::new(head), body: bytes.into() };
+        self.pass(event).await?;
+        Ok(AttemptOutcome::Whole { status, usage })
+    }
+
+    fn check_whole(
+        &self,
+        head: &http::response::Parts,
+        body: &[u8],
+    ) -> Result<TokenUsage, AttemptFault> {
+        if self.request.chat.is_none() || !head.status.is_success() {
+            return Ok(TokenUsage::default());
+        }
+        let answer: WholeAnswer =
+            serde_json::from_slice(body).map_err(|_| AttemptFault::Malformed)?;
+        let choice = answer.choices.first().ok_or(AttemptFault::Malformed)?;
+        let text = choice.message.content.as_deref().unwrap_or_default();
+        self.shelf.put(self.start.request, self.start.attempt, self.request.question(), text);
+        Ok(answer.usage.map_or(TokenUsage::default(), |usage| TokenUsage {
+            prompt: Tokens(usage.prompt_tokens),
+            output: Tokens(usage.completion_tokens),
+        }))
+    }
+
+    async fn pass_stream(
+        &self,
+        head: http::response::Parts,
+        mut body: Incoming,
+    ) -> Result<AttemptOutcome, Failure> {
+        let status = head.status.as_u16();
+        let mut scanner = SseScanner::default();
+        let mut reported = Tokens(0);
+        self.pass(AttemptEvent::Head(Box::new(head))).await?;
+        while let Some(frame) = self.stream_step(&scanner, body.frame()).await? {
+            let Ok(frame) = frame else {
+                return Err(Self::failed(&scanner, AttemptFault::Truncated));
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            scanner.feed(&data);
+            if scanner.is_malformed() {
+                return Err(Self::failed(&scanner, AttemptFault::Malformed));
+            }
+            let output_tokens = scanner.usage().output;
+            if output_tokens.0 >= reported.0 + PROGRESS_TOKENS || reported.0 == 0 {
+                reported = output_tokens;
+                self.report(AttemptReport::Progress { output_tokens });
+            }
+            self.pass(AttemptEvent::Chunk(data))
+                .await
+                .map_err(|fault| Self::failed(&scanner, fault))?;
+        }
+        if !scanner.is_done() {
+            return Err(Self::failed(&scanner, AttemptFault::Truncated));
+        }
+        let (request, attempt) = (self.start.request, self.start.attempt);
+        self.shelf.put(request, attempt, self.request.question(), scanner.text());
+        self.pass(AttemptEvent::End).await?;
+        Ok(AttemptOutcome::Whole { status, usage: scanner.usage() })
+    }
+
+    async fn stream_step<T>(
+        &self,
+        scanner: &SseScanner,
+        step: impl Future<Output = T>,
+    ) -> Result<T, Failure> {
+        self.in_time(step).await.map_err(|fault| Self::failed(scanner, fault))
+    }
+
+    fn failed(scanner: &SseScanner, fault: AttemptFault) -> Failure {
+        Failure { fault, output_tokens: scanner.usage().output }
+    }
+
+    /// Passes an event on; waits while the caller is slow.
+    async fn pass(&self, event: AttemptEvent) -> Result<(), AttemptFault> {
+        self.events.send(event).await.map_err(|_| AttemptFault::Cancelled)
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct WholeAnswer {
+    choices: Vec<WholeChoice>,
+    #[serde(default)]
+    usage: Option<UsageBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WholeChoice {
+    message: WholeMessage,
+}
+
+#[derive(Debug, Deserialize)]
+struct WholeMessage {
+    #[serde(default)]
+    content: Option<String>,
+}
