Add stand-ins for the platform, model engines and a booking service

Cause: the whole path, the demo and its tests need an outside to talk to. Change: three in-process servers with the interfaces of the platform, of engines and of plain services, each with faults that are switched by calls. hyper's server feature serves them, since a fault below HTTP needs the connection's own stream.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peer;
 pub mod platform;
 pub mod routing;
+pub mod stand_in;
 pub mod units;
 
 use {
--- /dev/null
+++ b/src/stand_in.rs
@@ -0,0 +1,87 @@
+//! Small in-process fakes of the platform, of model engines and of plain services.
+//!
+//! Each one listens on a loopback port that the system chooses, runs on a thread of its own, stops
+//! when it is dropped and has its faults switched by calls. They serve `demo` and tests only.
+
+use super::*;
+use {
+    base64::{Engine as _, prelude::BASE64_STANDARD as BASE64},
+    bytes::Buf,
+    futures_util::future::BoxFuture,
+    http::{
+        HeaderValue, Method, Request, Response, StatusCode,
+        header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
+    },
+    http_body_util::{BodyExt, Empty, Full, StreamBody, combinators::UnsyncBoxBody},
+    hyper::body::Frame,
+    hyper_util::{
+        client::legacy::Client,
+        rt::{TokioExecutor, TokioIo},
+    },
+    std::{
+        io,
+        sync::{
+            Mutex, MutexGuard, OnceLock, PoisonError, Weak,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        task::{Context, Poll, ready},
+        thread::JoinHandle,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::{TcpListener, TcpStream},
+        sync::{Notify, mpsc, oneshot},
+        task::JoinSet,
+    },
+};
+
+mod booking_stand_in;
+mod chat_request;
+mod engine_setup;
+mod engine_stand_in;
+mod engine_state;
+mod fault_switches;
+mod fault_tap;
+mod load_history;
+mod log_store;
+mod member_list;
+mod platform_stand_in;
+mod prefix_cache;
+mod rating_service;
+mod reply;
+mod run_counter;
+mod server_host;
+mod slot_queue;
+mod tapped_stream;
+mod weight_store;
+
+use {
+    chat_request::ChatRequest,
+    engine_state::EngineState,
+    fault_tap::FaultTap,
+    load_history::LoadHistory,
+    prefix_cache::PrefixCache,
+    reply::{Answer, ConnectionCut, ReplyBody},
+    server_host::{HostCommand, HostState, HttpFace},
+    slot_queue::{SlotGuard, SlotQueue},
+    tapped_stream::TappedStream,
+};
+
+pub use {
+    booking_stand_in::BookingStandIn,
+    engine_setup::EngineSetup,
+    engine_stand_in::EngineStandIn,
+    fault_switches::{AnswerFault, FaultSwitches},
+    log_store::LogStore,
+    member_list::{MemberList, MemberState},
+    platform_stand_in::PlatformStandIn,
+    rating_service::RatingService,
+    run_counter::RunCounter,
+    server_host::ServerHost,
+    weight_store::WeightStore,
+};
+
+/// Locks a mutex whose state stays sound even if a holder panicked.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/stand_in/booking_stand_in.rs
@@ -0,0 +1,155 @@
+//! The stand-in booking service.
+
+use super::*;
+use {
+    engine_stand_in::faulty_reply,
+    fault_switches::pause,
+    reply::{error_reply, json_reply},
+};
+
+/// A plain service that books on POST and looks bookings up on GET.
+///
+/// A call names its booking in the JSON field `booking`; a look-up names it in the last part of
+/// its path.
+pub struct BookingStandIn {
+    host: ServerHost,
+    face: Arc<BookingFace>,
+}
+
+struct BookingFace {
+    call_time: Duration,
+    faults: FaultSwitches,
+    bookings: RunCounter,
+    lookups: RunCounter,
+    honours_keys: AtomicBool,
+    keys: Mutex<BTreeMap<SmolStr, Bytes>>,
+    commands: OnceLock<mpsc::UnboundedSender<HostCommand>>,
+}
+
+impl BookingStandIn {
+    /// Starts a service whose calls take a time.
+    #[must_use]
+    pub fn start(call_time: Duration) -> Self {
+        let face = Arc::new(BookingFace {
+            call_time,
+            faults: FaultSwitches::default(),
+            bookings: RunCounter::default(),
+            lookups: RunCounter::default(),
+            honours_keys: AtomicBool::new(false),
+            keys: Mutex::default(),
+            commands: OnceLock::new(),
+        });
+        let host = ServerHost::start("booking", Arc::clone(&face) as Arc<dyn HttpFace>);
+        let _ = face.commands.set(host.commands());
+        Self { host, face }
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns its server.
+    #[must_use]
+    pub const fn host(&self) -> &ServerHost {
+        &self.host
+    }
+
+    /// Returns its faults.
+    #[must_use]
+    pub fn faults(&self) -> &FaultSwitches {
+        &self.face.faults
+    }
+
+    /// Returns how often each booking ran.
+    #[must_use]
+    pub fn bookings(&self) -> &RunCounter {
+        &self.face.bookings
+    }
+
+    /// Returns how often each booking was looked up.
+    #[must_use]
+    pub fn lookups(&self) -> &RunCounter {
+        &self.face.lookups
+    }
+
+    /// Sets whether it answers a repeated `Idempotency-Key` without booking again.
+    pub fn set_honours_keys(&self, honours: bool) {
+        self.face.honours_keys.store(honours, Ordering::SeqCst);
+    }
+}
+
+impl HttpFace for BookingFace {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Bytes>,
+        tap: Arc<FaultTap>,
+    ) -> BoxFuture<'static, Answer> {
+        Box::pin(async move {
+            if self.faults.outage() {
+                return Ok(error_reply(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+            }
+            if self.faults.crashes(request.body())
+                && let Some(commands) = self.commands.get()
+            {
+                self.faults.crash(commands).await;
+            }
+            match *request.method() {
+                Method::GET => Ok(self.look_up(request.uri().path()).await),
+                _ => self.book(&request, &tap).await,
+            }
+        })
+    }
+}
+
+impl BookingFace {
+    async fn look_up(&self, path: &str) -> Response<ReplyBody> {
+        let booking = path.rsplit('/').next().unwrap_or_default();
+        pause(self.faults.slowed(self.call_time) + self.faults.delay()).await;
+        self.lookups.start(booking);
+        let body = serde_json::json!({"booking": booking, "ran": self.bookings.runs(booking)});
+        json_reply(StatusCode::OK, &body)
+    }
+
+    async fn book(&self, request: &Request<Bytes>, tap: &FaultTap) -> Answer {
+        let parsed = serde_json::from_slice::<serde_json::Value>(request.body()).ok();
+        let Some(booking) = parsed.as_ref().and_then(|body| body["booking"].as_str()) else {
+            self.bookings.refuse();
+            return Ok(error_reply(StatusCode::UNPROCESSABLE_ENTITY, "no_booking"));
+        };
+        let body = self.run_once(request, booking);
+        // The booking stands from here on, whether or not its caller waits.
+        pause(self.faults.slowed(self.call_time) + self.faults.delay()).await;
+        let fault = self.faults.answer();
+        if fault == AnswerFault::Stalled {
+            std::future::pending::<()>().await;
+        }
+        if self.faults.take_lost_answer() {
+            return Err(ConnectionCut);
+        }
+        self.bookings.finish();
+        Ok(faulty_reply(fault, body, tap))
+    }
+
+    /// Books, unless the key was seen and keys are honoured.
+    fn run_once(&self, request: &Request<Bytes>, booking: &str) -> Bytes {
+        let key = request.headers().get("idempotency-key").and_then(|key| key.to_str().ok());
+        let key = key.filter(|_| self.honours_keys.load(Ordering::SeqCst));
+        let mut keys = lock(&self.keys);
+        if let Some(body) = key.and_then(|key| keys.get(key)) {
+            return body.clone();
+        }
+        self.bookings.start(booking);
+        let body = serde_json::json!({
+            "booking": booking,
+            "confirmed": true,
+            "path": request.uri().path(),
+        });
+        let body = Bytes::from(body.to_string());
+        if let Some(key) = key {
+            keys.insert(key.into(), body.clone());
+        }
+        body
+    }
+}
--- /dev/null
+++ b/src/stand_in/engine_stand_in.rs
@@ -0,0 +1,371 @@
+//! The stand-in model engine.
+
+use super::*;
+use {
+    engine_state::{EngineOrder, OrderKind},
+    fault_switches::pause,
+    reply::{error_reply, full_body, json_reply, overlong_answer, reply, truncated_reply},
+};
+
+/// A model engine that echoes the user's last message.
+pub struct EngineStandIn {
+    host: ServerHost,
+    face: Arc<EngineFace>,
+}
+
+struct EngineFace {
+    setup: EngineSetup,
+    faults: FaultSwitches,
+    runs: RunCounter,
+    version_runs: RunCounter,
+    orders: RunCounter,
+    state: Mutex<EngineState>,
+    slots: Arc<SlotQueue>,
+    commands: OnceLock<mpsc::UnboundedSender<HostCommand>>,
+}
+
+impl EngineStandIn {
+    /// Starts an engine.
+    #[must_use]
+    pub fn start(setup: EngineSetup) -> Self {
+        let face = Arc::new(EngineFace {
+            faults: FaultSwitches::default(),
+            runs: RunCounter::default(),
+            version_runs: RunCounter::default(),
+            orders: RunCounter::default(),
+            state: Mutex::new(EngineState::new(&setup)),
+            slots: Arc::new(SlotQueue::new(setup.slots, setup.queue_limit)),
+            commands: OnceLock::new(),
+            setup,
+        });
+        let host = ServerHost::start("engine", Arc::clone(&face) as Arc<dyn HttpFace>);
+        let _ = face.commands.set(host.commands());
+        Self { host, face }
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns its server.
+    #[must_use]
+    pub const fn host(&self) -> &ServerHost {
+        &self.host
+    }
+
+    /// Returns its faults.
+    #[must_use]
+    pub fn faults(&self) -> &FaultSwitches {
+        &self.face.faults
+    }
+
+    /// Returns its runs by the text of the user's last message.
+    #[must_use]
+    pub fn runs(&self) -> &RunCounter {
+        &self.face.runs
+    }
+
+    /// Returns its runs by version.
+    #[must_use]
+    pub fn version_runs(&self) -> &RunCounter {
+        &self.face.version_runs
+    }
+
+    /// Returns the orders that it took and refused, by version.
+    #[must_use]
+    pub fn orders(&self) -> &RunCounter {
+        &self.face.orders
+    }
+
+    /// Returns the versions that are loaded.
+    #[must_use]
+    pub fn versions(&self) -> BTreeSet<SmolStr> {
+        lock(&self.face.state).versions.clone()
+    }
+}
+
+impl HttpFace for EngineFace {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Bytes>,
+        tap: Arc<FaultTap>,
+    ) -> BoxFuture<'static, Answer> {
+        Box::pin(async move {
+            if self.faults.outage() {
+                return Ok(error_reply(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+            }
+            match request.uri().path() {
+                "/v1/chat/completions" => self.chat(request.body(), &tap).await,
+                "/load" => Ok(self.load()),
+                "/orders" => Ok(self.order(request.body())),
+                _ => Ok(error_reply(StatusCode::NOT_FOUND, "no_such_path")),
+            }
+        })
+    }
+
+    fn forget(&self) {
+        lock(&self.state).forget(&self.setup);
+    }
+}
+
+impl EngineFace {
+    async fn chat(self: Arc<Self>, body: &Bytes, tap: &FaultTap) -> Answer {
+        if self.faults.crashes(body) {
+            self.crash().await;
+        }
+        let Ok(request) = serde_json::from_slice::<ChatRequest>(body) else {
+            return Ok(error_reply(StatusCode::BAD_REQUEST, "bad_request"));
+        };
+        if !self.has_version(&request.model) {
+            self.runs.refuse();
+            return Ok(error_reply(StatusCode::NOT_FOUND, "model_not_loaded"));
+        }
+        let Some(run) = self.start_run(&request).await else {
+            self.runs.refuse();
+            return Ok(error_reply(StatusCode::SERVICE_UNAVAILABLE, "queue_full"));
+        };
+        pause(self.faults.delay()).await;
+        pause(self.faults.slowed(run.first_token)).await;
+        if self.faults.take_lost_answer() {
+            return Err(ConnectionCut);
+        }
+        if request.stream { Ok(stream_answer(run, tap)) } else { plain_answer(run, tap).await }
+    }
+
+    async fn crash(&self) {
+        if let Some(commands) = self.commands.get() {
+            self.faults.crash(commands).await;
+        }
+    }
+
+    fn has_version(&self, version: &str) -> bool {
+        self.setup.versions.is_empty() || lock(&self.state).versions.contains(version)
+    }
+
+    async fn start_run(self: &Arc<Self>, request: &ChatRequest) -> Option<EngineRun> {
+        let slot = self.slots.acquire(request.priority).await?;
+        self.runs.start(request.question());
+        self.version_runs.start(&request.model);
+        let prompt = request.prompt();
+        let mut state = lock(&self.state);
+        let cached_bytes = state.cache.admit(prompt.as_bytes());
+        state.record_load(&self.slots, self.setup.load_lag);
+        drop(state);
+        let fresh_tokens = ChatRequest::tokens(prompt.len() - cached_bytes);
+        Some(EngineRun {
+            face: Arc::clone(self),
+            slot: Some(slot),
+            finished: false,
+            id: format!("chatcmpl-{}", self.runs.started()),
+            version: request.model.clone(),
+            question: request.question().into(),
+            prompt_tokens: ChatRequest::tokens(prompt.len()),
+            cached_tokens: ChatRequest::tokens(cached_bytes),
+            output_tokens: request.output_tokens(self.setup.output_tokens),
+            first_token: self.setup.first_token + self.setup.prompt_token * fresh_tokens as u32,
+        })
+    }
+
+    fn load(&self) -> Response<ReplyBody> {
+        let mut state = lock(&self.state);
+        state.record_load(&self.slots, self.setup.load_lag);
+        let report = state.load_report(self.setup.load_lag);
+        json_reply(StatusCode::OK, &report)
+    }
+
+    fn order(self: Arc<Self>, body: &[u8]) -> Response<ReplyBody> {
+        let Ok(order) = serde_json::from_slice::<EngineOrder>(body) else {
+            return error_reply(StatusCode::BAD_REQUEST, "bad_order");
+        };
+        let mut state = lock(&self.state);
+        if self.setup.fence_rule == FenceRule::Refuses && order.fence < state.fence {
+            self.orders.refuse();
+            return error_reply(StatusCode::CONFLICT, "old_fence");
+        }
+        state.fence = state.fence.max(order.fence);
+        self.orders.start(&order.version);
+        match order.order {
+            OrderKind::Unload => drop(state.versions.remove(&order.version)),
+            OrderKind::Role => {}
+            OrderKind::Load => {
+                if !state.versions.contains(&order.version)
+                    && state.loading.insert(order.version.clone())
+                {
+                    tokio::spawn(Arc::clone(&self).load_version(order.version));
+                }
+            }
+        }
+        json_reply(StatusCode::OK, &serde_json::json!({"fence": state.fence}))
+    }
+
+    async fn load_version(self: Arc<Self>, version: SmolStr) {
+        if let Some(address) = self.setup.weight_store {
+            download_weights(address, &version).await;
+        }
+        let mut state = lock(&self.state);
+        // A crash in the meantime forgot the order.
+        if state.loading.remove(&version) {
+            state.versions.insert(version);
+        }
+    }
+}
+
+/// Downloads a version, waiting as the store asks when it refuses.
+async fn download_weights(address: SocketAddr, version: &str) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let Ok(uri) = format!("http://{address}/weights/{version}").parse::<http::Uri>() else {
+        return;
+    };
+    loop {
+        let Ok(response) = client.get(uri.clone()).await else {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            continue;
+        };
+        if response.status() == StatusCode::OK {
+            return;
+        }
+        let wait = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+        let seconds = wait.and_then(|text| text.parse().ok()).unwrap_or(1);
+        tokio::time::sleep(Duration::from_secs(seconds)).await;
+    }
+}
+
+/// One request in a slot.
+struct EngineRun {
+    face: Arc<EngineFace>,
+    slot: Option<SlotGuard>,
+    finished: bool,
+    id: String,
+    version: SmolStr,
+    question: String,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    output_tokens: u64,
+    first_token: Duration,
+}
+
+impl EngineRun {
+    fn token(&self, index: u64) -> String {
+        if index == 0 { format!("answer to: {}", self.question) } else { format!(" {index}") }
+    }
+
+    fn answer_text(&self) -> String {
+        (0..self.output_tokens).map(|index| self.token(index)).collect()
+    }
+
+    fn usage(&self) -> serde_json::Value {
+        serde_json::json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.output_tokens,
+            "total_tokens": self.prompt_tokens + self.output_tokens,
+            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
+        })
+    }
+
+    fn completion(&self) -> Bytes {
+        let message = serde_json::json!({"role": "assistant", "content": self.answer_text()});
+        let body = serde_json::json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "model": self.version,
+            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+            "usage": self.usage(),
+        });
+        body.to_string().into()
+    }
+
+    fn chunk(&self, index: u64) -> Bytes {
+        let last = index + 1 == self.output_tokens;
+        let mut chunk = serde_json::json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "model": self.version,
+            "choices": [{
+                "index": 0,
+                "delta": {"content": self.token(index)},
+                "finish_reason": last.then_some("stop"),
+            }],
+        });
+        if last {
+            chunk["usage"] = self.usage();
+        }
+        format!("data: {chunk}\n\n").into()
+    }
+
+    fn next_token(&self) -> Duration {
+        self.face.faults.slowed(self.face.setup.next_token)
+    }
+
+    fn finish(&mut self) {
+        self.finished = true;
+        self.face.runs.finish();
+    }
+}
+
+impl Drop for EngineRun {
+    fn drop(&mut self) {
+        drop(self.slot.take());
+        if !self.finished {
+            self.face.runs.cancel();
+        }
+        let mut state = lock(&self.face.state);
+        state.record_load(&self.face.slots, self.face.setup.load_lag);
+    }
+}
+
+async fn plain_answer(mut run: EngineRun, tap: &FaultTap) -> Answer {
+    pause(run.next_token() * (run.output_tokens - 1) as u32).await;
+    let fault = run.face.faults.answer();
+    if fault == AnswerFault::Stalled {
+        std::future::pending::<()>().await;
+    }
+    run.finish();
+    Ok(faulty_reply(fault, run.completion(), tap))
+}
+
+/// Returns a JSON answer with a fault, if there is one.
+pub(super) fn faulty_reply(fault: AnswerFault, body: Bytes, tap: &FaultTap) -> Response<ReplyBody> {
+    match fault {
+        AnswerFault::None | AnswerFault::Stalled => {}
+        AnswerFault::Truncated => return truncated_reply(&body),
+        AnswerFault::NotJson => {
+            return reply(StatusCode::OK, "application/json", full_body("%%% not JSON"));
+        }
+        AnswerFault::NotHttp => tap.replace_answer(Bytes::from_static(b"%%% not HTTP\r\n\r\n")),
+        AnswerFault::TooLong => tap.replace_answer(overlong_answer(&body)),
+    }
+    reply(StatusCode::OK, "application/json", full_body(body))
+}
+
+fn stream_answer(run: EngineRun, tap: &FaultTap) -> Response<ReplyBody> {
+    let fault = run.face.faults.answer();
+    if matches!(fault, AnswerFault::NotHttp | AnswerFault::TooLong) {
+        return faulty_reply(fault, run.completion(), tap);
+    }
+    let stream = futures_util::stream::unfold(Some((run, 0)), move |state| async move {
+        let (mut run, index) = state?;
+        if index == run.output_tokens {
+            run.finish();
+            return Some((Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))), None));
+        }
+        if index > 0 {
+            pause(run.next_token()).await;
+        }
+        if index > 0 && index == run.output_tokens / 2 {
+            match fault {
+                AnswerFault::Stalled => std::future::pending().await,
+                AnswerFault::Truncated => return Some((Err(ConnectionCut), None)),
+                AnswerFault::NotJson => {
+                    let chunk = Bytes::from_static(b"data: %%% not JSON\n\n");
+                    return Some((Ok(Frame::data(chunk)), Some((run, index + 1))));
+                }
+                _ => {}
+            }
+        }
+        let chunk = run.chunk(index);
+        Some((Ok(Frame::data(chunk)), Some((run, index + 1))))
+    });
+    reply(StatusCode::OK, "text/event-stream", BodyExt::boxed_unsync(StreamBody::new(stream)))
+}
--- /dev/null
+++ b/src/stand_in/engine_state.rs
@@ -0,0 +1,72 @@
+//! The state of a stand-in engine that a crash loses, and its orders.
+
+use super::*;
+use load_history::LoadSample;
+
+/// What an engine holds in memory.
+#[derive(Debug)]
+pub(super) struct EngineState {
+    pub(super) cache: PrefixCache,
+    pub(super) versions: BTreeSet<SmolStr>,
+    pub(super) loading: BTreeSet<SmolStr>,
+    pub(super) fence: u64,
+    history: LoadHistory,
+}
+
+impl EngineState {
+    pub(super) fn new(setup: &EngineSetup) -> Self {
+        Self {
+            cache: PrefixCache::new(setup.cache_blocks),
+            versions: setup.versions.iter().cloned().collect(),
+            loading: BTreeSet::new(),
+            fence: 0,
+            history: LoadHistory::default(),
+        }
+    }
+
+    /// Forgets all but the order in which fencing numbers came.
+    pub(super) fn forget(&mut self, setup: &EngineSetup) {
+        *self = Self { fence: self.fence, ..Self::new(setup) };
+        self.cache.clear();
+    }
+
+    pub(super) fn record_load(&mut self, slots: &SlotQueue, lag: Duration) {
+        let (running, waiting) = slots.load();
+        let sample = LoadSample { running, waiting, kv_free: self.cache.free_share() };
+        self.history.record(Instant::now(), sample, lag);
+    }
+
+    pub(super) fn load_report(&self, lag: Duration) -> serde_json::Value {
+        let sample = self.history.seen(Instant::now(), lag);
+        let as_of = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        serde_json::json!({
+            "running": sample.running,
+            "waiting": sample.waiting,
+            "kv_free": sample.kv_free,
+            "as_of_ms": as_of.saturating_sub(lag).as_millis() as u64,
+            "versions": self.versions,
+            "loading": self.loading,
+        })
+    }
+}
+
+/// An order to an engine.
+#[derive(Deserialize)]
+pub(super) struct EngineOrder {
+    pub(super) fence: u64,
+    pub(super) order: OrderKind,
+    #[serde(default)]
+    pub(super) version: SmolStr,
+}
+
+/// What an order asks for.
+#[derive(Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum OrderKind {
+    /// To load a version.
+    Load,
+    /// To unload a version.
+    Unload,
+    /// To change its role, which the stand-in only counts.
+    Role,
+}
--- /dev/null
+++ b/src/stand_in/fault_tap.rs
@@ -0,0 +1,38 @@
+//! Faults of one connection, below HTTP.
+
+use super::*;
+
+/// Lets a connection go silent, or send bytes that are not its answer.
+#[derive(Debug)]
+pub(super) struct FaultTap {
+    silent: AtomicBool,
+    server_silent: Arc<AtomicBool>,
+    raw_answer: Mutex<Option<Bytes>>,
+}
+
+impl FaultTap {
+    pub(super) fn new(server_silent: Arc<AtomicBool>) -> Self {
+        Self { silent: AtomicBool::new(false), server_silent, raw_answer: Mutex::new(None) }
+    }
+
+    pub(super) fn silence(&self) {
+        self.silent.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::SeqCst) || self.server_silent.load(Ordering::SeqCst)
+    }
+
+    /// Replaces all that the connection would send from now on.
+    pub(super) fn replace_answer(&self, raw: Bytes) {
+        *lock(&self.raw_answer) = Some(raw);
+    }
+
+    pub(super) fn raw_answer(&self) -> Option<Bytes> {
+        lock(&self.raw_answer).clone()
+    }
+
+    pub(super) fn set_rest(&self, rest: Bytes) {
+        *lock(&self.raw_answer) = Some(rest);
+    }
+}
--- /dev/null
+++ b/src/stand_in/platform_stand_in.rs
@@ -0,0 +1,90 @@
+//! The stand-in platform: log, membership list, rating service and weight store.
+
+use super::*;
+use reply::error_reply;
+
+/// The platform on one address.
+pub struct PlatformStandIn {
+    host: ServerHost,
+    face: Arc<PlatformFace>,
+}
+
+struct PlatformFace {
+    log: LogStore,
+    members: MemberList,
+    ratings: RatingService,
+    weights: WeightStore,
+}
+
+impl PlatformStandIn {
+    const RATING_SEED: u64 = 7;
+
+    /// Starts an empty platform.
+    #[must_use]
+    pub fn start() -> Self {
+        let face = Arc::new(PlatformFace {
+            log: LogStore::default(),
+            members: MemberList::default(),
+            ratings: RatingService::new(Self::RATING_SEED),
+            weights: WeightStore::default(),
+        });
+        let host = ServerHost::start("platform", Arc::clone(&face) as Arc<dyn HttpFace>);
+        Self { host, face }
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Returns its server; a crash of it loses no record.
+    #[must_use]
+    pub const fn host(&self) -> &ServerHost {
+        &self.host
+    }
+
+    /// Returns its log.
+    #[must_use]
+    pub fn log(&self) -> &LogStore {
+        &self.face.log
+    }
+
+    /// Returns its membership list.
+    #[must_use]
+    pub fn members(&self) -> &MemberList {
+        &self.face.members
+    }
+
+    /// Returns its rating service.
+    #[must_use]
+    pub fn ratings(&self) -> &RatingService {
+        &self.face.ratings
+    }
+
+    /// Returns its weight store.
+    #[must_use]
+    pub fn weights(&self) -> &WeightStore {
+        &self.face.weights
+    }
+}
+
+impl HttpFace for PlatformFace {
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Bytes>,
+        _tap: Arc<FaultTap>,
+    ) -> BoxFuture<'static, Answer> {
+        Box::pin(async move {
+            let path = request.uri().path().to_owned();
+            let parts: Vec<_> = path.trim_matches('/').split('/').collect();
+            match parts.as_slice() {
+                ["streams", stream, "records"] => self.log.answer(stream, &request).await,
+                ["members"] => Ok(self.members.answer()),
+                ["ratings"] => self.ratings.answer(request.body()).await,
+                ["weights", version] => Ok(self.weights.answer(version).await),
+                _ => Ok(error_reply(StatusCode::NOT_FOUND, "no_such_path")),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/src/stand_in/rating_service.rs
@@ -0,0 +1,81 @@
+//! The rating service of the stand-in platform.
+
+use super::*;
+use reply::{error_reply, json_reply};
+
+/// Rates an answer by its version's share of good answers, the same for the same request.
+#[derive(Debug)]
+pub struct RatingService {
+    seed: u64,
+    good_shares: Mutex<BTreeMap<SmolStr, Share>>,
+    ratings: AtomicU64,
+    faults: FaultSwitches,
+}
+
+#[derive(Deserialize)]
+struct RatingRequest {
+    request: SmolStr,
+    version: SmolStr,
+}
+
+impl RatingService {
+    const DEFAULT_GOOD_SHARE: f64 = 0.9;
+    const GOOD_SCORE: f64 = 0.9;
+    const BAD_SCORE: f64 = 0.1;
+
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            good_shares: Mutex::default(),
+            ratings: AtomicU64::new(0),
+            faults: FaultSwitches::default(),
+        }
+    }
+
+    /// Sets the share of good answers of a version, written `model@version`.
+    pub fn set_good_share(&self, version: &str, share: Share) {
+        lock(&self.good_shares).insert(version.into(), share);
+    }
+
+    /// Returns how many answers it rated.
+    #[must_use]
+    pub fn ratings(&self) -> u64 {
+        self.ratings.load(Ordering::SeqCst)
+    }
+
+    /// Returns its faults.
+    #[must_use]
+    pub const fn faults(&self) -> &FaultSwitches {
+        &self.faults
+    }
+
+    /// Returns the score that an answer gets.
+    #[must_use]
+    pub fn score(&self, request: &str, version: &str) -> f64 {
+        let share = lock(&self.good_shares)
+            .get(version)
+            .map_or(Self::DEFAULT_GOOD_SHARE, |share| share.get());
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(
+            format!("{request}\n{version}").as_bytes(),
+            self.seed,
+        );
+        let draw = hash as f64 / u64::MAX as f64;
+        if draw < share { Self::GOOD_SCORE } else { Self::BAD_SCORE }
+    }
+
+    pub(super) async fn answer(&self, body: &[u8]) -> Answer {
+        if self.faults.outage() {
+            return Ok(error_reply(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+        }
+        fault_switches::pause(self.faults.delay()).await;
+        let Ok(request) = serde_json::from_slice::<RatingRequest>(body) else {
+            return Ok(error_reply(StatusCode::BAD_REQUEST, "bad_rating"));
+        };
+        self.ratings.fetch_add(1, Ordering::SeqCst);
+        if self.faults.take_lost_answer() {
+            return Err(ConnectionCut);
+        }
+        let score = self.score(&request.request, &request.version);
+        Ok(json_reply(StatusCode::OK, &serde_json::json!({"score": score})))
+    }
+}
--- /dev/null
+++ b/src/stand_in/server_host.rs
@@ -0,0 +1,244 @@
+//! The thread, listener and connections behind each stand-in.
+
+use super::*;
+
+/// What a stand-in answers.
+pub(super) trait HttpFace: Send + Sync + 'static {
+    /// Answers one request whose body has been read.
+    fn answer(
+        self: Arc<Self>,
+        request: Request<Bytes>,
+        tap: Arc<FaultTap>,
+    ) -> BoxFuture<'static, Answer>;
+
+    /// Forgets what a crash loses.
+    fn forget(&self) {}
+}
+
+/// Whether a server listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HostState {
+    /// It listens.
+    Up,
+    /// It refuses connections.
+    Down,
+    /// Its thread ends.
+    Closed,
+}
+
+/// A change of state, and whom to tell when it is done.
+pub(super) struct HostCommand {
+    pub(super) state: HostState,
+    pub(super) done: Option<std::sync::mpsc::Sender<()>>,
+}
+
+type TapList = Arc<Mutex<Vec<Weak<FaultTap>>>>;
+
+/// A server on a loopback port, with the faults of its machine and network.
+pub struct ServerHost {
+    address: SocketAddr,
+    commands: mpsc::UnboundedSender<HostCommand>,
+    server_silent: Arc<AtomicBool>,
+    taps: TapList,
+    thread: Option<JoinHandle<()>>,
+    _reservation: socket2::Socket,
+}
+
+impl ServerHost {
+    /// Starts a server for a face.
+    ///
+    /// # Panics
+    ///
+    /// Panics if loopback has no free port or the thread can't start.
+    pub(super) fn start(name: &str, face: Arc<dyn HttpFace>) -> Self {
+        let reservation = bound_socket(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let address = reservation.local_addr().ok().and_then(|address| address.as_socket());
+        let address = address.expect("a bound socket has an address");
+        let (commands, inbox) = mpsc::unbounded_channel();
+        let taps = TapList::default();
+        let server_silent = Arc::new(AtomicBool::new(false));
+        let listener = HostListener {
+            address,
+            face,
+            server_silent: Arc::clone(&server_silent),
+            taps: Arc::clone(&taps),
+        };
+        let thread = std::thread::Builder::new()
+            .name(format!("stand-in-{name}"))
+            .spawn(move || listener.run(inbox))
+            .expect("a thread starts");
+        let host = Self {
+            address,
+            commands,
+            server_silent,
+            taps,
+            thread: Some(thread),
+            _reservation: reservation,
+        };
+        host.command(HostState::Up);
+        host
+    }
+
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes all connections, refuses new ones and forgets all soft state.
+    pub fn crash(&self) {
+        self.command(HostState::Down);
+    }
+
+    /// Listens again after a crash.
+    pub fn restart(&self) {
+        self.command(HostState::Up);
+    }
+
+    /// Lets all open connections go silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        for tap in lock(&self.taps).iter().filter_map(Weak::upgrade) {
+            tap.silence();
+        }
+    }
+
+    /// Sets whether connections, open and new, are accepted and never answered.
+    pub fn set_silent(&self, silent: bool) {
+        self.server_silent.store(silent, Ordering::SeqCst);
+        if !silent {
+            self.silence_connections();
+        }
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        lock(&self.taps).iter().filter(|tap| tap.strong_count() > 0).count()
+    }
+
+    pub(super) fn commands(&self) -> mpsc::UnboundedSender<HostCommand> {
+        self.commands.clone()
+    }
+
+    fn command(&self, state: HostState) {
+        let (done, finished) = std::sync::mpsc::channel();
+        let _ = self.commands.send(HostCommand { state, done: Some(done) });
+        let _ = finished.recv();
+    }
+}
+
+impl Drop for ServerHost {
+    fn drop(&mut self) {
+        self.command(HostState::Closed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// The half of a server that lives on its thread.
+struct HostListener {
+    address: SocketAddr,
+    face: Arc<dyn HttpFace>,
+    server_silent: Arc<AtomicBool>,
+    taps: TapList,
+}
+
+impl HostListener {
+    fn run(self, inbox: mpsc::UnboundedReceiver<HostCommand>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime starts").block_on(self.serve(inbox));
+    }
+
+    async fn serve(self, mut inbox: mpsc::UnboundedReceiver<HostCommand>) {
+        let mut next = inbox.recv().await;
+        while let Some(command) = next {
+            match command.state {
+                HostState::Closed => return,
+                HostState::Down => {
+                    self.face.forget();
+                    notify(command.done);
+                    next = inbox.recv().await;
+                }
+                HostState::Up => next = self.listen(&mut inbox, command.done).await,
+            }
+        }
+    }
+
+    async fn listen(
+        &self,
+        inbox: &mut mpsc::UnboundedReceiver<HostCommand>,
+        done: Option<std::sync::mpsc::Sender<()>>,
+    ) -> Option<HostCommand> {
+        let listener = listening_socket(self.address);
+        notify(done);
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                command = inbox.recv() => {
+                    drop(listener);
+                    connections.shutdown().await;
+                    return command;
+                }
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        connections.spawn(self.connection(stream));
+                    }
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    }
+
+    fn connection(&self, stream: TcpStream) -> impl Future<Output = ()> + use<> {
+        let _ = stream.set_nodelay(true);
+        let tap = Arc::new(FaultTap::new(Arc::clone(&self.server_silent)));
+        let mut taps = lock(&self.taps);
+        taps.retain(|tap| tap.strong_count() > 0);
+        taps.push(Arc::downgrade(&tap));
+        drop(taps);
+        let face = Arc::clone(&self.face);
+        let stream = TokioIo::new(TappedStream::new(stream, Arc::clone(&tap)));
+        let service = hyper::service::service_fn(move |request| {
+            answer_request(Arc::clone(&face), request, Arc::clone(&tap))
+        });
+        async move {
+            let _ =
+                hyper::server::conn::http1::Builder::new().serve_connection(stream, service).await;
+        }
+    }
+}
+
+async fn answer_request(
+    face: Arc<dyn HttpFace>,
+    request: Request<hyper::body::Incoming>,
+    tap: Arc<FaultTap>,
+) -> Answer {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| ConnectionCut)?.to_bytes();
+    face.answer(Request::from_parts(head, body), tap).await
+}
+
+fn notify(done: Option<std::sync::mpsc::Sender<()>>) {
+    if let Some(done) = done {
+        let _ = done.send(());
+    }
+}
+
+/// Binds a socket that other processes can't take the port from while the server is down.
+fn bound_socket(address: SocketAddr) -> socket2::Socket {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket opens");
+    socket.set_reuse_address(true).expect("the option exists");
+    socket.bind(&address.into()).expect("the loopback port is free");
+    socket
+}
+
+fn listening_socket(address: SocketAddr) -> TcpListener {
+    let socket = bound_socket(address);
+    socket.listen(LISTEN_BACKLOG).expect("a bound socket listens");
+    socket.set_nonblocking(true).expect("the option exists");
+    TcpListener::from_std(socket.into()).expect("the runtime takes the listener")
+}
+
+const LISTEN_BACKLOG: i32 = 1024;
--- /dev/null
+++ b/src/stand_in/tapped_stream.rs
@@ -0,0 +1,60 @@
+//! A TCP stream whose bytes pass through a fault tap.
+
+use super::*;
+
+/// Passes bytes on while its tap lets it.
+#[derive(Debug)]
+pub(super) struct TappedStream {
+    inner: TcpStream,
+    tap: Arc<FaultTap>,
+}
+
+impl TappedStream {
+    pub(super) const fn new(inner: TcpStream, tap: Arc<FaultTap>) -> Self {
+        Self { inner, tap }
+    }
+}
+
+impl AsyncRead for TappedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.tap.is_silent() {
+            return Poll::Pending;
+        }
+        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
+        // A tap that went silent while the read was pending swallows what arrived.
+        if self.tap.is_silent() { Poll::Pending } else { polled }
+    }
+}
+
+impl AsyncWrite for TappedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.tap.is_silent() {
+            return Poll::Pending;
+        }
+        let Some(mut raw) = self.tap.raw_answer() else {
+            return Pin::new(&mut self.inner).poll_write(context, buffer);
+        };
+        while !raw.is_empty() {
+            let written = ready!(Pin::new(&mut self.inner).poll_write(context, &raw))?;
+            raw.advance(written);
+            self.tap.set_rest(raw.clone());
+        }
+        Poll::Ready(Ok(buffer.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
