--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -35,8 +35,10 @@
     },
 };
 
+mod answer_rater;
 mod booking_stand_in;
 mod chat_request;
+mod engine_run;
 mod engine_setup;
 mod engine_stand_in;
 mod engine_state;
@@ -47,7 +49,6 @@
 mod member_list;
 mod platform_stand_in;
 mod prefix_cache;
-mod rating_service;
 mod reply;
 mod run_counter;
 mod server_host;
@@ -68,6 +69,7 @@
 };
 
 pub use {
+    answer_rater::AnswerRater,
     booking_stand_in::BookingStandIn,
     engine_setup::EngineSetup,
     engine_stand_in::EngineStandIn,
@@ -75,7 +77,6 @@
     log_store::LogStore,
     member_list::{MemberList, MemberState},
     platform_stand_in::PlatformStandIn,
-    rating_service::RatingService,
     run_counter::RunCounter,
     server_host::ServerHost,
     weight_store::WeightStore,
--- a/src/stand_in/rating_service.rs
+++ b/src/stand_in/answer_rater.rs
@@ -5,7 +5,7 @@
 
 /// Rates an answer by its version's share of good answers, the same for the same request.
 #[derive(Debug)]
-pub struct RatingService {
+pub struct AnswerRater {
     seed: u64,
     good_shares: Mutex<BTreeMap<SmolStr, Share>>,
     ratings: AtomicU64,
@@ -18,7 +18,7 @@
     version: SmolStr,
 }
 
-impl RatingService {
+impl AnswerRater {
     const DEFAULT_GOOD_SHARE: f64 = 0.9;
     const GOOD_SCORE: f64 = 0.9;
     const BAD_SCORE: f64 = 0.1;
--- a/src/stand_in/booking_stand_in.rs
+++ b/src/stand_in/booking_stand_in.rs
@@ -2,9 +2,8 @@
 
 use super::*;
 use {
-    engine_stand_in::faulty_reply,
     fault_switches::pause,
-    reply::{error_reply, json_reply},
+    reply::{error_reply, faulty_reply, json_reply},
 };
 
 /// A plain service that books on POST and looks bookings up on GET.
--- a/src/stand_in/engine_stand_in.rs
+++ b/src/stand_in/engine_stand_in.rs
@@ -2,9 +2,10 @@
 
 use super::*;
 use {
+    engine_run::EngineRun,
     engine_state::{EngineOrder, OrderKind},
     fault_switches::pause,
-    reply::{error_reply, full_body, json_reply, overlong_answer, reply, truncated_reply},
+    reply::{error_reply, json_reply},
 };
 
 /// A model engine that echoes the user's last message.
@@ -13,14 +14,14 @@
     face: Arc<EngineFace>,
 }
 
-struct EngineFace {
-    setup: EngineSetup,
-    faults: FaultSwitches,
-    runs: RunCounter,
+pub(super) struct EngineFace {
+    pub(super) setup: EngineSetup,
+    pub(super) faults: FaultSwitches,
+    pub(super) runs: RunCounter,
     version_runs: RunCounter,
     orders: RunCounter,
-    state: Mutex<EngineState>,
-    slots: Arc<SlotQueue>,
+    pub(super) state: Mutex<EngineState>,
+    pub(super) slots: Arc<SlotQueue>,
     commands: OnceLock<mpsc::UnboundedSender<HostCommand>>,
 }
 
@@ -131,7 +132,7 @@
         if self.faults.take_lost_answer() {
             return Err(ConnectionCut);
         }
-        if request.stream { Ok(stream_answer(run, tap)) } else { plain_answer(run, tap).await }
+        if request.stream { Ok(run.stream_answer(tap)) } else { run.plain_answer(tap).await }
     }
 
     async fn crash(&self) {
@@ -153,25 +154,13 @@
         let cached_bytes = state.cache.admit(prompt.as_bytes());
         state.record_load(&self.slots, self.setup.load_lag);
         drop(state);
-        let fresh_tokens = ChatRequest::tokens(prompt.len() - cached_bytes);
-        Some(EngineRun {
-            face: Arc::clone(self),
-            slot: Some(slot),
-            finished: false,
-            id: format!("chatcmpl-{}", self.runs.started()),
-            version: request.model.clone(),
-            question: request.question().into(),
-            prompt_tokens: ChatRequest::tokens(prompt.len()),
-            cached_tokens: ChatRequest::tokens(cached_bytes),
-            output_tokens: request.output_tokens(self.setup.output_tokens),
-            first_token: self.setup.first_token + self.setup.prompt_token * fresh_tokens as u32,
-        })
+        Some(EngineRun::new(Arc::clone(self), slot, request, prompt.len(), cached_bytes))
     }
 
     fn load(&self) -> Response<ReplyBody> {
         let mut state = lock(&self.state);
         state.record_load(&self.slots, self.setup.load_lag);
-        let report = state.load_report(self.setup.load_lag);
+        let report = state.load_report(&self.setup);
         json_reply(StatusCode::OK, &report)
     }
 
@@ -231,141 +220,3 @@
         tokio::time::sleep(Duration::from_secs(seconds)).await;
     }
 }
-
-/// One request in a slot.
-struct EngineRun {
-    face: Arc<EngineFace>,
-    slot: Option<SlotGuard>,
-    finished: bool,
-    id: String,
-    version: SmolStr,
-    question: String,
-    prompt_tokens: u64,
-    cached_tokens: u64,
-    output_tokens: u64,
-    first_token: Duration,
-}
-
-impl EngineRun {
-    fn token(&self, index: u64) -> String {
-        if index == 0 { format!("answer to: {}", self.question) } else { format!(" {index}") }
-    }
-
-    fn answer_text(&self) -> String {
-        (0..self.output_tokens).map(|index| self.token(index)).collect()
-    }
-
-    fn usage(&self) -> serde_json::Value {
-        serde_json::json!({
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": self.output_tokens,
-            "total_tokens": self.prompt_tokens + self.output_tokens,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
-        })
-    }
-
-    fn completion(&self) -> Bytes {
-        let message = serde_json::json!({"role": "assistant", "content": self.answer_text()});
-        let body = serde_json::json!({
-            "id": self.id,
-            "object": "chat.completion",
-            "model": self.version,
-            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-            "usage": self.usage(),
-        });
-        body.to_string().into()
-    }
-
-    fn chunk(&self, index: u64) -> Bytes {
-        let last = index + 1 == self.output_tokens;
-        let mut chunk = serde_json::json!({
-            "id": self.id,
-            "object": "chat.completion.chunk",
-            "model": self.version,
-            "choices": [{
-                "index": 0,
-                "delta": {"content": self.token(index)},
-                "finish_reason": last.then_some("stop"),
-            }],
-        });
-        if last {
-            chunk["usage"] = self.usage();
-        }
-        format!("data: {chunk}\n\n").into()
-    }
-
-    fn next_token(&self) -> Duration {
-        self.face.faults.slowed(self.face.setup.next_token)
-    }
-
-    fn finish(&mut self) {
-        self.finished = true;
-        self.face.runs.finish();
-    }
-}
-
-impl Drop for EngineRun {
-    fn drop(&mut self) {
-        drop(self.slot.take());
-        if !self.finished {
-            self.face.runs.cancel();
-        }
-        let mut state = lock(&self.face.state);
-        state.record_load(&self.face.slots, self.face.setup.load_lag);
-    }
-}
-
-async fn plain_answer(mut run: EngineRun, tap: &FaultTap) -> Answer {
-    pause(run.next_token() * (run.output_tokens - 1) as u32).await;
-    let fault = run.face.faults.answer();
-    if fault == AnswerFault::Stalled {
-        std::future::pending::<()>().await;
-    }
-    run.finish();
-    Ok(faulty_reply(fault, run.completion(), tap))
-}
-
-/// Returns a JSON answer with a fault, if there is one.
-pub(super) fn faulty_reply(fault: AnswerFault, body: Bytes, tap: &FaultTap) -> Response<ReplyBody> {
-    match fault {
-        AnswerFault::None | AnswerFault::Stalled => {}
-        AnswerFault::Truncated => return truncated_reply(&body),
-        AnswerFault::NotJson => {
-            return reply(StatusCode::OK, "application/json", full_body("%%% not JSON"));
-        }
-        AnswerFault::NotHttp => tap.replace_answer(Bytes::from_static(b"%%% not HTTP\r\n\r\n")),
-        AnswerFault::TooLong => tap.replace_answer(overlong_answer(&body)),
-    }
-    reply(StatusCode::OK, "application/json", full_body(body))
-}
-
-fn stream_answer(run: EngineRun, tap: &FaultTap) -> Response<ReplyBody> {
-    let fault = run.face.faults.answer();
-    if matches!(fault, AnswerFault::NotHttp | AnswerFault::TooLong) {
-        return faulty_reply(fault, run.completion(), tap);
-    }
-    let stream = futures_util::stream::unfold(Some((run, 0)), move |state| async move {
-        let (mut run, index) = state?;
-        if index == run.output_tokens {
-            run.finish();
-            return Some((Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))), None));
-        }
-        if index > 0 {
-            pause(run.next_token()).await;
-        }
-        if index > 0 && index == run.output_tokens / 2 {
-            match fault {
-                AnswerFault::Stalled => std::future::pending().await,
-                AnswerFault::Truncated => return Some((Err(ConnectionCut), None)),
-                AnswerFault::NotJson => {
-                    let chunk = Bytes::from_static(b"data: %%% not JSON\n\n");
-                    return Some((Ok(Frame::data(chunk)), Some((run, index + 1))));
-                }
-                _ => {}
-            }
-        }
-        let chunk = run.chunk(index);
-        Some((Ok(Frame::data(chunk)), Some((run, index + 1))))
-    });
-    reply(StatusCode::OK, "text/event-stream", BodyExt::boxed_unsync(StreamBody::new(stream)))
-}
--- a/src/stand_in/engine_state.rs
+++ b/src/stand_in/engine_state.rs
@@ -36,7 +36,10 @@
         self.history.record(Instant::now(), sample, lag);
     }
 
-    pub(super) fn load_report(&self, lag: Duration) -> serde_json::Value {
+    /// Returns the report; it names no versions if the engine serves any.
+    pub(super) fn load_report(&self, setup: &EngineSetup) -> serde_json::Value {
+        let lag = setup.load_lag;
+        let versions = (!setup.versions.is_empty()).then_some(&self.versions);
         let sample = self.history.seen(Instant::now(), lag);
         let as_of = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         serde_json::json!({
@@ -44,7 +47,7 @@
             "waiting": sample.waiting,
             "kv_free": sample.kv_free,
             "as_of_ms": as_of.saturating_sub(lag).as_millis() as u64,
-            "versions": self.versions,
+            "versions": versions,
             "loading": self.loading,
         })
     }
--- a/src/stand_in/log_store.rs
+++ b/src/stand_in/log_store.rs
@@ -4,6 +4,9 @@
 use reply::{error_reply, json_reply};
 
 /// Streams of records with offsets, kept for a limited time.
+///
+/// The `next` of a read is where the following read starts; it lies before `from` if the stream
+/// was restored to an earlier state.
 #[derive(Debug, Default)]
 pub struct LogStore {
     streams: Mutex<BTreeMap<SmolStr, LogStream>>,
@@ -157,9 +160,9 @@
         if records.is_empty() && !read.wait.is_zero() {
             return None;
         }
-        let body = serde_json::json!({
-            "oldest": stream.oldest, "next": stream.next(), "records": records,
-        });
+        let next =
+            if records.is_empty() { stream.next() } else { read.from + records.len() as u64 };
+        let body = serde_json::json!({"oldest": stream.oldest, "next": next, "records": records});
         Some(json_reply(StatusCode::OK, &body))
     }
 }
--- a/src/stand_in/platform_stand_in.rs
+++ b/src/stand_in/platform_stand_in.rs
@@ -12,7 +12,7 @@
 struct PlatformFace {
     log: LogStore,
     members: MemberList,
-    ratings: RatingService,
+    ratings: AnswerRater,
     weights: WeightStore,
 }
 
@@ -25,7 +25,7 @@
         let face = Arc::new(PlatformFace {
             log: LogStore::default(),
             members: MemberList::default(),
-            ratings: RatingService::new(Self::RATING_SEED),
+            ratings: AnswerRater::new(Self::RATING_SEED),
             weights: WeightStore::default(),
         });
         let host = ServerHost::start("platform", Arc::clone(&face) as Arc<dyn HttpFace>);
@@ -58,7 +58,7 @@
 
     /// Returns its rating service.
     #[must_use]
-    pub fn ratings(&self) -> &RatingService {
+    pub fn ratings(&self) -> &AnswerRater {
         &self.face.ratings
     }
 
--- a/src/stand_in/reply.rs
+++ b/src/stand_in/reply.rs
@@ -60,3 +60,17 @@
     raw.extend_from_slice(body);
     raw.into()
 }
+
+/// Returns a JSON answer with a fault, if there is one.
+pub(super) fn faulty_reply(fault: AnswerFault, body: Bytes, tap: &FaultTap) -> Response<ReplyBody> {
+    match fault {
+        AnswerFault::None | AnswerFault::Stalled => {}
+        AnswerFault::Truncated => return truncated_reply(&body),
+        AnswerFault::NotJson => {
+            return reply(StatusCode::OK, "application/json", full_body("%%% not JSON"));
+        }
+        AnswerFault::NotHttp => tap.replace_answer(Bytes::from_static(b"%%% not HTTP\r\n\r\n")),
+        AnswerFault::TooLong => tap.replace_answer(overlong_answer(&body)),
+    }
+    reply(StatusCode::OK, "application/json", full_body(body))
+}
--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -65,6 +65,18 @@
     assert_eq!(json_body(&read_from(&platform, 2))["records"], json!([]));
 }
 
+#[test]
+fn log_read_in_pages() {
+    let platform = PlatformStandIn::start();
+    append(&platform, "YQ==");
+    append(&platform, "Yg==");
+    let path = "/streams/s/records?from=0&limit=1";
+    let page = json_body(&exchange(platform.address(), "GET", path, &Value::Null));
+    assert_eq!((page["next"].as_u64(), page["records"][0]["offset"].as_u64()), (Some(1), Some(0)));
+    platform.log().restore_to("s", 1);
+    assert_eq!(json_body(&read_from(&platform, 2))["next"], 1);
+}
+
 #[test]
 fn log_read_waits_for_append() {
     let platform = PlatformStandIn::start();
