--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -75,7 +75,7 @@
     engine_stand_in::EngineStandIn,
     fault_switches::{AnswerFault, FaultSwitches},
     log_store::LogStore,
-    member_list::{MemberList, MemberState},
+    member_list::MemberList,
     platform_stand_in::PlatformStandIn,
     run_counter::RunCounter,
     server_host::ServerHost,
--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -1,8 +1,9 @@
 //! The stand-ins over real sockets.
 
 use {
-    guavapass::stand_in::{
-        AnswerFault, BookingStandIn, EngineSetup, EngineStandIn, MemberState, PlatformStandIn,
+    guavapass::{
+        platform::{MemberState, VmMember},
+        stand_in::{AnswerFault, BookingStandIn, EngineSetup, EngineStandIn, PlatformStandIn},
     },
     serde_json::{Value, json},
     std::{
@@ -120,7 +121,12 @@
 #[test]
 fn members_lag() {
     let platform = PlatformStandIn::start();
-    platform.members().add_entry_vm("vm-1", "norte", platform.address());
+    platform.members().add_entry_vm(VmMember {
+        id: "vm-1".parse().unwrap(),
+        address: platform.address(),
+        data_centre: "norte".parse().unwrap(),
+        state: MemberState::Live,
+    });
     platform.members().set_lag(Duration::from_hours(1));
     let seen = || json_body(&exchange(platform.address(), "GET", "/members", &Value::Null));
     assert_eq!(seen()["entry_vms"], json!([]));
