Add a stand-in caller

Change: CallerStandIn sends a CallRequest and returns a CallOutcome with status, headers, body, usage and times. Conclusion: it tells whole answers from truncated ones, plain and streamed.

--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -1,6 +1,6 @@
-//! Small in-process fakes of the platform, of model engines and of plain services.
+//! Small in-process fakes of the platform, of model engines, of plain services and of callers.
 //!
-//! Each one listens on a loopback port that the system chooses, runs on a thread of its own, stops
+//! Each server listens on a loopback port that the system chooses, runs on a thread of its own, stops
 //! when it is dropped and has its faults switched by calls. They serve `demo` and tests only.
 
 use super::*;
@@ -37,6 +37,9 @@
 
 mod answer_rater;
 mod booking_stand_in;
+mod call_outcome;
+mod call_request;
+mod caller_stand_in;
 mod chat_request;
 mod engine_run;
 mod engine_setup;
@@ -71,6 +74,9 @@
 pub use {
     answer_rater::AnswerRater,
     booking_stand_in::BookingStandIn,
+    call_outcome::CallOutcome,
+    call_request::CallRequest,
+    caller_stand_in::CallerStandIn,
     engine_setup::EngineSetup,
     engine_stand_in::EngineStandIn,
     fault_switches::{AnswerFault, FaultSwitches},
--- /dev/null
+++ b/src/stand_in/call_outcome.rs
@@ -0,0 +1,78 @@
+//! What a stand-in caller gets.
+
+use super::*;
+
+/// The answer to a call, whole or not.
+#[derive(Clone, Debug)]
+pub struct CallOutcome {
+    /// The status; none if there was no answer.
+    pub status: Option<u16>,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The bytes of the body that arrived.
+    pub body: Bytes,
+    /// How the connection broke, if it did.
+    pub broken: Option<SmolStr>,
+    /// The time to the first byte of the body.
+    pub first_byte: Duration,
+    /// The time to the end.
+    pub whole: Duration,
+}
+
+impl CallOutcome {
+    /// Returns a header as text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Returns the body as JSON, or `null`.
+    #[must_use]
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the data of the server-sent events, in order.
+    #[must_use]
+    pub fn events(&self) -> Vec<SmolStr> {
+        let text = String::from_utf8_lossy(&self.body);
+        text.lines().filter_map(|line| line.strip_prefix("data: ")).map(SmolStr::new).collect()
+    }
+
+    /// Returns the generated text, from a plain or a streamed answer.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let whole = self.json();
+        if let Some(text) = whole["choices"][0]["message"]["content"].as_str() {
+            return text.into();
+        }
+        let chunk_text = |event: &SmolStr| {
+            let chunk: serde_json::Value = serde_json::from_str(event).ok()?;
+            chunk["choices"][0]["delta"]["content"].as_str().map(String::from)
+        };
+        self.events().iter().filter_map(chunk_text).collect()
+    }
+
+    /// Returns the usage that the answer states, prompt then output.
+    #[must_use]
+    pub fn usage(&self) -> Option<(Tokens, Tokens)> {
+        let last_chunk = || {
+            let events = self.events();
+            let chunks = events.iter().rev().filter_map(|event| serde_json::from_str(event).ok());
+            chunks.into_iter().find(|chunk: &serde_json::Value| chunk["usage"].is_object())
+        };
+        let body =
+            Some(self.json()).filter(|body| body["usage"].is_object()).or_else(last_chunk)?;
+        let count = |name: &str| body["usage"][name].as_u64().map(Tokens);
+        Some((count("prompt_tokens")?, count("completion_tokens")?))
+    }
+
+    /// Returns whether the answer is a whole one, streamed or not.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        let streamed =
+            self.header("content-type").is_some_and(|kind| kind.starts_with("text/event-stream"));
+        let ended = !streamed || self.body.ends_with(b"data: [DONE]\n\n");
+        self.status == Some(200) && self.broken.is_none() && ended
+    }
+}
--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -3,7 +3,10 @@
 use {
     guavapass::{
         platform::{MemberState, VmMember},
-        stand_in::{AnswerFault, BookingStandIn, EngineSetup, EngineStandIn, PlatformStandIn},
+        stand_in::{
+            AnswerFault, BookingStandIn, CallRequest, CallerStandIn, EngineSetup, EngineStandIn,
+            PlatformStandIn,
+        },
     },
     serde_json::{Value, json},
     std::{
@@ -319,3 +322,20 @@
     }
     assert_eq!(service.bookings().runs("b-1"), 1);
 }
+
+#[test]
+fn caller_reads_plain_and_stream() {
+    let engine = EngineStandIn::start(EngineSetup::default());
+    let caller = CallerStandIn::new(engine.address());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let call = CallRequest::chat("m@1", "q").max_tokens(3);
+    let plain = runtime.block_on(caller.send(&call));
+    let stream = runtime.block_on(caller.send(&call.clone().stream()));
+    assert!(plain.is_whole() && stream.is_whole());
+    assert_eq!(plain.text(), "answer to: q 1 2");
+    assert_eq!(stream.text(), plain.text());
+    assert_eq!(stream.usage(), plain.usage());
+    engine.faults().set_answer(AnswerFault::Truncated);
+    assert!(!runtime.block_on(caller.send(&call)).is_whole());
+    assert!(!runtime.block_on(caller.send(&call.stream())).is_whole());
+}
