--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod platform;
 pub mod routing;
 pub mod settings;
+pub mod stand_in;
 pub mod traffic;
 pub mod units;
 
