Decide by evidence, fairness, pace and load

Cause: routing went by priors, the queue scanned all teams, server choice scanned all servers and knew no slow ones, and nothing bounded hedges, retries or a crest. Change: QualityPolicy with estimates from ratings, cascades, roll-out gates and a version guard; a fair queue by team and subscriber in logarithmic time; servers ordered by load with paces against the pool; hedges and retries within budgets; limits shared by demand; shedding by wait, deadline and backlog; presets replan queued work.

--- a/src/configuration/model.rs
+++ b/src/configuration/model.rs
@@ -43,6 +43,16 @@
     pub memory_bytes: ByteSize,
 }
 
+impl VersionEntry {
+    /// Returns the cost of so many tokens.
+    #[must_use]
+    pub fn cost_of(&self, prompt: Tokens, output: Tokens) -> Cost {
+        let prompt = prompt.0 as f64 * self.cost_per_million_prompt_tokens.0;
+        let output = output.0 as f64 * self.cost_per_million_output_tokens.0;
+        Cost((prompt + output) / 1e6)
+    }
+}
+
 const fn default_prior_weight() -> u32 {
     20
 }
--- a/src/configuration/preset.rs
+++ b/src/configuration/preset.rs
@@ -25,6 +25,27 @@
     /// The share of requests that may be retried.
     #[serde(default = "default_retry_share")]
     pub retry_share: Share,
+    /// The share of answers that are rated though nobody waits for the rating.
+    #[serde(default = "default_rating_share")]
+    pub rating_share: Share,
+    /// Whether a cheap version's answer may be rated before the caller gets it, and replaced.
+    #[serde(default = "yes")]
+    pub cascades: bool,
+    /// The longest wait of short work in a queue that has not been empty for a while.
+    #[serde(default = "default_short_wait")]
+    pub short_wait_ms: Millis,
+}
+
+const fn yes() -> bool {
+    true
+}
+
+const fn default_short_wait() -> Millis {
+    Millis(250)
+}
+
+fn default_rating_share() -> Share {
+    Share::new(0.1).unwrap_or_default()
 }
 
 const fn one() -> f64 {
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,16 +12,25 @@
 
 mod arrive;
 mod attempt;
+mod cascade;
 mod command;
 mod core;
 mod decision;
 mod dispatch;
 mod event;
+mod hedge;
 mod learn;
+mod load_state;
 mod operate;
+mod output_history;
 mod peers;
+mod policy_digest;
+mod rating_desk;
 mod refusal;
 mod request;
+mod shed;
+mod timers;
+mod withdraw;
 
 pub use {
     command::{AttemptStart, Command, ReleaseRule, RepeatRule},
@@ -32,6 +41,13 @@
         TokenUsage,
     },
     operate::{OperatorAnswer, OperatorRequest, ServerStatus, VmStatus},
+    policy_digest::PolicyDigest,
     refusal::{Refusal, RefusalCode},
     request::{AttemptRun, AttemptState, RequestPhase, RequestState, RunState, WorkTarget},
 };
+use {
+    load_state::LoadState,
+    output_history::OutputHistory,
+    rating_desk::RatingDesk,
+    timers::{RequestTimers, TimerKind},
+};
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -25,9 +25,20 @@
             self.emit(Command::ListModels { request: arrival.request, models });
             return Ok(());
         }
-        let profile = Self::profile(now, &document, &arrival, team, subscriber);
+        let profile = self.profile(now, &document, &arrival, team, subscriber);
         let plan = self.plan(now, &document, &arrival, &profile)?;
-        self.enqueue(now, &document, arrival, profile, plan)
+        let state = RequestState {
+            arrival,
+            profile,
+            plan,
+            step: 0,
+            phase: RequestPhase::Queued,
+            attempts: Vec::new(),
+            released: None,
+            held: None,
+        };
+        self.check_limits(now, &document, &state)?;
+        self.enqueue(now, &document, state)
     }
 
     fn serving_document(&self) -> Result<Arc<ConfigurationDocument>, Refusal> {
@@ -62,6 +73,7 @@
     }
 
     fn profile(
+        &self,
         now: Millis,
         document: &ConfigurationDocument,
         arrival: &Arrival,
@@ -69,23 +81,60 @@
         subscriber: SubscriberId,
     ) -> RequestProfile {
         let wait = arrival.deadline.unwrap_or(document.teams[&team].deadline_ms);
-        let output = match arrival.max_tokens {
+        let most = match arrival.max_tokens {
             Tokens(0) => Tokens(Self::DEFAULT_OUTPUT_TOKENS),
             tokens => tokens,
         };
+        let (output, class) = match &arrival.target {
+            ArrivalTarget::Service(name) => (Tokens(0), Self::call_class(document, name)),
+            ArrivalTarget::Model(name) => {
+                let outputs = &self.load.outputs;
+                let output = outputs.expect(&team, name, arrival.prompt_tokens, most);
+                (output, SizeClass::of(arrival.prompt_tokens, output))
+            }
+            ArrivalTarget::ModelList => (Tokens(0), SizeClass::Short),
+        };
+        let own = self.request_id(arrival.request).to_string();
+        let share_key = arrival.session.as_deref().unwrap_or(&own);
         RequestProfile {
             team,
             subscriber,
-            class: SizeClass::of(arrival.prompt_tokens, output),
+            class,
             prompt_tokens: arrival.prompt_tokens,
             expected_output: output,
             mode: arrival.mode,
             arrived: now,
             deadline: now + wait,
+            share_hash: xxh3_64(share_key.as_bytes()),
         }
     }
 
-    fn plan(
+    fn call_class(document: &ConfigurationDocument, name: &str) -> SizeClass {
+        let entry = name.parse::<ServiceId>().ok().and_then(|id| document.services.get(&id));
+        entry.map_or(SizeClass::Short, |entry| SizeClass::of_call(entry.expected_ms))
+    }
+
+    /// Counts a request against its team's limits.
+    fn check_limits(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        state: &RequestState,
+    ) -> Result<(), Refusal> {
+        let team = &state.profile.team;
+        let limits = document.teams[team].limits;
+        let factor = document.preset_in_force().limit_factor;
+        let entry_vms = self.peers.iter().count() + 1;
+        let work = state.profile.prompt_tokens + state.profile.expected_output;
+        let admitted = self.load.limits.admit(now, team, &limits, factor, entry_vms, work);
+        admitted.map_err(|(limit, wait)| {
+            let message = format!("The team is over its {limit} limit; send the request later.");
+            let retry = wait + Self::retry_after(state.arrival.request);
+            Refusal::not_run(RefusalCode::OverLimit, message).with_retry_after(retry)
+        })
+    }
+
+    pub(super) fn plan(
         &mut self,
         now: Millis,
         document: &ConfigurationDocument,
@@ -145,7 +194,9 @@
                 continue;
             }
             allowed = true;
-            if entry.state == VersionState::Withdrawn {
+            let withdrawn =
+                entry.state == VersionState::Withdrawn || self.is_withdrawn(&id, entry.generation);
+            if withdrawn {
                 ruled_out.push(Self::passed(&id, "withdrawn"));
                 continue;
             }
@@ -159,7 +210,13 @@
             let message = format!("The team may not use {selector:?}; see GET /v1/models.");
             return Err(Refusal::not_run(RefusalCode::Forbidden, message));
         }
-        let view = RoutingView { document, candidates: &candidates, ruled_out: &ruled_out };
+        let view = RoutingView {
+            document,
+            candidates: &candidates,
+            ruled_out: &ruled_out,
+            is_named: selector.contains('@'),
+            waits: &self.load.waits,
+        };
         self.policy.plan(now, &view, profile)
     }
 
@@ -178,34 +235,27 @@
         &mut self,
         now: Millis,
         document: &ConfigurationDocument,
-        arrival: Arrival,
-        profile: RequestProfile,
-        plan: RoutePlan,
+        state: RequestState,
     ) -> Result<(), Refusal> {
-        let queued: usize = self.queues.values().map(FairQueue::len).sum();
-        if queued >= document.preset_in_force().queue_limit as usize {
-            let message = "The queue is full; send the request again later.";
-            return Err(Refusal::not_run(RefusalCode::Unavailable, message)
-                .with_retry_after(Self::retry_after(arrival.request)));
+        let request = state.arrival.request;
+        if let Err(refusal) = self.check_queue(now, document, request, &state) {
+            self.load.limits.ended(&state.profile.team, -Self::charged_tokens(&state));
+            return Err(refusal);
         }
-        let request = arrival.request;
-        let state = RequestState {
-            arrival,
-            profile,
-            plan,
-            step: 0,
-            phase: RequestPhase::Queued,
-            attempts: Vec::new(),
-            released: None,
-        };
         let pool = state.plan.steps[0].pool.clone();
         let entry = Self::queue_entry(document, request, &state);
+        self.load.timers.set(state.profile.deadline, request, TimerKind::Deadline);
         self.requests.insert(request, state);
         self.queues.entry(pool.clone()).or_default().push(entry);
         self.dispatch(now, &pool);
         Ok(())
     }
 
+    /// Returns the tokens that a request was counted with against its team's limit.
+    pub(super) fn charged_tokens(state: &RequestState) -> f64 {
+        (state.profile.prompt_tokens + state.profile.expected_output).0 as f64
+    }
+
     pub(super) fn queue_entry(
         document: &ConfigurationDocument,
         request: RequestNumber,
@@ -218,6 +268,8 @@
             class: state.profile.class,
             cost: state.plan.steps[state.step].expected_cost,
             weight: document.teams.get(&state.profile.team).map_or(1.0, |team| team.weight),
+            queued: state.profile.arrived,
+            deadline: state.profile.deadline,
         }
     }
 
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -27,6 +27,8 @@
     pub(super) servers: ServerTable,
     pub(super) peers: PeerTable,
     pub(super) queues: BTreeMap<PoolId, FairQueue>,
+    pub(super) load: LoadState,
+    pub(super) withdrawn: BTreeMap<VersionId, u32>,
     pub(super) requests: FxHashMap<RequestNumber, RequestState>,
     pub(super) publications: BTreeMap<SmolStr, (CallId, AppendId)>,
     pub(super) log_read: Option<Millis>,
@@ -42,6 +44,7 @@
 impl Control {
     const LIST_INTERVAL_MS: u64 = 500;
     const LOAD_INTERVAL_MS: u64 = 1_000;
+    const AGE_INTERVAL_MS: u64 = 1_000;
     const READ_WAIT_MS: u64 = 10_000;
 
     /// Returns a core that knows nothing yet.
@@ -52,15 +55,19 @@
     #[must_use]
     pub fn new(identity: VmIdentity, policy: Box<dyn RoutingPolicy>) -> Self {
         let configuration = "configuration".parse().expect("the stream name is valid");
+        let mut servers = ServerTable::default();
+        servers.set_seed(xxh3_64(identity.vm.as_str().as_bytes()));
         Self {
             identity,
             streams: StreamNames { configuration },
             configuration: ConfigurationFold::default(),
             keys: KeyIndex::default(),
             policy,
-            servers: ServerTable::default(),
+            servers,
             peers: PeerTable::default(),
             queues: BTreeMap::new(),
+            load: LoadState::default(),
+            withdrawn: BTreeMap::new(),
             requests: FxHashMap::default(),
             publications: BTreeMap::new(),
             log_read: None,
@@ -76,6 +83,7 @@
 
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Command> {
+        self.fire_timers(now);
         match event {
             Event::Tick => self.on_tick(now),
             Event::Arrived(arrival) => self.on_arrival(now, arrival),
@@ -135,9 +143,18 @@
             self.send_heartbeats();
         }
         self.shed_expired(now);
+        self.age_load(now);
         self.dispatch_all(now);
     }
 
+    /// Ages load reports and what peers have told, once a second.
+    fn age_load(&mut self, now: Millis) {
+        if self.load.age_again <= now {
+            self.load.age_again = now + Millis(Self::AGE_INTERVAL_MS);
+            self.servers.age(now);
+        }
+    }
+
     fn read_loads(&mut self) {
         let reads: Vec<Command> = self
             .servers
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -110,7 +110,7 @@
 }
 
 /// Whether an answer is streamed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum AnswerMode {
     /// One body.
     Whole,
--- /dev/null
+++ b/src/control/hedge.rs
@@ -0,0 +1,147 @@
+use super::*;
+
+impl Control {
+    /// Returns whether a second attempt may run beside the first one of a step.
+    pub(super) fn may_hedge(
+        &self,
+        document: &ConfigurationDocument,
+        state: &RequestState,
+        step: &PlanStep,
+    ) -> bool {
+        const LEAST_SERVERS: usize = 2;
+        state.profile.class == SizeClass::Short
+            && Self::repeat_rule(document, &step.target) == RepeatRule::Repeatable
+            && document.preset_in_force().hedge_share > Share::ZERO
+            && self.servers.pool_size(&step.pool) >= LEAST_SERVERS
+    }
+
+    /// Sets the time at which an attempt's first byte is overdue.
+    pub(super) fn watch_attempt(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        request: RequestNumber,
+        entry: &AttemptState,
+    ) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let step = &state.plan.steps[entry.step];
+        let expected = Self::expected_head(document, state, &entry.target);
+        let key = Self::pace_key(state, entry);
+        let pool = step.pool.clone();
+        let overdue = self.load.pool(&pool).pace.overdue_after(&key, expected);
+        self.load.timers.set(now + overdue, request, TimerKind::Overdue(entry.id));
+    }
+
+    fn expected_head(
+        document: &ConfigurationDocument,
+        state: &RequestState,
+        target: &WorkTarget,
+    ) -> Millis {
+        match target {
+            WorkTarget::Version(id) => {
+                document.version(id).map_or(Millis(0), |entry| match state.profile.mode {
+                    AnswerMode::Stream => entry.first_token_ms,
+                    AnswerMode::Whole => state.profile.expected_run(entry),
+                })
+            }
+            WorkTarget::Service(id) => {
+                document.services.get(id).map_or(Millis(0), |entry| entry.expected_ms)
+            }
+        }
+    }
+
+    pub(super) fn pace_key(state: &RequestState, entry: &AttemptState) -> PaceKey {
+        PaceKey { target: entry.target.clone(), class: entry.class, mode: state.profile.mode }
+    }
+
+    /// Takes note of a late first byte, and starts a second attempt within the budget.
+    pub(super) fn on_overdue(&mut self, now: Millis, request: RequestNumber, attempt: AttemptId) {
+        let Some(document) = self.configuration.document().cloned() else { return };
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(entry) = state.attempt(attempt).cloned() else { return };
+        if entry.head.is_some() || entry.outcome.is_some() {
+            return;
+        }
+        let step = state.plan.steps[entry.step].clone();
+        let key = Self::pace_key(state, &entry);
+        let hedges = entry.release == ReleaseRule::Hold
+            && state.phase == RequestPhase::Running
+            && state.attempts.iter().filter(|other| other.outcome.is_none()).count() == 1
+            && self.may_hedge(&document, state, &step);
+        let ratio = self.load.pool(&step.pool).pace.overdue_ratio(&key, now.since(entry.started));
+        self.servers.observe_pace(now, &entry.server, ratio);
+        if hedges && self.load.pool(&step.pool).hedges.take() && !self.start_beside(now, request) {
+            self.load.pool(&step.pool).hedges.earn(Share::ONE);
+        }
+    }
+
+    /// Notes the first byte of an answer: it wins against other attempts of the request.
+    pub(super) fn on_head(&mut self, now: Millis, request: RequestNumber, attempt: AttemptId) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(entry) = state.attempt(attempt).cloned() else { return };
+        let pool = state.plan.steps[entry.step].pool.clone();
+        let key = Self::pace_key(state, &entry);
+        let took = now.since(entry.started);
+        let ratio = self.load.pool(&pool).pace.observe_head(&key, took);
+        self.servers.observe_pace(now, &entry.server, ratio);
+        self.settle_race(request, attempt);
+    }
+
+    /// Cancels the other attempts of a request, and releases the winner unless it is to be rated.
+    pub(super) fn settle_race(&mut self, request: RequestNumber, winner: AttemptId) {
+        let Some(state) = self.requests.get_mut(&request) else { return };
+        let Some(entry) = state.attempt(winner).cloned() else { return };
+        let is_answered = state.phase == RequestPhase::Answered;
+        if state.released.is_some_and(|released| released != winner) || is_answered {
+            return;
+        }
+        let losers: Vec<AttemptId> = state
+            .attempts
+            .iter()
+            .filter(|other| other.id != winner && other.outcome.is_none())
+            .map(|other| other.id)
+            .collect();
+        let is_last = state.plan.steps[entry.step].accept_score.is_none();
+        let releases = is_last && state.released.is_none();
+        if releases {
+            state.released = Some(winner);
+        }
+        for attempt in losers {
+            self.emit(Command::Cancel { request, attempt });
+        }
+        if releases {
+            self.emit(Command::Release { request, attempt: winner });
+        }
+    }
+
+    /// Does what requests have waited for.
+    pub(super) fn fire_timers(&mut self, now: Millis) {
+        while let Some((request, kind)) = self.load.timers.due(now) {
+            match kind {
+                TimerKind::Overdue(attempt) => self.on_overdue(now, request, attempt),
+                TimerKind::Requeue => self.on_pause_over(now, request),
+                TimerKind::Rating(attempt) => self.on_rating_overdue(now, request, attempt),
+                TimerKind::Deadline => self.on_deadline(now, request),
+            }
+        }
+    }
+
+    /// Gives up a repeatable request that has not begun to be answered at its deadline.
+    fn on_deadline(&mut self, now: Millis, request: RequestNumber) {
+        let Some(document) = self.configuration.document().cloned() else { return };
+        let Some(state) = self.requests.get(&request) else { return };
+        let repeatable = Self::repeat_rule(&document, state.target()) == RepeatRule::Repeatable;
+        let is_answered = state.phase == RequestPhase::Answered;
+        let has_head = state.attempts.iter().any(|entry| {
+            entry.head.is_some() && entry.outcome.is_none() && entry.release == ReleaseRule::AtOnce
+                || state.released == Some(entry.id) && entry.head.is_some()
+        });
+        if is_answered || has_head || !repeatable {
+            return;
+        }
+        self.unqueue(request);
+        let Some(state) = self.requests.get(&request) else { return };
+        let refusal = Self::deadline_refusal(request, state);
+        self.refuse(now, request, refusal);
+    }
+}
--- a/src/control/learn.rs
+++ b/src/control/learn.rs
@@ -47,6 +47,7 @@
     fn apply_configuration(&mut self, now: Millis) {
         let Some(document) = self.configuration.document() else { return };
         self.keys = KeyIndex::of(document);
+        self.policy.configure(now, document);
         self.recheck_queued(now);
         self.dispatch_all(now);
     }
@@ -72,7 +73,7 @@
         match result {
             Ok(list) => {
                 self.members_read = Some(now);
-                self.servers.update(&list.backend_servers);
+                self.servers.update(now, &list.backend_servers);
                 self.peers.update(&self.identity.vm, &list.entry_vms);
                 self.dispatch_all(now);
             }
@@ -88,9 +89,9 @@
     ) {
         let Ok(report) = result else { return };
         if report.leaving {
-            self.servers.leave(server);
+            self.servers.leave(now, server);
         }
-        self.servers.report(server, report);
+        self.servers.report(now, server, report);
         self.dispatch_all(now);
     }
 
@@ -101,11 +102,13 @@
         attempt: AttemptId,
         result: &Result<Share, PlatformError>,
     ) {
-        let Ok(score) = result else { return };
-        let Some(state) = self.requests.get_mut(&request) else { return };
-        let Some(attempt) = state.attempt_mut(attempt) else { return };
-        let WorkTarget::Version(version) = attempt.target.clone() else { return };
-        let team = state.profile.team.clone();
-        self.policy.rate(now, &team, &version, *score);
+        let evidence = self.load.ratings.take(request, attempt);
+        match (result, evidence) {
+            (Ok(score), Some(evidence)) => self.policy.rate(now, &evidence, *score),
+            (Ok(_), None) => {}
+            (Err(_), _) => self.policy.rating_failed(now),
+        }
+        self.apply_verdicts(now);
+        self.on_judged(now, request, attempt, result.as_ref().ok().copied());
     }
 }
--- /dev/null
+++ b/src/control/load_state.rs
@@ -0,0 +1,66 @@
+use super::*;
+
+/// What the core knows of the load of the pools and of the teams' use.
+#[derive(Debug, Default)]
+pub(super) struct LoadState {
+    pub(super) pools: BTreeMap<PoolId, PoolLoad>,
+    /// How long short work now waits, for routing.
+    pub(super) waits: BTreeMap<PoolId, Millis>,
+    pub(super) limits: LimitBook,
+    pub(super) outputs: OutputHistory,
+    pub(super) ratings: RatingDesk,
+    pub(super) timers: RequestTimers,
+    pub(super) age_again: Millis,
+    pub(super) sequence: u64,
+}
+
+impl LoadState {
+    pub(super) fn pool(&mut self, pool: &PoolId) -> &mut PoolLoad {
+        if !self.pools.contains_key(pool) {
+            self.pools.insert(pool.clone(), PoolLoad::default());
+        }
+        self.pools.get_mut(pool).expect("the entry has just been made")
+    }
+}
+
+/// The load of one pool.
+#[derive(Debug, Default)]
+pub(super) struct PoolLoad {
+    pub(super) gate: LoadGate,
+    pub(super) pace: PaceBook,
+    pub(super) hedges: AttemptBudget,
+    pub(super) retries: AttemptBudget,
+    starts: RateEstimate,
+}
+
+impl PoolLoad {
+    /// Notes that a short request has started.
+    pub(super) fn started(&mut self, now: Millis) {
+        self.starts.observe(now);
+    }
+
+    /// Returns the short requests that start in a second.
+    pub(super) fn start_rate(&self, now: Millis) -> f64 {
+        self.starts.per_second(now)
+    }
+}
+
+/// A rate of events, as a moving average.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RateEstimate {
+    rate: f64,
+    at: Millis,
+}
+
+impl RateEstimate {
+    const WINDOW_MS: f64 = 1_000.0;
+
+    fn observe(&mut self, now: Millis) {
+        self.rate = self.per_second(now) + 1_000.0 / Self::WINDOW_MS;
+        self.at = now;
+    }
+
+    fn per_second(&self, now: Millis) -> f64 {
+        self.rate * (-(now.since(self.at).0 as f64) / Self::WINDOW_MS).exp()
+    }
+}
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -76,6 +76,12 @@
     pub id: AttemptId,
     /// The version or service that it runs.
     pub target: WorkTarget,
+    /// The step of the plan that it belongs to.
+    pub step: usize,
+    /// The size that it counts as on the server.
+    pub class: SizeClass,
+    /// Whether its answer goes to the caller at once.
+    pub release: ReleaseRule,
     /// The backend server.
     pub server: ServerId,
     /// When it started.
@@ -97,6 +103,10 @@
     Queued,
     /// At least one attempt is under way.
     Running,
+    /// A whole answer is held until it has been rated.
+    Rating,
+    /// It waits for a pause before another attempt to end.
+    Pausing,
     /// The caller has its final answer, and an attempt may still be ending.
     Answered,
 }
@@ -118,6 +128,8 @@
     pub attempts: Vec<AttemptState>,
     /// The attempt whose answer the caller gets or got.
     pub released: Option<AttemptId>,
+    /// A whole answer that was poor or is being rated, for want of a better one.
+    pub held: Option<AttemptId>,
 }
 
 impl RequestState {
@@ -134,7 +146,22 @@
         &self.plan.steps[self.step].target
     }
 
+    /// Returns the model or service as the caller named it.
+    #[must_use]
+    pub fn selector(&self) -> &str {
+        match &self.arrival.target {
+            ArrivalTarget::Model(name) | ArrivalTarget::Service(name) => name,
+            ArrivalTarget::ModelList => "",
+        }
+    }
+
     /// Returns an attempt.
+    #[must_use]
+    pub fn attempt(&self, id: AttemptId) -> Option<&AttemptState> {
+        self.attempts.iter().find(|attempt| attempt.id == id)
+    }
+
+    /// Returns an attempt to be changed.
     pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut AttemptState> {
         self.attempts.iter_mut().find(|attempt| attempt.id == id)
     }
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -68,7 +68,7 @@
             errand_runner(settings, &identity, &peer_secrets, &runtime, &handle, &shelf)
         };
         let thread = ControlThread {
-            control: Control::new(identity.clone(), Box::new(CheapestPolicy)),
+            control: Control::new(identity.clone(), Box::new(QualityPolicy::default())),
             clock,
             inbox,
             errands,
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,11 +1,26 @@
 //! The backend servers: what they are, what runs on them and how well they do.
+//!
+//! [`ServerTable`] keeps the servers of each pool ordered by load, so that the choice of one does
+//! not look at all. [`PaceBook`] compares servers with their pool; [`AttemptBudget`] bounds hedges
+//! and retries.
 
 use super::*;
 
+mod attempt_budget;
+mod pace_book;
+mod peer_share;
+mod pool_servers;
+mod quantile_estimate;
+mod server_choice;
 mod server_state;
 mod server_table;
 
 pub use {
+    attempt_budget::AttemptBudget,
+    pace_book::{PaceBook, PaceKey},
+    quantile_estimate::QuantileEstimate,
+    server_choice::StartWish,
     server_state::{ServerState, ServerTrouble},
     server_table::ServerTable,
 };
+use {peer_share::PeerShare, pool_servers::PoolServers};
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -1,18 +1,36 @@
 //! Which version a request runs on.
 //!
 //! A [`RoutingPolicy`] turns what is known of a request into a [`RoutePlan`]: the versions to try
-//! in order, and why the others were passed over.
+//! in order, and why the others were passed over. [`QualityPolicy`] chooses the cheapest plan that
+//! meets the team's quality target by the evidence of ratings; [`CheapestPolicy`] goes by the
+//! priors alone. [`VersionGuard`] tests each version for turning bad.
 
 use super::*;
 
 mod cheapest;
+mod cusum_test;
+mod evidence;
+mod evidence_book;
 mod plan;
+mod plan_search;
 mod policy;
 mod profile;
+mod quality;
+mod quality_estimate;
+mod rollout_gate;
+mod version_guard;
 
+use plan_search::{PlanCandidate, PlanChoice, PlanSearch};
 pub use {
     cheapest::CheapestPolicy,
+    cusum_test::CusumTest,
+    evidence::{AnswerEvidence, EvidenceCounts, EvidenceDigest, EvidenceEntry, RatingSource},
+    evidence_book::EvidenceBook,
     plan::{PlanStep, RoutePlan},
     policy::{RoutingPolicy, RoutingView},
     profile::{RequestProfile, SizeClass},
+    quality::QualityPolicy,
+    quality_estimate::QualityEstimate,
+    rollout_gate::RolloutGate,
+    version_guard::{VersionGuard, VersionVerdict},
 };
--- a/src/routing/cheapest.rs
+++ b/src/routing/cheapest.rs
@@ -4,14 +4,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct CheapestPolicy;
 
-impl CheapestPolicy {
-    fn expected_cost(entry: &VersionEntry, profile: &RequestProfile) -> Cost {
-        let prompt = profile.prompt_tokens.0 as f64 * entry.cost_per_million_prompt_tokens.0;
-        let output = profile.expected_output.0 as f64 * entry.cost_per_million_output_tokens.0;
-        Cost((prompt + output) / 1e6)
-    }
-}
-
 impl RoutingPolicy for CheapestPolicy {
     fn plan(
         &mut self,
@@ -25,7 +17,7 @@
             .candidates
             .iter()
             .filter_map(|id| view.document.version(id).map(|entry| (id, entry)))
-            .map(|(id, entry)| (Self::expected_cost(entry, profile), id, entry))
+            .map(|(id, entry)| (profile.expected_cost(entry), id, entry))
             .collect();
         priced.sort_by(|a, b| a.0.0.total_cmp(&b.0.0).then_with(|| a.1.cmp(b.1)));
         let meets = priced.iter().position(|(_, _, entry)| entry.prior_quality.get() >= target);
@@ -55,6 +47,4 @@
         let reason = if meets.is_some() { "cheapest at the target" } else { "best available" };
         Ok(RoutePlan { steps: vec![step], reason: reason.into(), passed_over })
     }
-
-    fn rate(&mut self, _now: Millis, _team: &TeamId, _version: &VersionId, _score: Share) {}
 }
--- /dev/null
+++ b/src/routing/rollout_gate.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+/// Decides which requests a version under roll-out takes.
+pub struct RolloutGate<'a> {
+    /// The evidence of all entry VMs.
+    pub book: &'a EvidenceBook,
+    /// The configuration in force.
+    pub document: &'a ConfigurationDocument,
+}
+
+impl RolloutGate<'_> {
+    /// Returns the stage in force: the operator's, and the next ones once a stage has collected
+    /// its ratings.
+    #[must_use]
+    pub fn stage(&self, model: &ModelId, plan: &RolloutPlan) -> usize {
+        let ratings = self.counts(model, plan, EvidenceBook::ratings);
+        let mut needed = 0;
+        let mut stage = plan.stage;
+        while stage + 1 < plan.stages.len() {
+            needed += plan.stages[stage].min_ratings;
+            if ratings < needed {
+                break;
+            }
+            stage += 1;
+        }
+        stage
+    }
+
+    fn counts(
+        &self,
+        model: &ModelId,
+        plan: &RolloutPlan,
+        count: impl Fn(&EvidenceBook, &VersionId, u32) -> u64,
+    ) -> u64 {
+        let id = VersionId { model: model.clone(), version: plan.to.clone() };
+        let generation = self.document.version(&id).map_or(0, |entry| entry.generation);
+        count(self.book, &id, generation)
+    }
+
+    /// Returns whether the new version has taken all that it may before its evidence suffices.
+    fn is_capped(&self, model: &ModelId, plan: &RolloutPlan) -> bool {
+        let wanted: u64 = plan.stages[plan.stage..].iter().map(|stage| stage.min_ratings).sum();
+        self.counts(model, plan, EvidenceBook::started) >= plan.exposure_cap
+            && self.counts(model, plan, EvidenceBook::ratings) < wanted
+    }
+
+    /// Returns why a candidate is out for a request, if it is.
+    #[must_use]
+    pub fn rules_out(
+        &self,
+        id: &VersionId,
+        profile: &RequestProfile,
+        candidates: &[VersionId],
+    ) -> Option<&'static str> {
+        let entry = self.document.models.get(&id.model)?;
+        let plan = entry.rollout.as_ref()?;
+        let is_new = id.version == plan.to;
+        if !is_new && id.version != entry.stable {
+            return None;
+        }
+        let new = VersionId { model: id.model.clone(), version: plan.to.clone() };
+        let stable = VersionId { model: id.model.clone(), version: entry.stable.clone() };
+        let has_both = candidates.contains(&new) && candidates.contains(&stable);
+        let share = plan.stages[self.stage(&id.model, plan)].share.get();
+        let is_in = profile.place(&new) < share;
+        let capped = self.is_capped(&id.model, plan);
+        match (is_new, is_in && !capped) {
+            (true, false) if capped => Some("exposure cap of the roll-out"),
+            (true, false) => Some("outside the share of the roll-out"),
+            (false, true) if has_both => Some("replaced by the roll-out"),
+            _ => None,
+        }
+    }
+}
