--- a/src/control/policy_digest.rs
+++ b/src/control/policy_digest.rs
@@ -28,10 +28,10 @@
     }
 
     /// Takes in what another entry VM knows.
-    pub fn merge_digest(&mut self, now: Millis, origin: &PeerName, digest: PolicyDigest) {
+    pub fn merge_digest(&mut self, now: Millis, origin: &PeerName, digest: &PolicyDigest) {
         self.policy.merge(now, origin, &digest.evidence);
-        self.load.limits.merge(now, origin, digest.sequence, digest.demands);
-        self.servers.merge_shares(now, origin, digest.sequence, digest.in_flight);
+        self.load.limits.merge(now, origin, digest.sequence, digest.demands.clone());
+        self.servers.merge_shares(now, origin, digest.sequence, &digest.in_flight);
         self.apply_verdicts(now);
     }
 
--- a/src/health/peer_share.rs
+++ b/src/health/peer_share.rs
@@ -31,7 +31,7 @@
         now: Millis,
         origin: &PeerName,
         sequence: u64,
-        in_flight: BTreeMap<ServerId, u32>,
+        in_flight: &BTreeMap<ServerId, u32>,
     ) {
         let known = self.peer_shares.get(&origin.vm);
         if known.is_some_and(|known| {
@@ -43,7 +43,7 @@
         let share = PeerShare { incarnation, sequence, heard: now, in_flight: in_flight.clone() };
         let before = self.peer_shares.insert(origin.vm.clone(), share);
         let before = before.map(|share| share.in_flight).unwrap_or_default();
-        self.replace_share(now, &before, &in_flight);
+        self.replace_share(now, &before, in_flight);
     }
 
     pub(super) fn forget_silent_peers(&mut self, now: Millis) {
