Keep a ready key's tag when its charge is corrected

Cause: a correction that moved a ready key to or below the virtual time dropped its tag, and the key was never served again; goodput at 1.5 times the capacity fell to 0 of 77 answers a second.

--- a/src/admission/fair_tags.rs
+++ b/src/admission/fair_tags.rs
@@ -81,10 +81,9 @@
                 ready.insert((new, key.clone()));
             }
         }
+        self.tags.insert(key.clone(), new);
         if new <= now && !self.is_ready(key) {
             self.tags.remove(key);
-        } else {
-            self.tags.insert(key.clone(), new);
         }
     }
 
