Share slots by time, keep accounts of quality, watch suspects closely

Cause: the fair queue shared money where slots are scarce, so light teams on dear versions were shed; engines queued work that then waited behind the gate; plans overshot the target; new versions were rated too seldom.

--- a/benches/policy/goodput.rs
+++ b/benches/policy/goodput.rs
@@ -118,15 +118,36 @@
 pub fn debug() {
     let deployment = Deployment::Kencana;
     let document = deployment.document();
-    let demand = Demand { deployment, from: 0, to: RUN_MS, short_per_second: CAPACITY * 1.5, long_per_second: 0.15, burst: 1.0, heavy: None };
+    let demand = Demand {
+        deployment,
+        from: 0,
+        to: RUN_MS,
+        short_per_second: CAPACITY * 1.5,
+        long_per_second: 0.15,
+        burst: 1.0,
+        heavy: None,
+    };
     let quality = steady(truths(&document, 1));
-    let mut world = World::new(router::shipping(&document), &document, &deployment.pool(), 10, demand.jobs(1), quality);
+    let mut world = World::new(
+        router::shipping(&document),
+        &document,
+        &deployment.pool(),
+        10,
+        demand.jobs(1),
+        quality,
+    );
     for t in [1, 2, 3, 4, 5, 6, 8, 10, 15, 20, 30] {
         world.run(t * 1000);
         let status = world.router.status(guavapass::units::Millis(t * 1000));
         println!("t={t} requests={} queued={}", status.requests, status.queued);
         for (server, fake) in status.servers.iter().zip(world.servers.values()).take(4) {
-            println!("  {} in_flight={} trouble={:?} fake={:?}", server.server, server.in_flight, server.trouble, fake.load());
+            println!(
+                "  {} in_flight={} trouble={:?} fake={:?}",
+                server.server,
+                server.in_flight,
+                server.trouble,
+                fake.load()
+            );
         }
     }
 }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,7 +1,7 @@
 //! Which request runs next, and which is refused.
 //!
 //! Each pool has a [`FairQueue`], fair by team and, inside a team, by subscriber, in expected
-//! cost. [`LimitBook`] holds the teams' limits. [`LoadGate`] decides how long a request may wait.
+//! slot time. [`LimitBook`] holds the teams' limits. [`LoadGate`] decides how long a request may wait.
 
 use super::*;
 
--- a/src/admission/fair_queue.rs
+++ b/src/admission/fair_queue.rs
@@ -11,8 +11,8 @@
     pub subscriber: SubscriberId,
     /// Its size.
     pub class: SizeClass,
-    /// What it is expected to cost.
-    pub cost: Cost,
+    /// The time that it is expected to take up a slot.
+    pub cost: SlotTime,
     /// The weight of its team.
     pub weight: f64,
     /// When it was queued first.
@@ -28,8 +28,8 @@
         self.cost.0.max(Self::LEAST_COST) / self.weight
     }
 
-    /// Keeps free requests from passing everything else.
-    const LEAST_COST: f64 = 1e-9;
+    /// Keeps requests that are expected to take no time from passing everything else.
+    const LEAST_COST: f64 = 1.0;
 }
 
 /// Where a queued request stands.
@@ -43,9 +43,9 @@
     deadline: Millis,
 }
 
-/// The queue of one pool, fair by team and then by subscriber, in expected cost.
+/// The queue of one pool, fair by team and then by subscriber, in expected slot time.
 ///
-/// While two teams both have work queued, the costs over weight that they have been served differ
+/// While two teams both have work queued, the slot times over weight that they have been served differ
 /// by at most the largest request of each, plus the errors of the estimates of what still runs.
 /// The same holds for two subscribers of a team. All operations take logarithmic time.
 #[derive(Clone, Debug, Default)]
@@ -100,7 +100,7 @@
     /// Puts a request back ahead of those of its subscriber and takes back its charge.
     pub fn push_front(&mut self, entry: QueueEntry) {
         self.front -= 1;
-        self.correct(&entry.team, &entry.subscriber, entry.weight, Cost(-entry.cost.0));
+        self.correct(&entry.team, &entry.subscriber, entry.weight, SlotTime(-entry.cost.0));
         self.insert(self.front, entry);
     }
 
@@ -185,7 +185,7 @@
         team: &TeamId,
         subscriber: &SubscriberId,
         weight: f64,
-        difference: Cost,
+        difference: SlotTime,
     ) {
         if difference.0 == 0.0 {
             return;
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -251,6 +251,20 @@
         Ok(())
     }
 
+    /// Returns how long a request is expected to take up a slot.
+    pub(super) fn expected_slot_time(
+        document: &ConfigurationDocument,
+        state: &RequestState,
+    ) -> SlotTime {
+        let expected = match state.target() {
+            WorkTarget::Version(id) => {
+                document.version(id).map(|entry| state.profile.expected_run(entry))
+            }
+            WorkTarget::Service(id) => document.services.get(id).map(|entry| entry.expected_ms),
+        };
+        SlotTime(expected.unwrap_or_default().0 as f64)
+    }
+
     /// Returns the tokens that a request was counted with against its team's limit.
     pub(super) fn charged_tokens(state: &RequestState) -> f64 {
         (state.profile.prompt_tokens + state.profile.expected_output).0 as f64
@@ -266,7 +280,7 @@
             team: state.profile.team.clone(),
             subscriber: state.profile.subscriber.clone(),
             class: state.profile.class,
-            cost: state.plan.steps[state.step].expected_cost,
+            cost: Self::expected_slot_time(document, state),
             weight: document.teams.get(&state.profile.team).map_or(1.0, |team| team.weight),
             queued: state.profile.arrived,
             deadline: state.profile.deadline,
--- a/src/control/attempt.rs
+++ b/src/control/attempt.rs
@@ -97,6 +97,7 @@
             fault => self.servers.ended(now, &entry.server, entry.class, fault),
         }
         self.note_pace(now, request, entry);
+        self.correct_slot_time(now, request, pool, entry);
         let by_version = match fault {
             None => Some(false),
             Some(
@@ -331,7 +332,6 @@
             .map(|entry| profile.prompt_tokens.0 + entry.output_tokens.0)
             .sum();
         self.load.limits.ended(&profile.team, used as f64 - Self::charged_tokens(state));
-        self.correct_cost(state);
         let answered = state.released.and_then(|attempt| state.attempt(attempt));
         let Some(answered) = answered.filter(|entry| entry.run == AttemptRun::Whole) else {
             return;
@@ -342,23 +342,21 @@
         }
     }
 
-    /// Corrects the fair queue by the difference between the real and the expected cost.
-    fn correct_cost(&mut self, state: &RequestState) {
+    /// Corrects the fair queue by the difference between the real and the expected slot time.
+    fn correct_slot_time(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        pool: &PoolId,
+        entry: &AttemptState,
+    ) {
         let Some(document) = self.configuration.document() else { return };
-        let profile = &state.profile;
-        let weight = document.teams.get(&profile.team).map_or(1.0, |team| team.weight);
-        for entry in &state.attempts {
-            let WorkTarget::Version(id) = &entry.target else { continue };
-            let Some(version) = document.version(id) else { continue };
-            let step = &state.plan.steps[entry.step];
-            let real = match entry.run.run() {
-                RunState::NotRun => Cost(0.0),
-                _ => version.cost_of(profile.prompt_tokens, entry.output_tokens),
-            };
-            let difference = Cost(real.0 - step.expected_cost.0);
-            if let Some(queue) = self.queues.get_mut(&step.pool) {
-                queue.correct(&profile.team, &profile.subscriber, weight, difference);
-            }
+        let Some(state) = self.requests.get(&request) else { return };
+        let real = now.since(entry.started).0 as f64;
+        let charged = Self::queue_entry(document, request, state);
+        let difference = SlotTime(real - charged.cost.0);
+        if let Some(queue) = self.queues.get_mut(pool) {
+            queue.correct(&charged.team, &charged.subscriber, charged.weight, difference);
         }
     }
 }
--- a/src/control/learn.rs
+++ b/src/control/learn.rs
@@ -48,6 +48,7 @@
         let Some(document) = self.configuration.document() else { return };
         self.keys = KeyIndex::of(document);
         self.policy.configure(now, document);
+        self.servers.configure(document);
         self.recheck_queued(now);
         self.dispatch_all(now);
     }
--- a/src/health/pool_servers.rs
+++ b/src/health/pool_servers.rs
@@ -12,6 +12,7 @@
     pub(super) set_aside: BTreeSet<ServerId>,
     /// The long requests that run on the members.
     pub(super) long_running: u32,
+    pub(super) engine_queue: u32,
     pub(super) median_pace: f64,
     pub(super) median_until: Millis,
     ring: Vec<(u64, ServerId)>,
--- a/src/health/server_choice.rs
+++ b/src/health/server_choice.rs
@@ -136,7 +136,7 @@
         {
             return Some("version not loaded");
         }
-        if server.ranked.map_or(server.in_flight(), |(load, _)| load) >= Self::capacity(entry) {
+        if server.ranked.map_or(server.in_flight(), |(load, _)| load) >= entry.slots {
             return Some(Self::NO_SLOT);
         }
         if wish.class == SizeClass::Long && server.long >= wish.long_slots {
--- a/src/health/server_state.rs
+++ b/src/health/server_state.rs
@@ -87,15 +87,17 @@
     }
 
     /// Returns the expected load: own requests, those that peers tell of, and what the load
-    /// report shows beyond them, which counts for less the older it is.
+    /// report shows beyond them, which counts for less the older it is. So many of those in the
+    /// report only may wait in the server's own queue.
     #[must_use]
-    pub fn expected_load(&self, now: Millis) -> u32 {
+    pub fn expected_load(&self, now: Millis, engine_queue: u32) -> u32 {
         let known = self.in_flight() + self.peers;
         let Some(load) = &self.load else { return known };
         let beyond = (load.running + load.waiting).saturating_sub(self.recent_peak.max(known));
         let age = now.since(self.reported).0 as f64;
         let weight = (-age / Self::REPORT_HALF_LIFE_MS).exp2();
-        known + (f64::from(beyond) * weight).round() as u32
+        let beyond = (f64::from(beyond) * weight).round() as u32;
+        known + beyond.saturating_sub(engine_queue)
     }
 
     /// Takes in the ratio of one of its times to the pool's usual one.
--- a/src/health/server_table.rs
+++ b/src/health/server_table.rs
@@ -7,6 +7,7 @@
     pub(super) pools: BTreeMap<PoolId, PoolServers>,
     pub(super) peer_shares: BTreeMap<VmId, PeerShare>,
     wake_ups: BTreeSet<(Millis, ServerId)>,
+    engine_queues: BTreeMap<PoolId, u32>,
     seed: u64,
 }
 
@@ -19,6 +20,15 @@
         self.seed = seed;
     }
 
+    /// Takes in the depth of the servers' own queues.
+    pub fn configure(&mut self, document: &ConfigurationDocument) {
+        let depths = document.pools.iter();
+        self.engine_queues = depths.map(|(id, pool)| (id.clone(), pool.engine_queue)).collect();
+        for (id, servers) in &mut self.pools {
+            servers.engine_queue = self.engine_queues.get(id).copied().unwrap_or(0);
+        }
+    }
+
     /// Takes in the membership list.
     pub fn update(&mut self, now: Millis, members: &[ServerMember]) {
         let listed: BTreeSet<&ServerId> = members.iter().map(|member| &member.id).collect();
@@ -65,6 +75,7 @@
                     self.recount(&servers.members);
                 }
             }
+            servers.engine_queue = self.engine_queues.get(&pool).copied().unwrap_or(0);
             self.pools.insert(pool, servers);
         }
         let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
@@ -99,7 +110,7 @@
             pool.set_aside.remove(id);
         }
         if server.is_regular(now) {
-            let load = server.expected_load(now);
+            let load = server.expected_load(now, pool.engine_queue);
             pool.enter(server, load);
             server.ranked = Some((load, server.long));
         } else if let Some(trouble) = server.trouble.filter(|trouble| trouble.until > now) {
@@ -146,17 +157,13 @@
     #[must_use]
     pub fn has_room(&self, pool: &PoolId, entry: &PoolEntry, class: SizeClass, long: u32) -> bool {
         let Some(servers) = self.pools.get(pool) else { return false };
-        let room = servers.least_load().is_some_and(|load| load < Self::capacity(entry));
+        let room = servers.least_load().is_some_and(|load| load < entry.slots);
         match class {
             SizeClass::Short => room,
             SizeClass::Long => room && servers.least_long().is_some_and(|count| count < long),
         }
     }
 
-    pub(super) const fn capacity(entry: &PoolEntry) -> u32 {
-        entry.slots + entry.engine_queue
-    }
-
     /// Returns the number of servers of a pool.
     #[must_use]
     pub fn pool_size(&self, pool: &PoolId) -> usize {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -16,8 +16,10 @@
 mod policy;
 mod profile;
 mod quality;
+mod quality_account;
 mod quality_estimate;
 mod rollout_gate;
+mod version_estimates;
 mod version_guard;
 
 use plan_search::{PlanCandidate, PlanChoice, PlanSearch};
@@ -30,7 +32,9 @@
     policy::{RoutingPolicy, RoutingView},
     profile::{RequestProfile, SizeClass},
     quality::QualityPolicy,
+    quality_account::QualityAccount,
     quality_estimate::QualityEstimate,
     rollout_gate::RolloutGate,
+    version_estimates::VersionEstimates,
     version_guard::{VersionGuard, VersionVerdict},
 };
--- a/src/routing/plan_search.rs
+++ b/src/routing/plan_search.rs
@@ -34,8 +34,8 @@
     pub(super) first: usize,
     pub(super) second: Option<usize>,
     pub(super) meets: bool,
+    pub(super) lower: f64,
     cost: f64,
-    lower: f64,
     in_time: bool,
     short_wait: bool,
 }
--- a/src/routing/quality.rs
+++ b/src/routing/quality.rs
@@ -8,8 +8,8 @@
 #[derive(Debug)]
 pub struct QualityPolicy {
     book: EvidenceBook,
-    pooled: FxHashMap<(VersionId, SizeClass, RatingSource), QualityEstimate>,
-    teams: FxHashMap<AnswerEvidence, QualityEstimate>,
+    estimates: [BTreeMap<VersionId, VersionEstimates>; SizeClass::COUNT],
+    accounts: FxHashMap<TeamId, QualityAccount>,
     guards: BTreeMap<(VersionId, u32), VersionGuard>,
     document: Option<Arc<ConfigurationDocument>>,
     verdicts: Vec<VersionVerdict>,
@@ -21,8 +21,8 @@
     fn default() -> Self {
         Self {
             book: EvidenceBook::default(),
-            pooled: FxHashMap::default(),
-            teams: FxHashMap::default(),
+            estimates: Default::default(),
+            accounts: FxHashMap::default(),
             guards: BTreeMap::new(),
             document: None,
             verdicts: Vec::new(),
@@ -37,11 +37,6 @@
     pub const GOOD_SCORE: f64 = 0.5;
     /// The time that a rating is given.
     pub const RATING_MS: u64 = 400;
-    /// The weight of the estimate over all teams in that of one team, in ratings.
-    const POOLED_WEIGHT: f64 = 60.0;
-    /// How much less a version is trusted with requests that another one failed.
-    const ESCALATED_SHARE: f64 = 0.85;
-    const ESCALATED_PRIOR_WEIGHT: f64 = 20.0;
     /// The share of requests that try a version whose prior promises the target.
     const EXPLORED_SHARE: f64 = 0.1;
     /// The ratings per kind of work below which every answer is rated.
@@ -52,46 +47,8 @@
     /// The time after which a failing rating service is tried again.
     const RATER_PAUSE_MS: u64 = 5_000;
 
-    fn pooled_key(
-        id: &VersionId,
-        class: SizeClass,
-        source: RatingSource,
-    ) -> (VersionId, SizeClass, RatingSource) {
-        (id.clone(), class, source)
-    }
-
-    /// Returns the mean and the weight of the estimate for a team.
-    fn estimate(
-        &self,
-        now: Millis,
-        id: &VersionId,
-        entry: &VersionEntry,
-        profile: &RequestProfile,
-    ) -> (f64, f64) {
-        let class = profile.class;
-        let key = Self::pooled_key(id, class, RatingSource::First);
-        let pooled = self.pooled.get(&key).copied().unwrap_or_default();
-        let prior_weight = f64::from(entry.prior_weight);
-        let pooled_mean = pooled.mean(now, entry.prior_quality.get(), prior_weight);
-        let pooled_weight = (pooled.weight(now) + prior_weight).min(Self::POOLED_WEIGHT);
-        let evidence = AnswerEvidence {
-            version: id.clone(),
-            generation: entry.generation,
-            team: profile.team.clone(),
-            class,
-            source: RatingSource::First,
-        };
-        let own = self.teams.get(&evidence).copied().unwrap_or_default();
-        let mean = own.mean(now, pooled_mean, pooled_weight);
-        (mean, own.weight(now) + pooled_weight)
-    }
-
-    fn lower_escalated(&self, now: Millis, id: &VersionId, class: SizeClass, mean: f64) -> f64 {
-        let key = Self::pooled_key(id, class, RatingSource::Escalated);
-        let hard = self.pooled.get(&key).copied().unwrap_or_default();
-        let prior = mean * Self::ESCALATED_SHARE;
-        let weight = hard.weight(now) + Self::ESCALATED_PRIOR_WEIGHT;
-        QualityEstimate::lower(hard.mean(now, prior, Self::ESCALATED_PRIOR_WEIGHT), weight)
+    fn estimates(&self, id: &VersionId, class: SizeClass) -> Option<&VersionEstimates> {
+        self.estimates[class.index()].get(id)
     }
 
     fn candidate<'a>(
@@ -102,7 +59,9 @@
         profile: &RequestProfile,
     ) -> Option<PlanCandidate<'a>> {
         let entry = view.document.version(id)?;
-        let (mean, weight) = self.estimate(now, id, entry, profile);
+        let fresh = VersionEstimates::default();
+        let estimates = self.estimates(id, profile.class).unwrap_or(&fresh);
+        let (mean, weight) = estimates.first(now, entry, &profile.team);
         Some(PlanCandidate {
             id,
             entry,
@@ -111,7 +70,7 @@
             wait: view.waits.get(&entry.pool).copied().unwrap_or_default(),
             mean,
             lower: QualityEstimate::lower(mean, weight),
-            lower_escalated: self.lower_escalated(now, id, profile.class, mean),
+            lower_escalated: estimates.lower_escalated(now, mean),
         })
     }
 
@@ -213,9 +172,9 @@
             return;
         }
         let (good, poor) = (news.good as f64, news.poor as f64);
-        let key = Self::pooled_key(&evidence.version, evidence.class, evidence.source);
-        self.pooled.entry(key).or_default().observe(now, good, poor);
-        self.teams.entry(evidence.clone()).or_default().observe(now, good, poor);
+        let estimates = &mut self.estimates[evidence.class.index()];
+        let estimates = estimates.entry(evidence.version.clone()).or_default();
+        estimates.observe(now, &evidence.team, evidence.source, good, poor);
         if evidence.source == RatingSource::Escalated {
             return;
         }
@@ -231,6 +190,16 @@
         }
     }
 
+    /// Returns whether all answers of a version are rated: during its roll-out, and while its
+    /// ratings are under suspicion.
+    fn is_watched(&self, evidence: &AnswerEvidence) -> bool {
+        let Some(document) = &self.document else { return false };
+        let gate = RolloutGate { book: &self.book, document };
+        let key = (evidence.version.clone(), evidence.generation);
+        gate.is_collecting(&evidence.version)
+            || self.guards.get(&key).is_some_and(VersionGuard::is_raised)
+    }
+
     fn is_current(&self, evidence: &AnswerEvidence) -> bool {
         let document = self.document.as_ref();
         let entry = document.and_then(|document| document.version(&evidence.version));
@@ -246,8 +215,8 @@
         profile: &RequestProfile,
     ) -> Result<RoutePlan, Refusal> {
         let preset = view.document.preset_in_force();
-        let target =
-            view.document.teams[&profile.team].quality_target.get() + preset.quality_offset;
+        let due = view.document.teams[&profile.team].quality_target.get() + preset.quality_offset;
+        let account = self.accounts.get(&profile.team).copied().unwrap_or_default();
         let gate = RolloutGate { book: &self.book, document: view.document };
         let mut passed_over = view.ruled_out.to_vec();
         let mut candidates = Vec::with_capacity(view.candidates.len());
@@ -262,7 +231,7 @@
         }
         let search = PlanSearch {
             candidates,
-            target,
+            target: account.target(due),
             left: profile.deadline.since(now),
             standing_wait: preset.short_wait_ms,
             rating: self.cascade_rating(now, view, profile.mode),
@@ -271,7 +240,10 @@
             let message = "No version that the team may use is in service; try again later.";
             return Err(Refusal::not_run(RefusalCode::Unavailable, message));
         };
-        if let Some(first) = Self::explored(&search, &best, profile) {
+        let explored = Self::explored(&search, &best, profile);
+        let lower = explored.map_or(best.lower, |first| search.candidates[first].lower);
+        self.accounts.entry(profile.team.clone()).or_default().enter(lower, due);
+        if let Some(first) = explored {
             return Ok(Self::route(&search, first, None, "tried for evidence", passed_over));
         }
         let reason = match (best.meets, best.second) {
@@ -315,9 +287,9 @@
     fn wants_rating(&mut self, now: Millis, evidence: &AnswerEvidence, place: f64) -> bool {
         let Some(document) = &self.document else { return false };
         let share = document.preset_in_force().rating_share.get();
-        let key = Self::pooled_key(&evidence.version, evidence.class, evidence.source);
-        let weight = self.pooled.get(&key).map_or(0.0, |pooled| pooled.weight(now));
-        weight < Self::FEW_RATINGS || place < share
+        let estimates = self.estimates(&evidence.version, evidence.class);
+        let weight = estimates.map_or(0.0, |found| found.weight(now, evidence.source));
+        weight < Self::FEW_RATINGS || place < share || self.is_watched(evidence)
     }
 
     fn configure(&mut self, _now: Millis, document: &ConfigurationDocument) {
@@ -326,8 +298,9 @@
         };
         if let Some(before) = &self.document {
             let renewed = |id: &VersionId| generation(before, id) != generation(document, id);
-            self.pooled.retain(|(id, _, _), _| !renewed(id));
-            self.teams.retain(|evidence, _| !renewed(&evidence.version));
+            for estimates in &mut self.estimates {
+                estimates.retain(|id, _| !renewed(id));
+            }
         }
         self.guards.retain(|(id, current), _| generation(document, id) == Some(*current));
         self.document = Some(Arc::new(document.clone()));
--- a/src/routing/rollout_gate.rs
+++ b/src/routing/rollout_gate.rs
@@ -37,6 +37,17 @@
         count(self.book, &id, generation)
     }
 
+    /// Returns whether a version is under roll-out and lacks ratings for the last stage.
+    #[must_use]
+    pub fn is_collecting(&self, id: &VersionId) -> bool {
+        let model = self.document.models.get(&id.model);
+        let plan = model.and_then(|model| model.rollout.as_ref());
+        plan.is_some_and(|plan| {
+            let wanted: u64 = plan.stages.iter().map(|stage| stage.min_ratings).sum();
+            plan.to == id.version && self.counts(&id.model, plan, EvidenceBook::ratings) < wanted
+        })
+    }
+
     /// Returns whether the new version has taken all that it may before its evidence suffices.
     fn is_capped(&self, model: &ModelId, plan: &RolloutPlan) -> bool {
         let wanted: u64 = plan.stages[plan.stage..].iter().map(|stage| stage.min_ratings).sum();
--- a/src/routing/version_guard.rs
+++ b/src/routing/version_guard.rs
@@ -33,8 +33,9 @@
     const COLLAPSED_SHARE: f64 = 0.58;
     /// How far a moderate fall goes.
     const MODERATE_FALL: f64 = 0.15;
-    const COLLAPSE_THRESHOLD: f64 = 14.0;
-    const FALL_THRESHOLD: f64 = 16.0;
+    const COLLAPSE_THRESHOLD: f64 = 16.0;
+    const FALL_THRESHOLD: f64 = 18.5;
+    const RAISED_SUM: f64 = 2.5;
     const ERRORS_BEFORE: f64 = 0.02;
     const ERRORS_AFTER: f64 = 0.2;
     const ERRORS_THRESHOLD: f64 = 16.0;
@@ -72,6 +73,12 @@
         })
     }
 
+    /// Returns whether the ratings are under suspicion.
+    #[must_use]
+    pub fn is_raised(&self) -> bool {
+        self.collapse.sum().max(self.fall.sum()) >= Self::RAISED_SUM
+    }
+
     /// Keeps ratings apart until the sums say that they were ordinary.
     fn hold_back(&mut self, now: Millis, class: SizeClass, news: EvidenceCounts, sum: f64) {
         let pending = &mut self.pending[class.index()];
--- a/src/units.rs
+++ b/src/units.rs
@@ -58,6 +58,12 @@
     f64,
     "units"
 );
+unit!(
+    /// The time that work takes up a slot of a backend server.
+    SlotTime,
+    f64,
+    "slot ms"
+);
 unit!(
     /// A rate of token generation.
     TokensPerSecond,
