--- a/src/routing/plan_search.rs
+++ b/src/routing/plan_search.rs
@@ -35,6 +35,7 @@
     pub(super) second: Option<usize>,
     pub(super) meets: bool,
     pub(super) lower: f64,
+    mean: f64,
     cost: f64,
     in_time: bool,
     short_wait: bool,
@@ -52,7 +53,7 @@
 
     fn single(&self, first: usize) -> PlanChoice {
         let candidate = &self.candidates[first];
-        self.choice(first, None, candidate.cost.0, candidate.lower, candidate.run)
+        self.choice(first, None, candidate.cost.0, (candidate.mean, candidate.lower), candidate.run)
     }
 
     fn cascade(&self, first: usize, second: usize) -> Option<PlanChoice> {
@@ -62,9 +63,9 @@
             return None;
         }
         let cost = a.cost.0 + (1.0 - a.mean) * b.cost.0;
-        let lower = a.lower + (1.0 - a.lower) * b.lower_escalated;
+        let with = |share: f64| share + (1.0 - share) * b.lower_escalated;
         let run = a.run + rating + b.wait + b.run;
-        Some(self.choice(first, Some(second), cost, lower, run))
+        Some(self.choice(first, Some(second), cost, (with(a.mean), with(a.lower)), run))
     }
 
     fn choice(
@@ -72,7 +73,7 @@
         first: usize,
         second: Option<usize>,
         cost: f64,
-        lower: f64,
+        (mean, lower): (f64, f64),
         run: Millis,
     ) -> PlanChoice {
         let wait = self.candidates[first].wait;
@@ -81,6 +82,7 @@
             second,
             meets: lower >= self.target,
             cost,
+            mean,
             lower,
             in_time: wait + run <= self.left,
             short_wait: wait <= self.standing_wait,
@@ -94,7 +96,7 @@
             if a.meets {
                 a.cost.total_cmp(&b.cost)
             } else {
-                b.lower.total_cmp(&a.lower).then(a.cost.total_cmp(&b.cost))
+                b.mean.total_cmp(&a.mean).then(a.cost.total_cmp(&b.cost))
             }
         })
     }
--- a/src/routing/quality.rs
+++ b/src/routing/quality.rs
@@ -38,7 +38,7 @@
     /// The time that a rating is given.
     pub const RATING_MS: u64 = 400;
     /// The share of requests that try a version whose prior promises the target.
-    const EXPLORED_SHARE: f64 = 0.1;
+    const EXPLORED_SHARE: f64 = 0.25;
     /// The ratings per kind of work below which every answer is rated.
     const FEW_RATINGS: f64 = 100.0;
     /// The trust in the rating service below which no cascade is started.
--- a/src/routing/quality_estimate.rs
+++ b/src/routing/quality_estimate.rs
@@ -14,7 +14,7 @@
     /// The weight beyond which older ratings are scaled down, so that an estimate keeps moving.
     const MOST_WEIGHT: f64 = 2_000.0;
     /// The standard errors by which the lower estimate lies below the mean.
-    const LOWER_ERRORS: f64 = 1.28;
+    const LOWER_ERRORS: f64 = 1.0;
 
     /// Takes in ratings.
     pub fn observe(&mut self, now: Millis, good: f64, poor: f64) {
--- a/src/routing/version_guard.rs
+++ b/src/routing/version_guard.rs
@@ -15,8 +15,9 @@
 ///
 /// Ratings are compared with a baseline, which is the better of the version's own past and, in a
 /// roll-out, that of the version it replaces. Two cumulative sums run side by side, one tuned to a
-/// collapse and one to a moderate fall. The baseline takes in ratings only when neither sum is
-/// raised, so that a fall does not lower it.
+/// collapse and one to a moderate fall. A rating enters the baseline only after some hundred later
+/// ones, so that a fall is found before it lowers the baseline; what the baseline rests on is
+/// allowed for by a standard error.
 #[derive(Clone, Debug, Default)]
 pub struct VersionGuard {
     collapse: CusumTest,
@@ -24,7 +25,8 @@
     errors: CusumTest,
     error_servers: BTreeSet<ServerId>,
     baselines: [QualityEstimate; SizeClass::COUNT],
-    pending: [EvidenceCounts; SizeClass::COUNT],
+    recent: VecDeque<(SizeClass, EvidenceCounts)>,
+    recent_ratings: u64,
     convicted: bool,
 }
 
@@ -33,22 +35,26 @@
     const COLLAPSED_SHARE: f64 = 0.58;
     /// How far a moderate fall goes.
     const MODERATE_FALL: f64 = 0.15;
-    const COLLAPSE_THRESHOLD: f64 = 16.0;
-    const FALL_THRESHOLD: f64 = 18.5;
+    const COLLAPSE_THRESHOLD: f64 = 14.5;
+    const FALL_THRESHOLD: f64 = 19.0;
     const RAISED_SUM: f64 = 2.5;
     const ERRORS_BEFORE: f64 = 0.02;
     const ERRORS_AFTER: f64 = 0.2;
     const ERRORS_THRESHOLD: f64 = 16.0;
     const BASELINE_RANGE: (f64, f64) = (0.3, 0.97);
-    /// The sum up to which ratings count as ordinary.
-    const ORDINARY_SUM: f64 = 0.5;
+    /// The later ratings after which a rating enters the baseline.
+    const DELAY_RATINGS: u64 = 200;
 
     /// Returns the baseline of a kind of work, given the prior.
     #[must_use]
     pub fn baseline(&self, now: Millis, class: SizeClass, entry: &VersionEntry) -> f64 {
         let prior = entry.prior_quality.get();
-        let mean = self.baselines[class.index()].mean(now, prior, f64::from(entry.prior_weight));
-        mean.clamp(Self::BASELINE_RANGE.0, Self::BASELINE_RANGE.1)
+        let prior_weight = f64::from(entry.prior_weight);
+        let estimate = &self.baselines[class.index()];
+        let mean = estimate.mean(now, prior, prior_weight);
+        let weight = estimate.weight(now) + prior_weight;
+        let error = (mean * (1.0 - mean) / (weight + Self::DELAY_RATINGS as f64)).sqrt();
+        (mean - error).clamp(Self::BASELINE_RANGE.0, Self::BASELINE_RANGE.1)
     }
 
     /// Takes in ratings against a baseline and returns the reason for a withdrawal, once.
@@ -64,7 +70,7 @@
         let fallen = (before + Self::MODERATE_FALL).min(0.99);
         let collapse = self.collapse.observe(news.good, news.poor, before, collapsed);
         let fall = self.fall.observe(news.good, news.poor, before, fallen);
-        self.hold_back(now, class, news, collapse.max(fall));
+        self.delay(now, class, news);
         let found = collapse >= Self::COLLAPSE_THRESHOLD || fall >= Self::FALL_THRESHOLD;
         self.convict(found, || {
             format!(
@@ -79,17 +85,18 @@
         self.collapse.sum().max(self.fall.sum()) >= Self::RAISED_SUM
     }
 
-    /// Keeps ratings apart until the sums say that they were ordinary.
-    fn hold_back(&mut self, now: Millis, class: SizeClass, news: EvidenceCounts, sum: f64) {
-        let pending = &mut self.pending[class.index()];
-        pending.good += news.good;
-        pending.poor += news.poor;
-        if sum > Self::ORDINARY_SUM {
-            return;
-        }
-        for (baseline, pending) in self.baselines.iter_mut().zip(&mut self.pending) {
-            baseline.observe(now, pending.good as f64, pending.poor as f64);
-            *pending = EvidenceCounts::default();
+    /// Lets ratings enter the baseline once enough others have followed.
+    fn delay(&mut self, now: Millis, class: SizeClass, news: EvidenceCounts) {
+        self.recent.push_back((class, news));
+        self.recent_ratings += news.ratings();
+        while let Some((class, oldest)) = self.recent.front().copied() {
+            if self.recent_ratings - oldest.ratings() < Self::DELAY_RATINGS {
+                return;
+            }
+            self.recent.pop_front();
+            self.recent_ratings -= oldest.ratings();
+            let baseline = &mut self.baselines[class.index()];
+            baseline.observe(now, oldest.good as f64, oldest.poor as f64);
         }
     }
 
