--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -91,9 +91,9 @@
         }
     }
 
-    fn call(&self, call: CallRequest) -> guavapass::stand_in::CallOutcome {
+    fn call(&self, call: &CallRequest) -> guavapass::stand_in::CallOutcome {
         let caller = CallerStandIn::new(self.vm.callers);
-        self.runtime.block_on(caller.send(&call))
+        self.runtime.block_on(caller.send(call))
     }
 }
 
@@ -126,7 +126,7 @@
 #[test]
 fn chat_whole_answer() {
     let bench = PathBench::start();
-    let outcome = bench.call(CallRequest::chat("auto", "how many racks?").key("ana-key"));
+    let outcome = bench.call(&CallRequest::chat("auto", "how many racks?").key("ana-key"));
     assert_eq!(outcome.status, Some(200), "{outcome:?}");
     assert_eq!(outcome.header("guavapass-version"), Some("planner@1"));
     assert!(outcome.text().contains("how many racks?"), "{outcome:?}");
@@ -136,7 +136,7 @@
 fn chat_stream_is_whole() {
     let bench = PathBench::start();
     let call = CallRequest::chat("planner", "list the anchors").key("ana-key").stream();
-    let outcome = bench.call(call);
+    let outcome = bench.call(&call);
     assert!(outcome.is_whole(), "{outcome:?}");
     assert!(outcome.text().contains("list the anchors"), "{outcome:?}");
 }
@@ -146,7 +146,7 @@
     let bench = PathBench::start();
     let body = serde_json::json!({ "booking": "b-1" });
     let call = CallRequest::new(http::Method::POST, "/services/booking/bookings", body);
-    let outcome = bench.call(call.key("ana-key"));
+    let outcome = bench.call(&call.key("ana-key"));
     assert_eq!(outcome.status, Some(200), "{outcome:?}");
     assert_eq!(bench.booking.bookings().runs("b-1"), 1);
 }
@@ -154,7 +154,7 @@
 #[test]
 fn key_unknown_is_refused() {
     let bench = PathBench::start();
-    let outcome = bench.call(CallRequest::chat("auto", "hello").key("guess"));
+    let outcome = bench.call(&CallRequest::chat("auto", "hello").key("guess"));
     assert_eq!(outcome.status, Some(401));
     assert_eq!(outcome.header("guavapass-run"), Some("not-run"));
     drop(bench.platform);
