Cancel upstream work when a waiting caller closes its connection

Cause: xitca-web reads a connection again only after it has answered, so a caller that went away during the wait for an answer kept its engine busy. Change: the callers' listener watches each accepted socket through a second descriptor; the exchange ends when the other side closes.

--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -80,14 +80,21 @@
         };
         let control =
             std::thread::Builder::new().name("control".into()).spawn(move || thread.run())?;
-        let caller_desk =
-            CallerDesk::new(settings.callers.clone(), identity, &handle, shelf, &ready);
+        let connections = Arc::new(ConnectionTable::default());
+        let caller_desk = CallerDesk::new(
+            settings.callers.clone(),
+            identity,
+            &handle,
+            shelf,
+            &ready,
+            &connections,
+        );
         let operator_desk = OperatorDesk::new(operator_secrets, handle.clone(), Arc::clone(&ready));
         let peer_desk = PeerDesk::new(peer_secrets, handle.clone());
         let threads = settings.callers.threads;
         let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
         let servers = vec![
-            serve_callers(callers, threads, caller_desk)?,
+            serve_callers(CallerListener { listener: callers, connections }, threads, caller_desk)?,
             serve_operators(operators, Self::OPERATOR_THREADS, operator_desk)?,
             serve_peers(peers, Self::OPERATOR_THREADS, peer_desk)?,
         ];
@@ -171,9 +178,9 @@
 }
 
 macro_rules! serve_with {
-    ($name:ident, $desk:ty) => {
+    ($name:ident, $listener:ty, $desk:ty) => {
         fn $name(
-            listener: TcpListener,
+            listener: $listener,
             threads: usize,
             desk: $desk,
         ) -> io::Result<Box<dyn Fn() + Send + Sync>> {
@@ -201,6 +208,6 @@
 
 const KEEP_ALIVE_SECONDS: u64 = 60;
 
-serve_with!(serve_callers, CallerDesk);
-serve_with!(serve_operators, OperatorDesk);
-serve_with!(serve_peers, PeerDesk);
+serve_with!(serve_callers, CallerListener, CallerDesk);
+serve_with!(serve_operators, TcpListener, OperatorDesk);
+serve_with!(serve_peers, TcpListener, PeerDesk);
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -10,6 +10,7 @@
 mod answer_shelf;
 mod attempt_event;
 mod caller_desk;
+mod caller_listener;
 mod caller_request;
 mod exchange;
 mod operator_desk;
@@ -21,6 +22,7 @@
 pub use {
     answer_shelf::AnswerShelf,
     caller_desk::CallerDesk,
+    caller_listener::{CallerConnection, CallerListener, ConnectionTable},
     operator_desk::{OPERATOR_PATH, OperatorDesk},
     peer_desk::{PEER_PATH, PeerDesk},
     sse_scanner::SseScanner,
--- a/src/traffic/caller_desk.rs
+++ b/src/traffic/caller_desk.rs
@@ -13,6 +13,7 @@
     pub(super) handle: ControlHandle,
     pub(super) shelf: Arc<AnswerShelf>,
     ready: Arc<AtomicBool>,
+    connections: Arc<ConnectionTable>,
     numbers: AtomicU64,
 }
 
@@ -50,6 +51,7 @@
         handle: &ControlHandle,
         shelf: Arc<AnswerShelf>,
         ready: &Arc<AtomicBool>,
+        connections: &Arc<ConnectionTable>,
     ) -> Self {
         let shared = DeskShared {
             settings,
@@ -57,6 +59,7 @@
             handle: handle.clone(),
             shelf,
             ready: Arc::clone(ready),
+            connections: Arc::clone(connections),
             numbers: AtomicU64::new(1),
         };
         Self { shared: Arc::new(shared) }
@@ -100,6 +103,7 @@
 
     async fn take(&self, request: WebRequest, route: Route) -> WebResponse {
         let (head, body) = request.into_parts();
+        let connection = self.shared.connections.get(body.socket_addr());
         let (_, body) = body.replace_body(());
         let number = self.next_number();
         let read = self.read(&head, body, &route).await;
@@ -119,7 +123,9 @@
             return reply::refusal(&refusal, &self.shared.request_id(number));
         }
         let shared = Arc::clone(&self.shared);
-        CallerExchange::new(shared, Arc::new(request), number, directives).respond().await
+        let exchange =
+            CallerExchange::new(shared, Arc::new(request), number, directives, connection);
+        exchange.respond().await
     }
 
     async fn read(
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -7,6 +7,7 @@
     request: Arc<CallerRequest>,
     number: RequestNumber,
     directives: UnboundedReceiver<Directive>,
+    connection: Option<Arc<CallerConnection>>,
     attempts: Vec<ExchangeAttempt>,
     released: Option<AttemptId>,
     answered: bool,
@@ -23,6 +24,7 @@
 enum Step {
     Directive(Option<Directive>),
     Event(AttemptEvent),
+    CallerGone,
 }
 
 impl CallerExchange {
@@ -34,12 +36,17 @@
         request: Arc<CallerRequest>,
         number: RequestNumber,
         directives: UnboundedReceiver<Directive>,
+        connection: Option<Arc<CallerConnection>>,
     ) -> Self {
+        if let Some(connection) = &connection {
+            connection.begin();
+        }
         Self {
             desk,
             request,
             number,
             directives,
+            connection,
             attempts: Vec::new(),
             released: None,
             answered: false,
@@ -68,11 +75,27 @@
                 }
                 Step::Event(AttemptEvent::Head(head)) => return self.stream(*head),
                 Step::Event(AttemptEvent::Chunk(_) | AttemptEvent::End) => {}
+                Step::CallerGone => return reply::plain(499, ""),
             }
         }
     }
 
     async fn step(&mut self) -> Step {
+        let connection = self.connection.clone();
+        let gone = async {
+            match connection {
+                Some(connection) => connection.closed().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            step = self.next_step() => step,
+            () = gone => Step::CallerGone,
+        }
+    }
+
+    async fn next_step(&mut self) -> Step {
         let released = self.released;
         let events = self
             .attempts
@@ -191,6 +214,7 @@
                     return (None, true);
                 }
                 Step::Event(_) => {}
+                Step::CallerGone => return (None, true),
                 Step::Directive(Some(Directive::Refuse(refusal))) => {
                     self.answered = true;
                     return (Some(Self::error_event(&refusal)), true);
@@ -217,6 +241,9 @@
 
 impl Drop for CallerExchange {
     fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.end();
+        }
         if !self.answered {
             self.desk.handle.send(Event::CallerGone { request: self.number });
         }
--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -41,7 +41,7 @@
 
 struct PathBench {
     platform: PlatformStandIn,
-    _engine: EngineStandIn,
+    engine: EngineStandIn,
     booking: BookingStandIn,
     vm: EntryVm,
     runtime: tokio::runtime::Runtime,
@@ -49,8 +49,12 @@
 
 impl PathBench {
     fn start() -> Self {
+        Self::with_engine(EngineSetup::default())
+    }
+
+    fn with_engine(setup: EngineSetup) -> Self {
         let platform = PlatformStandIn::start();
-        let engine = EngineStandIn::start(EngineSetup::default());
+        let engine = EngineStandIn::start(setup);
         let booking = BookingStandIn::start(Duration::from_millis(5));
         let members = platform.members();
         members.add_backend_server(member("engine-1", "planning", engine.address()));
@@ -59,7 +63,7 @@
         let settings = settings(platform.address());
         let vm = EntryVm::start(&settings, secret(), secret()).unwrap();
         let runtime = tokio::runtime::Runtime::new().unwrap();
-        let bench = Self { platform, _engine: engine, booking, vm, runtime };
+        let bench = Self { platform, engine, booking, vm, runtime };
         bench.publish();
         bench.wait_for_servers();
         bench
@@ -159,3 +163,32 @@
     assert_eq!(outcome.header("guavapass-run"), Some("not-run"));
     drop(bench.platform);
 }
+
+/// Waits until a count is reached.
+fn wait_for(count: impl Fn() -> u64, expected: u64) {
+    const TRIES: u32 = 3_000;
+    for _ in 0..TRIES {
+        if count() == expected {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the count is {}, not {expected}", count());
+}
+
+#[test]
+fn caller_gone_cancels_upstream() {
+    let setup = EngineSetup { first_token: Duration::from_secs(3_600), ..EngineSetup::default() };
+    let bench = PathBench::with_engine(setup);
+    let body = r#"{"model":"auto","messages":[{"role":"user","content":"hello"}]}"#;
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer ana-key\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut caller = std::net::TcpStream::connect(bench.vm.callers).unwrap();
+    std::io::Write::write_all(&mut caller, request.as_bytes()).unwrap();
+    wait_for(|| bench.engine.runs().started(), 1);
+    drop(caller);
+    wait_for(|| bench.engine.runs().cancelled(), 1);
+}
