--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -19,7 +19,7 @@
 const CONFIGURATION: &str = r#"{
     "schema": 1,
     "pools": {
-        "planning": { "kind": "engine", "slots": 4, "long_slots": 2, "progress_timeout_ms": 5000 },
+        "planning": { "kind": "engine", "slots": 4, "long_slots": 2, "progress_timeout_ms": 3600000 },
         "booking": { "kind": "service", "slots": 8, "long_slots": 8, "progress_timeout_ms": 5000 }
     },
     "models": { "planner": { "stable": "1", "versions": { "1": {
@@ -33,7 +33,7 @@
     "teams": { "crews": {
         "keys": [{ "subscriber": "ana", "sha256": "KEY" }],
         "allowed": ["planner"], "services": ["booking"],
-        "quality_target": 0.85, "deadline_ms": 10000
+        "quality_target": 0.85, "deadline_ms": 3600000
     } },
     "presets": { "ordinary": {} },
     "preset": "ordinary"
@@ -178,7 +178,7 @@
 
 #[test]
 fn caller_gone_cancels_upstream() {
-    let setup = EngineSetup { first_token: Duration::from_secs(3_600), ..EngineSetup::default() };
+    let setup = EngineSetup { first_token: Duration::from_hours(1), ..EngineSetup::default() };
     let bench = PathBench::with_engine(setup);
     let body = r#"{"model":"auto","messages":[{"role":"user","content":"hello"}]}"#;
     let request = format!(
