--- a/src/command.rs
+++ b/src/command.rs
@@ -12,7 +12,7 @@
 mod logs;
 mod serve;
 
-pub use command_error::CommandError;
+pub use {check::read_configuration, command_error::CommandError};
 
 /// Parses the arguments and runs the command they name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
