--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -16,18 +16,20 @@
 mod preset;
 mod record;
 mod service;
+mod stamp;
 mod team;
 
 pub use {
     check::check_document,
     document::ConfigurationDocument,
     error::ConfigurationError,
-    fold::{ConfigurationFold, PublicationOutcome},
+    fold::{ConfigurationFold, FoldReport, PublicationOutcome},
     key_index::KeyIndex,
     model::{ModelEntry, RolloutPlan, RolloutStage, VersionEntry, VersionState},
     pool::{FenceRule, PoolEntry, PoolKind},
     preset::PresetEntry,
     record::{ConfigurationChange, ConfigurationRecord},
     service::ServiceEntry,
+    stamp::{ConfigurationStamp, ConfigurationState},
     team::{AccessKey, TeamEntry, TeamLimits, hash_key},
 };
--- a/src/configuration/fold.rs
+++ b/src/configuration/fold.rs
@@ -1,11 +1,18 @@
-use super::*;
+use super::{record::RecordReading, *};
 
 /// The configuration in force, folded from the records of its stream.
+///
+/// The state is a function of the records up to [`Self::next`]. A state may also be taken over from
+/// a peer that has folded further. The stamp never falls.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigurationFold {
-    revision: Revision,
+    stamp: ConfigurationStamp,
     document: Option<Arc<ConfigurationDocument>>,
     next: Offset,
+    anchor: Option<LogAnchor>,
+    gap: bool,
+    kept_at: Option<Offset>,
+    outcomes: VecDeque<(SmolStr, PublicationOutcome)>,
 }
 
 /// What became of a record.
@@ -13,15 +20,44 @@
 pub enum PublicationOutcome {
     /// It is in force with this revision.
     Accepted(Revision),
-    /// It is not, for this reason.
+    /// It is not and never will be, for this reason.
     Rejected(SmolStr),
+    /// It may be in the log; nobody knows yet, for this reason.
+    Unknown(SmolStr),
+}
+
+/// The last record that was folded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LogAnchor {
+    offset: Offset,
+    hash: u64,
+}
+
+/// What a page of records did.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FoldReport {
+    /// The publications that were decided.
+    pub outcomes: Vec<(SmolStr, PublicationOutcome)>,
+    /// Whether the log no longer has what was folded before.
+    pub restored: bool,
+    /// Whether a record that repeats the whole document was read.
+    pub kept: bool,
 }
 
 impl ConfigurationFold {
+    /// The publications whose outcome is remembered.
+    pub const OUTCOME_LIMIT: usize = 64;
+
     /// Returns the revision in force; zero if none.
     #[must_use]
     pub const fn revision(&self) -> Revision {
-        self.revision
+        self.stamp.revision
+    }
+
+    /// Returns what identifies the document in force.
+    #[must_use]
+    pub const fn stamp(&self) -> ConfigurationStamp {
+        self.stamp
     }
 
     /// Returns the document in force.
@@ -36,52 +72,239 @@
         self.next
     }
 
-    /// Moves past records that are no longer kept.
-    pub fn skip_to(&mut self, offset: Offset) {
-        self.next = self.next.max(offset);
+    /// Returns the offset of the last record folded, or the next one if there is none.
+    #[must_use]
+    pub fn anchor(&self) -> Offset {
+        self.anchor.map_or(self.next, |anchor| anchor.offset)
     }
 
-    /// Folds one record and returns its publication and what became of it.
-    pub fn fold(&mut self, record: &LogRecord) -> Option<(SmolStr, PublicationOutcome)> {
-        if record.offset < self.next {
-            return None;
+    /// Returns whether records were removed before they were read here.
+    #[must_use]
+    pub const fn has_gap(&self) -> bool {
+        self.gap
+    }
+
+    /// Returns the offset of the newest record that holds the whole document, if it is known.
+    #[must_use]
+    pub const fn kept_at(&self) -> Option<Offset> {
+        self.kept_at
+    }
+
+    /// Returns what became of a publication, if it is remembered.
+    #[must_use]
+    pub fn outcome(&self, publication: &str) -> Option<&PublicationOutcome> {
+        let found = self.outcomes.iter().rev().find(|(name, _)| name == publication);
+        found.map(|(_, outcome)| outcome)
+    }
+
+    /// Returns the state for a peer that is behind.
+    #[must_use]
+    pub fn state(&self) -> Option<ConfigurationState> {
+        Some(ConfigurationState {
+            stamp: self.stamp,
+            document: Arc::clone(self.document.as_ref()?),
+            next: (!self.gap).then_some(self.next),
+            outcomes: self.outcomes.clone(),
+        })
+    }
+
+    /// Takes over a peer's state if it is ahead, and returns whether the document changed.
+    pub fn adopt(&mut self, state: &ConfigurationState) -> bool {
+        let ahead = state.stamp > self.stamp;
+        let closes = self.gap && state.next.is_some() && state.stamp == self.stamp;
+        if !(ahead || closes) || check_document(&state.document).is_err() {
+            return false;
+        }
+        if let Some(next) = state.next {
+            self.next = next;
+            self.anchor = None;
+            self.gap = false;
+        }
+        self.outcomes.clone_from(&state.outcomes);
+        self.outcomes.truncate(Self::OUTCOME_LIMIT);
+        self.stamp = state.stamp;
+        self.document = Some(Arc::clone(&state.document));
+        ahead
+    }
+
+    /// Notes that the records before an offset are no longer kept.
+    pub fn trimmed(&mut self, oldest: Offset) {
+        if oldest > self.next {
+            tracing::warn!(next = %self.next, %oldest, "configuration records were missed");
+            self.gap = true;
+            self.next = oldest;
+            self.anchor = None;
+        }
+    }
+
+    /// Folds a page that was read from an offset.
+    pub fn fold_page(&mut self, from: Offset, page: &LogPage) -> FoldReport {
+        let mut report = FoldReport::default();
+        if self.contradicts(from, page) {
+            tracing::warn!(next = %self.next, log = %page.next, "the log has been restored");
+            self.next = page.oldest;
+            self.anchor = None;
+            self.gap = self.document.is_none() && page.oldest > Offset(0);
+            report.restored = true;
+            return report;
+        }
+        for record in &page.records {
+            if record.offset < self.next {
+                continue;
+            }
+            self.trimmed(record.offset);
+            if let Some(decided) = self.fold(record, page.oldest, &mut report) {
+                report.outcomes.push(decided);
+            }
+            if self.next <= record.offset {
+                return report;
+            }
+        }
+        report
+    }
+
+    /// Returns whether a page shows another history than the one folded.
+    fn contradicts(&self, from: Offset, page: &LogPage) -> bool {
+        if page.next < self.next && page.next < from {
+            return true;
         }
+        let Some(anchor) = self.anchor else { return false };
+        if from > anchor.offset || page.oldest > anchor.offset {
+            return false;
+        }
+        let found = page.records.iter().find(|record| record.offset == anchor.offset);
+        match found {
+            Some(record) => hash_record(record) != anchor.hash,
+            None => page.next <= anchor.offset,
+        }
+    }
+
+    fn fold(
+        &mut self,
+        record: &LogRecord,
+        oldest: Offset,
+        report: &mut FoldReport,
+    ) -> Option<(SmolStr, PublicationOutcome)> {
         self.next = Offset(record.offset.0 + 1);
-        let parsed: ConfigurationRecord = match serde_json::from_slice(&record.record) {
-            Ok(parsed) => parsed,
-            Err(error) => {
+        self.anchor = Some(LogAnchor { offset: record.offset, hash: hash_record(record) });
+        let parsed = match ConfigurationRecord::read(&record.record) {
+            RecordReading::Known(parsed) => *parsed,
+            RecordReading::Malformed(publication, reason) => {
+                return self.decide(publication, PublicationOutcome::Rejected(bounded(&reason)));
+            }
+            RecordReading::Newer(what) => {
+                tracing::warn!(offset = %record.offset, %what, "newer configuration record skipped");
+                return None;
+            }
+            RecordReading::Garbage(error) => {
                 tracing::warn!(offset = %record.offset, %error, "configuration record skipped");
                 return None;
             }
         };
-        let outcome = match self.apply(&parsed) {
-            Ok(()) => PublicationOutcome::Accepted(self.revision),
-            Err(reason) => PublicationOutcome::Rejected(reason),
+        if let ConfigurationChange::Snapshot { as_of, document } = parsed.change {
+            self.fold_snapshot(record.offset, oldest, parsed.base, as_of, document, report);
+            return None;
+        }
+        if self.gap {
+            return None;
+        }
+        let holds_document = matches!(parsed.change, ConfigurationChange::Document(_));
+        let publication = parsed.publication.clone();
+        let outcome = match self.apply(parsed) {
+            Ok(()) => {
+                if holds_document {
+                    self.kept_at = Some(record.offset);
+                    report.kept = true;
+                }
+                PublicationOutcome::Accepted(self.stamp.revision)
+            }
+            Err(reason) => match self.outcome(&publication) {
+                Some(decided) => return Some((publication, decided.clone())),
+                None => PublicationOutcome::Rejected(bounded(&reason)),
+            },
         };
-        Some((parsed.publication, outcome))
+        self.decide(publication, outcome)
     }
 
-    fn apply(&mut self, record: &ConfigurationRecord) -> Result<(), SmolStr> {
-        if record.base != self.revision {
-            let (base, now) = (record.base, self.revision);
-            let reason =
-                format!("The change was made against revision {base}, but {now} is in force.");
+    /// Takes over a snapshot where it is ahead; its author may not have read the records just
+    /// before it, so these are folded again on top of it.
+    fn fold_snapshot(
+        &mut self,
+        offset: Offset,
+        oldest: Offset,
+        revision: Revision,
+        as_of: Offset,
+        document: Box<ConfigurationDocument>,
+        report: &mut FoldReport,
+    ) {
+        let stamp = ConfigurationStamp::of(revision, &document);
+        if stamp == self.stamp && !self.gap {
+            self.kept_at = Some(offset);
+            report.kept = true;
+            return;
+        }
+        let usable = as_of >= oldest && as_of <= offset;
+        let ahead = stamp > self.stamp;
+        if !usable || !(ahead || self.gap) || check_document(&document).is_err() {
+            return;
+        }
+        if ahead {
+            self.stamp = stamp;
+            self.document = Some(Arc::from(document));
+        }
+        if stamp == self.stamp {
+            self.kept_at = Some(offset);
+            report.kept = true;
+        }
+        self.gap = false;
+        self.next = as_of;
+        self.anchor = None;
+    }
+
+    fn decide(
+        &mut self,
+        publication: SmolStr,
+        outcome: PublicationOutcome,
+    ) -> Option<(SmolStr, PublicationOutcome)> {
+        if self.gap {
+            return None;
+        }
+        if self.outcomes.len() >= Self::OUTCOME_LIMIT {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.push_back((publication.clone(), outcome.clone()));
+        Some((publication, outcome))
+    }
+
+    fn apply(&mut self, record: ConfigurationRecord) -> Result<(), SmolStr> {
+        let revision = self.stamp.revision;
+        if record.base != revision {
+            let base = record.base;
+            let reason = format!(
+                "The change was made against revision {base}, but {revision} is in force; \
+                 look at it and publish again."
+            );
             return Err(reason.into());
         }
-        let document = match (&record.change, &self.document) {
-            (ConfigurationChange::Document(document), _) => (**document).clone(),
+        let document = match (record.change, &self.document) {
+            (ConfigurationChange::Document(document), _) => *document,
             (ConfigurationChange::Preset(preset), Some(document)) => {
-                let mut document = (**document).clone();
-                document.preset = preset.clone();
-                document
-            }
-            (ConfigurationChange::Preset(_), None) => {
-                return Err("There is no configuration whose preset could change.".into());
+                ConfigurationDocument { preset, ..(**document).clone() }
             }
+            _ => return Err("There is no configuration whose preset could change.".into()),
         };
         check_document(&document).map_err(|error| SmolStr::new(error.to_string()))?;
+        self.stamp = ConfigurationStamp::of(Revision(revision.0 + 1), &document);
         self.document = Some(Arc::new(document));
-        self.revision = Revision(self.revision.0 + 1);
         Ok(())
     }
 }
+
+fn hash_record(record: &LogRecord) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&record.record)
+}
+
+fn bounded(reason: &str) -> SmolStr {
+    const MAX_REASON_CHARS: usize = 300;
+    reason.chars().take(MAX_REASON_CHARS).collect()
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,18 +12,26 @@
 
 mod arrive;
 mod attempt;
+mod cluster;
 mod command;
 mod core;
 mod decision;
 mod dispatch;
 mod event;
 mod learn;
+mod members;
 mod operate;
 mod peers;
+mod publish;
 mod refusal;
 mod request;
+mod sessions;
+mod shares;
+mod spread;
+mod withdraw;
 
 pub use {
+    cluster::ClusterSettings,
     command::{AttemptStart, Command, ReleaseRule, RepeatRule},
     core::{Control, VmIdentity},
     decision::{PassedOver, RouteDecision},
@@ -31,7 +39,13 @@
         AnswerMode, Arrival, ArrivalTarget, AttemptFault, AttemptOutcome, AttemptReport, Event,
         TokenUsage,
     },
-    operate::{OperatorAnswer, OperatorRequest, ServerStatus, VmStatus},
+    operate::{OperatorAnswer, OperatorRequest, PeerStatus, ServerStatus, VmStatus},
     refusal::{Refusal, RefusalCode},
     request::{AttemptRun, AttemptState, RequestPhase, RequestState, RunState, WorkTarget},
 };
+
+use {
+    cluster::{ClusterState, WantedConfiguration},
+    publish::PendingPublication,
+    sessions::SessionWaits,
+};
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -21,13 +21,40 @@
         let document = self.serving_document()?;
         let (team, subscriber) = self.identify(&arrival)?;
         if arrival.target == ArrivalTarget::ModelList {
-            let models = Self::allowed_models(&document, &team);
+            let models = self.allowed_models(&document, &team);
             self.emit(Command::ListModels { request: arrival.request, models });
             return Ok(());
         }
+        let session = self.session_choice(now, &document, &team, &arrival)?;
         let profile = Self::profile(now, &document, &arrival, team, subscriber);
-        let plan = self.plan(now, &document, &arrival, &profile)?;
-        self.enqueue(now, &document, arrival, profile, plan)
+        let plan = self.plan(now, &document, &arrival, &profile, session.as_ref())?;
+        if let (Some(choice), WorkTarget::Version(planned)) = (&session, &plan.steps[0].target)
+            && self.hold_for_pin(now, &arrival, choice, planned)
+        {
+            return Ok(());
+        }
+        self.enqueue(now, &document, arrival, profile, plan, session)
+    }
+
+    /// Goes on with a request whose session has got its version.
+    pub(super) fn resume_arrival(&mut self, now: Millis, arrival: Arrival, session: SessionChoice) {
+        let request = arrival.request;
+        if let Err(refusal) = self.admit_session(now, arrival, session) {
+            self.emit(Command::Refuse { request, refusal });
+        }
+    }
+
+    fn admit_session(
+        &mut self,
+        now: Millis,
+        arrival: Arrival,
+        session: SessionChoice,
+    ) -> Result<(), Refusal> {
+        let document = self.serving_document()?;
+        let (team, subscriber) = self.identify(&arrival)?;
+        let profile = Self::profile(now, &document, &arrival, team, subscriber);
+        let plan = self.plan(now, &document, &arrival, &profile, Some(&session))?;
+        self.enqueue(now, &document, arrival, profile, plan, Some(session))
     }
 
     fn serving_document(&self) -> Result<Arc<ConfigurationDocument>, Refusal> {
@@ -49,11 +76,11 @@
         })
     }
 
-    fn allowed_models(document: &ConfigurationDocument, team: &TeamId) -> Vec<SmolStr> {
+    fn allowed_models(&self, document: &ConfigurationDocument, team: &TeamId) -> Vec<SmolStr> {
         let entry = &document.teams[team];
         let mut models = BTreeSet::new();
-        for (id, version) in document.versions() {
-            if entry.allows(&id) && version.state == VersionState::Live {
+        for (id, _) in document.versions() {
+            if entry.allows(&id) && !self.is_withdrawn(&id) {
                 models.insert(SmolStr::new(id.model.as_str()));
                 models.insert(SmolStr::new(id.to_string()));
             }
@@ -91,9 +118,13 @@
         document: &ConfigurationDocument,
         arrival: &Arrival,
         profile: &RequestProfile,
+        session: Option<&SessionChoice>,
     ) -> Result<RoutePlan, Refusal> {
+        let kept = session.and_then(|session| session.version.as_ref());
         match &arrival.target {
-            ArrivalTarget::Model(selector) => self.plan_model(now, document, selector, profile),
+            ArrivalTarget::Model(selector) => {
+                self.plan_model(now, document, selector, profile, kept)
+            }
             ArrivalTarget::Service(name) => Self::plan_service(document, name, profile),
             ArrivalTarget::ModelList => unreachable!("a list of models needs no plan"),
         }
@@ -129,13 +160,14 @@
         document: &ConfigurationDocument,
         selector: &str,
         profile: &RequestProfile,
+        kept: Option<&VersionId>,
     ) -> Result<RoutePlan, Refusal> {
         let team = &document.teams[&profile.team];
         let mut known = false;
         let mut allowed = false;
         let mut candidates = Vec::new();
         let mut ruled_out = Vec::new();
-        for (id, entry) in document.versions() {
+        for (id, _) in document.versions() {
             if !Self::selects(selector, &id) {
                 continue;
             }
@@ -145,10 +177,14 @@
                 continue;
             }
             allowed = true;
-            if entry.state == VersionState::Withdrawn {
+            if self.is_withdrawn(&id) {
                 ruled_out.push(Self::passed(&id, "withdrawn"));
                 continue;
             }
+            if kept.is_some_and(|kept| *kept != id) {
+                ruled_out.push(Self::passed(&id, "the session keeps its version"));
+                continue;
+            }
             candidates.push(id);
         }
         if !known {
@@ -163,7 +199,7 @@
         self.policy.plan(now, &view, profile)
     }
 
-    fn selects(selector: &str, id: &VersionId) -> bool {
+    pub(super) fn selects(selector: &str, id: &VersionId) -> bool {
         match selector.split_once('@') {
             None => selector == "auto" || selector == id.model.as_str(),
             Some((model, version)) => model == id.model.as_str() && version == id.version.as_str(),
@@ -181,6 +217,7 @@
         arrival: Arrival,
         profile: RequestProfile,
         plan: RoutePlan,
+        session: Option<SessionChoice>,
     ) -> Result<(), Refusal> {
         let queued: usize = self.queues.values().map(FairQueue::len).sum();
         if queued >= document.preset_in_force().queue_limit as usize {
@@ -193,6 +230,7 @@
             arrival,
             profile,
             plan,
+            session,
             step: 0,
             phase: RequestPhase::Queued,
             attempts: Vec::new(),
--- a/src/control/attempt.rs
+++ b/src/control/attempt.rs
@@ -126,6 +126,7 @@
     }
 
     pub(super) fn on_caller_gone(&mut self, _now: Millis, request: RequestNumber) {
+        self.session_waits.remove(request);
         self.unqueue(request);
         self.cancel_attempts(request);
     }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -114,6 +114,8 @@
     pub priority: u8,
     /// The session token for the caller to keep, if there is a session.
     pub session: Option<SmolStr>,
+    /// Why the session that the caller named did not go on, for the caller.
+    pub session_moved: Option<SessionEnd>,
 }
 
 /// Whether an attempt's answer goes to the caller at once.
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -28,7 +28,10 @@
     pub(super) peers: PeerTable,
     pub(super) queues: BTreeMap<PoolId, FairQueue>,
     pub(super) requests: FxHashMap<RequestNumber, RequestState>,
-    pub(super) publications: BTreeMap<SmolStr, (CallId, AppendId)>,
+    pub(super) cluster: ClusterState,
+    pub(super) sessions: SessionTable,
+    pub(super) session_waits: SessionWaits,
+    pub(super) publications: BTreeMap<SmolStr, PendingPublication>,
     pub(super) log_read: Option<Millis>,
     pub(super) members_read: Option<Millis>,
     pub(super) read_again: Option<Millis>,
@@ -40,9 +43,7 @@
 }
 
 impl Control {
-    const LIST_INTERVAL_MS: u64 = 500;
     const LOAD_INTERVAL_MS: u64 = 1_000;
-    const READ_WAIT_MS: u64 = 10_000;
 
     /// Returns a core that knows nothing yet.
     ///
@@ -62,6 +63,9 @@
             peers: PeerTable::default(),
             queues: BTreeMap::new(),
             requests: FxHashMap::default(),
+            cluster: ClusterState::default(),
+            sessions: SessionTable::default(),
+            session_waits: SessionWaits::default(),
             publications: BTreeMap::new(),
             log_read: None,
             members_read: None,
@@ -84,14 +88,16 @@
                 self.on_attempt(now, request, attempt, report);
             }
             Event::Read { stream, result } => self.on_read(now, &stream, result),
-            Event::Appended { append, result } => self.on_appended(append, &result),
+            Event::Appended { append, result } => self.on_appended(now, append, &result),
             Event::Listed(result) => self.on_listed(now, result),
             Event::Loaded { server, result } => self.on_loaded(now, &server, result),
             Event::Rated { request, attempt, result } => {
                 self.on_rated(now, request, attempt, &result);
             }
             Event::Operator { call, request } => self.on_operator(now, call, request),
-            Event::FromPeer { from, message } => self.on_peer(now, &from, &message),
+            Event::FromPeer { from, message } => self.on_peer(now, &from, message),
+            Event::Unsent { to } => self.on_unsent(now, &to),
+            Event::WallClock { unix } => self.set_wall_clock(now, unix),
             Event::Shutdown => self.on_shutdown(),
         }
         std::mem::take(&mut self.commands)
@@ -117,14 +123,8 @@
     }
 
     fn on_tick(&mut self, now: Millis) {
-        if self.read_again.is_some_and(|at| at <= now) {
-            self.read_again = None;
-            self.emit(Command::Read {
-                stream: self.streams.configuration.clone(),
-                from: self.configuration.next(),
-                wait: Millis(Self::READ_WAIT_MS),
-            });
-        }
+        self.tick_cluster(now);
+        self.read_configuration(now);
         if self.list_again.is_some_and(|at| at <= now) {
             self.list_again = None;
             self.emit(Command::ListMembers);
@@ -132,32 +132,18 @@
         if self.load_again <= now {
             self.load_again = now + Millis(Self::LOAD_INTERVAL_MS);
             self.read_loads();
-            self.send_heartbeats();
         }
         self.shed_expired(now);
         self.dispatch_all(now);
     }
 
-    fn read_loads(&mut self) {
-        let reads: Vec<Command> = self
-            .servers
-            .iter()
-            .map(|server| Command::ReadLoad { server: server.id.clone(), address: server.address })
-            .collect();
-        self.commands.extend(reads);
-    }
-
-    pub(super) fn schedule_list(&mut self, now: Millis) {
-        self.list_again = Some(now + Millis(Self::LIST_INTERVAL_MS));
-    }
-
     fn on_shutdown(&mut self) {
         self.stopping = true;
         self.stop_if_idle();
     }
 
     pub(super) fn stop_if_idle(&mut self) {
-        if self.stopping && self.requests.is_empty() {
+        if self.stopping && self.requests.is_empty() && self.session_waits.is_empty() {
             self.emit(Command::Stop);
         }
     }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -57,7 +57,7 @@
         if now >= state.profile.deadline {
             return StartCheck::Never(Self::deadline_refusal(request, state));
         }
-        if let Err(refusal) = Self::check_target(document, state) {
+        if let Err(refusal) = self.check_target(document, state) {
             return StartCheck::Never(refusal);
         }
         let step = &state.plan.steps[state.step];
@@ -76,7 +76,11 @@
         }
     }
 
-    fn check_target(document: &ConfigurationDocument, state: &RequestState) -> Result<(), Refusal> {
+    fn check_target(
+        &self,
+        document: &ConfigurationDocument,
+        state: &RequestState,
+    ) -> Result<(), Refusal> {
         let refuse =
             |code, message: String| Err(Refusal::not_run(code, message).with_run(state.run()));
         let Some(team) = document.teams.get(&state.profile.team) else {
@@ -87,8 +91,7 @@
                 if !team.allows(id) {
                     return refuse(RefusalCode::Forbidden, format!("The team may not use {id}."));
                 }
-                let live = document.version(id).is_some_and(|v| v.state == VersionState::Live);
-                if !live {
+                if self.is_withdrawn(id) {
                     return refuse(RefusalCode::Unavailable, format!("{id} has been withdrawn."));
                 }
             }
@@ -144,6 +147,8 @@
             passed_over,
         };
         let class = state.profile.class;
+        let session_moved = state.session.as_ref().and_then(|session| session.end);
+        let session = self.session_token(now, request, &step.target);
         let start = AttemptStart {
             request,
             attempt,
@@ -154,7 +159,8 @@
             progress_timeout: document.pools[&step.pool].progress_timeout_ms,
             release: ReleaseRule::AtOnce,
             priority: u8::from(class == SizeClass::Long),
-            session: None,
+            session,
+            session_moved,
         };
         self.servers.started(&place.server, class);
         self.emit(Command::LogRoute(decision));
@@ -196,7 +202,7 @@
             self.queues.values().flat_map(FairQueue::requests).collect();
         for request in queued {
             let Some(state) = self.requests.get(&request) else { continue };
-            if let Err(refusal) = Self::check_target(&document, state) {
+            if let Err(refusal) = self.check_target(&document, state) {
                 self.unqueue(request);
                 self.refuse(now, request, refusal);
             }
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -67,6 +67,16 @@
         /// The message.
         message: PeerMessage,
     },
+    /// A message to another entry VM could certainly not be delivered.
+    Unsent {
+        /// The receiver.
+        to: VmId,
+    },
+    /// The wall clock's time; it may step.
+    WallClock {
+        /// The time since 1970.
+        unix: Millis,
+    },
     /// The process was told to end after its work.
     Shutdown,
 }
--- a/src/control/learn.rs
+++ b/src/control/learn.rs
@@ -2,6 +2,35 @@
 
 impl Control {
     const READ_PAUSE_MS: u64 = 500;
+    const READ_WAIT_MS: u64 = 10_000;
+    /// The time after which a read that has not returned is taken for lost.
+    const READ_LOST_MS: u64 = 30_000;
+
+    /// Reads the configuration stream if this VM is one of those that poll it, has a publication
+    /// under way, or has no configuration.
+    pub(super) fn read_configuration(&mut self, now: Millis) {
+        let needed = self.cluster.polls
+            || !self.publications.is_empty()
+            || self.configuration.document().is_none();
+        let due = self.read_again.is_some_and(|at| at <= now);
+        let lost =
+            self.cluster.reading.is_some_and(|(at, _)| now.since(at) > Millis(Self::READ_LOST_MS));
+        if !needed || !(due || lost) {
+            return;
+        }
+        let from = if self.cluster.check_anchor {
+            self.configuration.anchor()
+        } else {
+            self.configuration.next()
+        };
+        self.read_again = None;
+        self.cluster.reading = Some((now, from));
+        self.emit(Command::Read {
+            stream: self.streams.configuration.clone(),
+            from,
+            wait: Millis(Self::READ_WAIT_MS),
+        });
+    }
 
     pub(super) fn on_read(
         &mut self,
@@ -12,14 +41,18 @@
         if *stream != self.streams.configuration {
             return;
         }
+        let from = self.cluster.reading.take().map(|(_, from)| from);
         match result {
             Ok(page) => {
                 self.log_read = Some(now);
                 self.read_again = Some(now);
-                self.fold_configuration(now, &page);
+                self.cluster.check_anchor = page.records.is_empty();
+                self.fold_configuration(now, from.unwrap_or(self.configuration.next()), &page);
             }
             Err(PlatformError::Trimmed { oldest }) => {
-                self.configuration.skip_to(oldest);
+                self.log_read = Some(now);
+                self.configuration.trimmed(oldest);
+                self.cluster.check_anchor = false;
                 self.read_again = Some(now);
             }
             Err(error) => {
@@ -29,42 +62,41 @@
         }
     }
 
-    fn fold_configuration(&mut self, now: Millis, page: &LogPage) {
-        let before = self.configuration.revision();
-        for record in &page.records {
-            let Some((publication, outcome)) = self.configuration.fold(record) else { continue };
-            tracing::info!(offset = %record.offset, %publication, ?outcome, "configuration record");
-            if let Some((call, _)) = self.publications.remove(&publication) {
-                let answer = OperatorAnswer::Published(outcome);
-                self.emit(Command::AnswerOperator { call, answer });
-            }
+    fn fold_configuration(&mut self, now: Millis, from: Offset, page: &LogPage) {
+        let before = self.configuration.stamp();
+        let report = self.configuration.fold_page(from, page);
+        for (publication, outcome) in &report.outcomes {
+            tracing::info!(%publication, ?outcome, "configuration record");
         }
-        if self.configuration.revision() != before {
+        self.note_snapshots(now, &report);
+        if self.configuration.stamp() != before {
             self.apply_configuration(now);
         }
+        self.settle_publications();
     }
 
-    fn apply_configuration(&mut self, now: Millis) {
+    /// Puts the folded configuration in force and tells the peers that pass it on.
+    pub(super) fn apply_configuration(&mut self, now: Millis) {
         let Some(document) = self.configuration.document() else { return };
         self.keys = KeyIndex::of(document);
+        tracing::info!(
+            revision = %self.configuration.revision(),
+            preset = %document.preset,
+            "configuration in force"
+        );
+        let stamp = self.configuration.stamp();
+        self.spread(&PeerMessage::Announce(stamp));
         self.recheck_queued(now);
         self.dispatch_all(now);
     }
 
-    pub(super) fn on_appended(&mut self, append: AppendId, result: &Result<Offset, PlatformError>) {
-        let Err(error) = result else { return };
-        let publication = self
-            .publications
-            .iter()
-            .find(|(_, (_, pending))| *pending == append)
-            .map(|(publication, (call, _))| (publication.clone(), *call));
-        let Some((publication, call)) = publication else { return };
-        if matches!(error, PlatformError::Lost { .. }) {
-            return;
-        }
-        self.publications.remove(&publication);
-        let answer = OperatorAnswer::Failed(error.to_string().into());
-        self.emit(Command::AnswerOperator { call, answer });
+    pub(super) fn on_appended(
+        &mut self,
+        now: Millis,
+        append: AppendId,
+        result: &Result<Offset, PlatformError>,
+    ) {
+        self.on_publication_appended(now, append, result);
     }
 
     pub(super) fn on_listed(&mut self, now: Millis, result: Result<MembershipList, PlatformError>) {
@@ -72,9 +104,10 @@
         match result {
             Ok(list) => {
                 self.members_read = Some(now);
-                self.servers.update(&list.backend_servers);
-                self.peers.update(&self.identity.vm, &list.entry_vms);
-                self.dispatch_all(now);
+                if let Some(delta) = self.cluster.members.read(list) {
+                    self.apply_members(now);
+                    self.spread(&PeerMessage::Members(delta));
+                }
             }
             Err(error) => tracing::warn!(%error, "membership list not read"),
         }
@@ -90,6 +123,7 @@
         if report.leaving {
             self.servers.leave(server);
         }
+        self.cluster.own_loads.insert(server.clone(), ServerLoad::pack(server, &report));
         self.servers.report(server, report);
         self.dispatch_all(now);
     }
--- /dev/null
+++ b/src/control/members.rs
@@ -0,0 +1,80 @@
+use super::*;
+
+/// The time between two readings of the membership list by the VMs of one data centre together.
+const LIST_INTERVAL_MS: u64 = 750;
+/// The longest time between two readings by one VM.
+const LIST_LONGEST_MS: u64 = 60_000;
+/// The time within which the whole list is not fetched again.
+const LIST_FETCH_MS: u64 = 1_000;
+/// The VMs of a data centre, as far as reading of load reports is shared.
+const LOAD_DUTY: &str = "load";
+
+impl Control {
+    /// Sets when this VM reads the membership list again: the VMs of its data centre take turns.
+    pub(super) fn schedule_list(&mut self, now: Millis) {
+        let (_, sharers) = self.centre_rank(LOAD_DUTY);
+        let interval = LIST_INTERVAL_MS * sharers.max(1) as u64;
+        self.list_again = Some(now + Millis(interval.min(LIST_LONGEST_MS)));
+    }
+
+    /// Puts the list in force that this VM has read or learned.
+    pub(super) fn apply_members(&mut self, now: Millis) {
+        let list = self.cluster.members.list();
+        self.servers.update(&list.backend_servers);
+        self.peers.update(now, &self.identity.vm, &list.entry_vms);
+        self.cluster.servers = self
+            .servers
+            .iter()
+            .map(|server| (ServerLoad::hash(&server.id), server.id.clone()))
+            .collect();
+        let servers = &self.servers;
+        self.cluster.own_loads.retain(|server, _| servers.get(server).is_some());
+        self.dispatch_all(now);
+    }
+
+    /// Takes in a peer's change of the list and passes it on.
+    pub(super) fn on_members(&mut self, now: Millis, from: &PeerName, delta: &MemberDelta) {
+        if self.cluster.members.apply(delta) {
+            self.apply_members(now);
+            if delta.base.is_some() {
+                self.spread(&PeerMessage::Members(delta.clone()));
+            }
+        } else {
+            self.want_members(now, &from.vm, delta.stamp);
+        }
+    }
+
+    /// Fetches the whole list from a peer that has a later one.
+    pub(super) fn want_members(&mut self, now: Millis, holder: &VmId, stamp: ListStamp) {
+        let lately = |at: Millis| now.since(at) < Millis(LIST_FETCH_MS);
+        if stamp <= self.cluster.members.stamp() || self.cluster.members_fetched.is_some_and(lately)
+        {
+            return;
+        }
+        self.cluster.members_fetched = Some(now);
+        self.send(holder, PeerMessage::FetchMembers);
+    }
+
+    /// Reads the load reports of the servers that fall to this VM in its data centre, and of data
+    /// centres without an entry VM in reach.
+    pub(super) fn read_loads(&mut self) {
+        let mut vms: BTreeMap<&DataCentreId, Vec<&VmId>> = BTreeMap::new();
+        for peer in self.peers.iter().filter(|peer| peer.may_serve()) {
+            vms.entry(&peer.data_centre).or_default().push(&peer.vm);
+        }
+        vms.entry(&self.identity.data_centre).or_default().push(&self.identity.vm);
+        let all: Vec<&VmId> = vms.values().flatten().copied().collect();
+        let mut mine = Vec::new();
+        for server in self.servers.iter() {
+            let sharers = vms.get(&server.data_centre).unwrap_or(&all);
+            let reader = first_vm(server.id.as_str(), sharers.iter().copied());
+            if reader == Some(&self.identity.vm) {
+                mine.push((server.id.clone(), server.address));
+            }
+        }
+        self.cluster.own_loads.retain(|id, _| mine.iter().any(|(mine, _)| mine == id));
+        for (server, address) in mine {
+            self.emit(Command::ReadLoad { server, address });
+        }
+    }
+}
--- a/src/control/operate.rs
+++ b/src/control/operate.rs
@@ -11,6 +11,9 @@
         base: Option<Revision>,
         /// What changes.
         change: ConfigurationChange,
+        /// How long to wait for the outcome.
+        #[serde(default = "default_publish_wait")]
+        wait: Millis,
     },
     /// Return the document in force.
     Configuration,
@@ -18,6 +21,10 @@
     Status,
 }
 
+const fn default_publish_wait() -> Millis {
+    Millis(30_000)
+}
+
 /// The answer to an operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OperatorAnswer {
@@ -54,10 +61,37 @@
     pub log_age: Option<Millis>,
     /// How long ago the membership list was last read; none if never.
     pub members_age: Option<Millis>,
+    /// The entry VMs that it knows, as it sees them.
+    pub peers: Vec<PeerStatus>,
+    /// How many entry VMs are at each revision, with the names of some.
+    pub revisions: BTreeMap<Revision, RevisionShare>,
+    /// The versions withdrawn by evidence.
+    pub withdrawals: Vec<Withdrawal>,
+    /// Whether it missed records of the log and waits for a snapshot or a peer.
+    pub log_gap: bool,
     /// The backend servers.
     pub servers: Vec<ServerStatus>,
 }
 
+/// The state of a peer as one entry VM sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// The VM.
+    pub vm: VmId,
+    /// Its incarnation, once it has been heard.
+    pub incarnation: Option<Incarnation>,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Whether it is leaving.
+    pub state: MemberState,
+    /// Whether it is in reach.
+    pub in_reach: bool,
+    /// How long ago it was last heard; none if never.
+    pub heard_age: Option<Millis>,
+    /// The revision last heard of it.
+    pub revision: Revision,
+}
+
 /// The state of a backend server as one entry VM sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerStatus {
@@ -76,8 +110,8 @@
 impl Control {
     pub(super) fn on_operator(&mut self, now: Millis, call: CallId, request: OperatorRequest) {
         match request {
-            OperatorRequest::Publish { publication, base, change } => {
-                self.publish(call, publication, base, change);
+            OperatorRequest::Publish { publication, base, change, wait } => {
+                self.publish(now, call, publication, base, change, wait);
             }
             OperatorRequest::Configuration => {
                 let document = self.configuration.document();
@@ -92,29 +126,6 @@
         }
     }
 
-    fn publish(
-        &mut self,
-        call: CallId,
-        publication: SmolStr,
-        base: Option<Revision>,
-        change: ConfigurationChange,
-    ) {
-        let record = ConfigurationRecord {
-            schema: ConfigurationDocument::SCHEMA,
-            publication: publication.clone(),
-            base: base.unwrap_or(self.configuration.revision()),
-            change,
-        };
-        let Ok(bytes) = serde_json::to_vec(&record) else { return };
-        let append = self.next_append();
-        self.publications.insert(publication, (call, append));
-        self.emit(Command::Append {
-            append,
-            stream: self.streams.configuration.clone(),
-            records: vec![bytes.into()],
-        });
-    }
-
     /// Returns the state of this entry VM.
     #[must_use]
     pub fn status(&self, now: Millis) -> VmStatus {
@@ -125,6 +136,15 @@
             in_flight: server.in_flight(),
             trouble: server.trouble.map(|trouble| trouble.fault),
         });
+        let peers = self.peers.iter().map(|peer| PeerStatus {
+            vm: peer.vm.clone(),
+            incarnation: peer.incarnation,
+            data_centre: peer.data_centre.clone(),
+            state: peer.member,
+            in_reach: peer.is_in_reach(),
+            heard_age: peer.heard.map(|at| now.since(at)),
+            revision: peer.revision,
+        });
         VmStatus {
             vm: self.identity.vm.clone(),
             incarnation: self.identity.incarnation,
@@ -136,6 +156,10 @@
             queued: self.queues.values().map(FairQueue::len).sum(),
             log_age: self.log_read.map(|at| now.since(at)),
             members_age: self.members_read.map(|at| now.since(at)),
+            peers: peers.collect(),
+            revisions: self.revisions(now),
+            withdrawals: self.withdrawals().cloned().collect(),
+            log_gap: self.configuration.has_gap(),
             servers: servers.collect(),
         }
     }
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -110,6 +110,8 @@
     pub profile: RequestProfile,
     /// What it may run on, in order.
     pub plan: RoutePlan,
+    /// What holds for its session, if it names one.
+    pub session: Option<SessionChoice>,
     /// The index of the plan's step in use.
     pub step: usize,
     /// Where it stands.
--- /dev/null
+++ b/src/control/shares.rs
@@ -0,0 +1,138 @@
+use super::*;
+
+/// The time between two reports of a VM to its parent.
+const SHARE_INTERVAL_MS: u64 = 1_000;
+/// The load reports of one data centre that travel in one message.
+const LOAD_LIMIT: usize = 64;
+/// The key of the ranks in the tree of a data centre.
+const SHARE_DUTY: &str = "shares";
+
+impl Control {
+    /// Reports to the parent in the tree; the root reports to the other roots and to all below.
+    pub(super) fn tick_shares(&mut self, now: Millis) {
+        if self.cluster.share_at > now {
+            return;
+        }
+        self.cluster.share_at = now + Millis(SHARE_INTERVAL_MS);
+        let centre = self.identity.data_centre.clone();
+        let ranked = self.peers.ranked_in(&self.identity, &centre, SHARE_DUTY);
+        let rank = ranked.iter().position(|vm| *vm == self.identity.vm).unwrap_or(0);
+        let children = Self::children(&ranked, rank);
+        let parts = self.cluster.shares.subtree(now, &self.own_shares(), &children);
+        self.cluster.sequence += 1;
+        let sequence = self.cluster.sequence;
+        match ShareTree::parent(rank) {
+            Some(parent) => {
+                let message = ShareMessage::Up { sequence, parts };
+                self.send(&ranked[parent], PeerMessage::Shares(message));
+            }
+            None => self.report_centre(now, sequence, parts),
+        }
+    }
+
+    fn children(ranked: &[VmId], rank: usize) -> Vec<VmId> {
+        ShareTree::children(rank).filter_map(|child| ranked.get(child).cloned()).collect()
+    }
+
+    /// Returns what this VM alone reports.
+    fn own_shares(&self) -> ShareParts {
+        let own = RevisionShare { count: 1, some: vec![self.identity.vm.clone()] };
+        ShareParts {
+            revisions: BTreeMap::from([(self.configuration.revision(), own)]),
+            loads: self.cluster.own_loads.values().copied().collect(),
+        }
+    }
+
+    fn report_centre(&mut self, now: Millis, sequence: u64, parts: ShareParts) {
+        let centre = self.identity.data_centre.clone();
+        let across = ShareMessage::Across {
+            sequence,
+            centre: centre.clone(),
+            parts: parts.with_some_loads(sequence, LOAD_LIMIT),
+        };
+        for root in self.other_roots() {
+            self.send(&root, PeerMessage::Shares(across.clone()));
+        }
+        let mut centres = self.cluster.shares.across(now);
+        for remote in centres.values_mut() {
+            *remote = remote.with_some_loads(sequence, LOAD_LIMIT / ShareTree::FAN_OUT);
+        }
+        centres.insert(centre, parts);
+        let root = self.name();
+        self.on_down(now, &root, sequence, &centres);
+    }
+
+    fn other_roots(&self) -> Vec<VmId> {
+        let mut centres: BTreeMap<&DataCentreId, Vec<&VmId>> = BTreeMap::new();
+        for peer in self.peers.iter().filter(|peer| peer.may_serve()) {
+            if peer.data_centre != self.identity.data_centre {
+                centres.entry(&peer.data_centre).or_default().push(&peer.vm);
+            }
+        }
+        let roots = centres.into_values().filter_map(|vms| first_vm(SHARE_DUTY, vms));
+        roots.cloned().collect()
+    }
+
+    pub(super) fn on_shares(&mut self, now: Millis, from: &PeerName, message: ShareMessage) {
+        match message {
+            ShareMessage::Up { sequence, parts } => {
+                self.cluster.shares.take_up(now, from, sequence, parts);
+            }
+            ShareMessage::Across { sequence, centre, parts } => {
+                self.cluster.shares.take_across(now, from, sequence, centre, parts);
+            }
+            ShareMessage::Down { sequence, root, centres } => {
+                self.on_down(now, &root, sequence, &centres);
+            }
+        }
+    }
+
+    /// Takes in the sums of all data centres and passes them to the children.
+    fn on_down(
+        &mut self,
+        now: Millis,
+        root: &PeerName,
+        sequence: u64,
+        centres: &BTreeMap<DataCentreId, ShareParts>,
+    ) {
+        if !self.cluster.shares.take_down(now, root, sequence, centres) {
+            return;
+        }
+        self.learn_loads(centres);
+        let centre = self.identity.data_centre.clone();
+        let ranked = self.peers.ranked_in(&self.identity, &centre, SHARE_DUTY);
+        let rank = ranked.iter().position(|vm| *vm == self.identity.vm).unwrap_or(0);
+        for child in Self::children(&ranked, rank) {
+            let (root, centres) = (root.clone(), centres.clone());
+            let message = ShareMessage::Down { sequence, root, centres };
+            self.send(&child, PeerMessage::Shares(message));
+        }
+    }
+
+    fn learn_loads(&mut self, centres: &BTreeMap<DataCentreId, ShareParts>) {
+        for load in centres.values().flat_map(|parts| &parts.loads) {
+            let Some(server) = self.cluster.servers.get(&load.server).cloned() else { continue };
+            if self.cluster.own_loads.contains_key(&server) {
+                continue;
+            }
+            if load.leaving {
+                self.servers.leave(&server);
+            }
+            let mut report = load.unpack();
+            let known = self.servers.get(&server).and_then(|state| state.load.as_ref());
+            report.versions = known.and_then(|load| load.versions.clone());
+            self.servers.report(&server, report);
+        }
+    }
+
+    /// Returns how many entry VMs are at each revision, with the names of some.
+    #[must_use]
+    pub fn revisions(&self, now: Millis) -> BTreeMap<Revision, RevisionShare> {
+        let mut sum = ShareParts::default();
+        for (_, parts) in self.cluster.shares.centres(now) {
+            let revisions = parts.revisions.clone();
+            sum.add(&ShareParts { revisions, ..ShareParts::default() });
+        }
+        sum.revisions
+    }
+}
--- a/src/driver/control_thread.rs
+++ b/src/driver/control_thread.rs
@@ -147,6 +147,7 @@
     /// Forgets the mailboxes of requests that have ended, and reports the state.
     fn sweep(&mut self) {
         self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
+        self.control.set_wall_clock(self.clock.now(), self.clock.unix());
         let status = self.control.status(self.clock.now());
         self.metrics.gauge("requests", status.requests as u64);
         self.metrics.gauge("queued", status.queued as u64);
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -61,14 +61,24 @@
             .enable_all()
             .build()?;
         let (handle, inbox) = ControlHandle::new();
+        let keys = KeyRing::from(peer_secrets);
+        let name = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
+        let seal = Arc::new(Mutex::new(PeerSeal::new(name, keys.clone())));
         let shelf = Arc::new(AnswerShelf::default());
         let ready = Arc::new(AtomicBool::new(false));
         let errands = {
             let _guard = runtime.enter();
-            errand_runner(settings, &identity, &peer_secrets, &runtime, &handle, &shelf)
+            errand_runner(settings, &seal, &runtime, &handle, &shelf)
         };
+        let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
+        let mut control = Control::new(identity.clone(), Box::new(CheapestPolicy));
+        control.set_cluster(ClusterSettings {
+            address: Some(addresses.2).filter(|address| !address.ip().is_unspecified()),
+            seeds: settings.seeds.clone(),
+            session_keys: keys,
+        });
         let thread = ControlThread {
-            control: Control::new(identity.clone(), Box::new(CheapestPolicy)),
+            control,
             clock,
             inbox,
             errands,
@@ -83,9 +93,8 @@
         let caller_desk =
             CallerDesk::new(settings.callers.clone(), identity, &handle, shelf, &ready);
         let operator_desk = OperatorDesk::new(operator_secrets, handle.clone(), Arc::clone(&ready));
-        let peer_desk = PeerDesk::new(peer_secrets, handle.clone());
+        let peer_desk = PeerDesk::new(seal, handle.clone());
         let threads = settings.callers.threads;
-        let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
         let servers = vec![
             serve_callers(callers, threads, caller_desk)?,
             serve_operators(operators, Self::OPERATOR_THREADS, operator_desk)?,
@@ -150,14 +159,12 @@
 
 fn errand_runner(
     settings: &EntrySettings,
-    identity: &VmIdentity,
-    peer_secrets: &[Secret],
+    seal: &Arc<Mutex<PeerSeal>>,
     runtime: &tokio::runtime::Runtime,
     handle: &ControlHandle,
     shelf: &Arc<AnswerShelf>,
 ) -> ErrandRunner {
     let platform = Arc::new(HttpPlatform::new(settings.platform.address));
-    let name = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
     ErrandRunner {
         runtime: runtime.handle().clone(),
         handle: handle.clone(),
@@ -166,7 +173,7 @@
         loads: platform.clone(),
         ratings: platform,
         shelf: Arc::clone(shelf),
-        peers: Arc::new(PeerClient::new(name, peer_secrets[0].clone())),
+        peers: Arc::new(PeerClient::new(Arc::clone(seal), handle.clone())),
     }
 }
 
--- a/src/driver/errands.rs
+++ b/src/driver/errands.rs
@@ -45,9 +45,9 @@
                 });
             }
             Command::Rate { request, attempt, version } => self.rate(request, attempt, version),
-            Command::Send { to: _, address, message } => {
+            Command::Send { to, address, message } => {
                 let peers = Arc::clone(&self.peers);
-                self.runtime.spawn(async move { peers.send(address, &message).await });
+                self.runtime.spawn(async move { peers.send(to, address, message).await });
             }
             Command::Start(_)
             | Command::Release { .. }
--- a/src/driver/peer_client.rs
+++ b/src/driver/peer_client.rs
@@ -1,37 +1,112 @@
 use super::*;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 
 /// Sends messages to other entry VMs.
+///
+/// Each message is a call with a short timeout: a connection that has gone silent is dropped with
+/// the call, and the next message opens a new one.
 pub(super) struct PeerClient {
-    name: PeerName,
-    secret: Secret,
+    seal: Arc<Mutex<PeerSeal>>,
+    handle: ControlHandle,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
+/// How a call ended.
+enum CallEnd {
+    /// The peer has taken the message.
+    Taken,
+    /// The peer has said who it is instead.
+    Introduced(Bytes),
+    /// It is not known whether the peer has the message.
+    Lost,
+    /// The peer certainly does not have the message.
+    Unsent,
+}
+
 impl PeerClient {
-    const SEND_TIMEOUT_MS: u64 = 2_000;
+    const CONNECT_TIMEOUT_MS: u64 = 500;
+    const SEND_TIMEOUT_MS: u64 = 1_000;
+    const IDLE_TIMEOUT_MS: u64 = 10_000;
+    const IDLE_CONNECTIONS: usize = 2;
+    const ANSWER_LIMIT_BYTES: usize = 4_096;
 
-    pub(super) fn new(name: PeerName, secret: Secret) -> Self {
+    pub(super) fn new(seal: Arc<Mutex<PeerSeal>>, handle: ControlHandle) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(Self::SEND_TIMEOUT_MS)));
-        let client = Client::builder(hyper_util::rt::TokioExecutor::new()).build(connector);
-        Self { name, secret, client }
+        connector.set_connect_timeout(Some(Duration::from_millis(Self::CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(hyper_util::rt::TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_millis(Self::IDLE_TIMEOUT_MS))
+            .pool_max_idle_per_host(Self::IDLE_CONNECTIONS)
+            .build(connector);
+        Self { seal, handle, client }
+    }
+
+    /// Sends a message. A lost one is not sent again, but one that named another start of its
+    /// receiver is sealed again.
+    pub(super) async fn send(&self, to: VmId, address: SocketAddr, message: PeerMessage) {
+        let end = match self.call(&to, address, &message).await {
+            CallEnd::Introduced(answer) => self.resend(&to, address, &message, &answer).await,
+            end => end,
+        };
+        match end {
+            CallEnd::Taken => {}
+            CallEnd::Introduced(_) | CallEnd::Lost => {
+                tracing::debug!(%to, kind = message.kind(), "message to a peer lost");
+            }
+            CallEnd::Unsent => self.handle.send(Event::Unsent { to }),
+        }
+    }
+
+    async fn resend(
+        &self,
+        to: &VmId,
+        address: SocketAddr,
+        message: &PeerMessage,
+        answer: &[u8],
+    ) -> CallEnd {
+        let opened = self.lock().open(answer);
+        let Ok((from, PeerMessage::Introduce)) = opened else { return CallEnd::Lost };
+        if from.vm == *to || matches!(message, PeerMessage::Exchange(_)) {
+            return self.call(&from.vm, address, message).await;
+        }
+        tracing::info!(%to, %from, "another entry VM has the address");
+        CallEnd::Unsent
     }
 
-    /// Sends a message; a lost one is not sent again.
-    pub(super) async fn send(&self, address: SocketAddr, message: &PeerMessage) {
-        let Ok(body) = rmp_serde::to_vec(&(&self.name, message)) else { return };
-        let bearer = format!("Bearer {}", hex::encode(self.secret.bytes()));
-        let request = http::Request::post(format!("http://{address}{PEER_PATH}"))
-            .header(http::header::AUTHORIZATION, bearer)
-            .body(Full::new(Bytes::from(body)));
-        let Ok(request) = request else { return };
+    async fn call(&self, to: &VmId, address: SocketAddr, message: &PeerMessage) -> CallEnd {
+        let sealed = self.lock().seal(to, message);
+        let body = match sealed {
+            Ok(body) => body,
+            Err(error) => {
+                tracing::error!(%to, kind = message.kind(), %error, "message to a peer not sent");
+                return CallEnd::Unsent;
+            }
+        };
+        let uri = format!("http://{address}{PEER_PATH}");
+        let Ok(request) = http::Request::post(uri).body(Full::new(body)) else {
+            return CallEnd::Unsent;
+        };
         let timeout = Duration::from_millis(Self::SEND_TIMEOUT_MS);
-        let sent = tokio::time::timeout(timeout, self.client.request(request)).await;
-        if !matches!(sent, Ok(Ok(_))) {
-            tracing::debug!(%address, "message to a peer lost");
+        tokio::time::timeout(timeout, self.exchange(request)).await.unwrap_or(CallEnd::Lost)
+    }
+
+    async fn exchange(&self, request: http::Request<Full<Bytes>>) -> CallEnd {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return CallEnd::Unsent,
+            Err(_) => return CallEnd::Lost,
+        };
+        let status = response.status();
+        let body = Limited::new(response.into_body(), Self::ANSWER_LIMIT_BYTES).collect().await;
+        match (status, body) {
+            (http::StatusCode::CONFLICT, Ok(body)) => CallEnd::Introduced(body.to_bytes()),
+            (status, _) if status.is_success() => CallEnd::Taken,
+            _ => CallEnd::Lost,
         }
     }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, PeerSeal> {
+        self.seal.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,7 @@
         process::ExitCode,
         str::FromStr,
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -45,6 +45,7 @@
 pub mod peer;
 pub mod platform;
 pub mod routing;
+pub mod session;
 pub mod settings;
 pub mod stand_in;
 pub mod traffic;
@@ -52,7 +53,7 @@
 
 use {
     admission::*, configuration::*, control::*, document::*, driver::*, health::*, ids::*, peer::*,
-    platform::*, routing::*, settings::*, traffic::*, units::*,
+    platform::*, routing::*, session::*, settings::*, traffic::*, units::*,
 };
 
 /// Runs the program with its arguments and returns its exit code.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,16 +1,39 @@
 //! What entry VMs tell each other.
 //!
-//! [`PeerTable`] holds the entry VMs that this one knows. [`PeerMessage`] is what travels between
-//! them; each variant's payload belongs to the module that sends it.
+//! [`PeerTable`] holds the entry VMs that this one knows and who of them is in reach. [`PeerMessage`]
+//! is what travels between them; each variant's payload belongs to the module that sends it.
+//! [`PeerSeal`] signs and checks what travels. Each VM sends to a bounded number of others, however
+//! many there are: exchanges go round, news pass along [`spread_targets`], and reports are summed
+//! along the [`ShareTree`] of each data centre.
 
 use super::*;
 
+mod digest;
+mod key_ring;
+mod member_view;
 mod message;
 mod peer_state;
 mod peer_table;
+mod rendezvous;
+mod replay_window;
+mod seal;
+mod share_parts;
+mod share_tree;
+mod spread;
+mod withdrawal_set;
 
 pub use {
+    digest::ExchangeDigest,
+    key_ring::KeyRing,
+    member_view::{ListStamp, MemberDelta, MemberView},
     message::{PeerMessage, PeerName},
     peer_state::PeerState,
     peer_table::PeerTable,
+    rendezvous::{first_vm, rank_vms, rendezvous_weight},
+    replay_window::ReplayWindow,
+    seal::{PeerSeal, SealError},
+    share_parts::{RevisionShare, ServerLoad, ShareParts},
+    share_tree::{ShareMessage, ShareTree},
+    spread::spread_targets,
+    withdrawal_set::{Withdrawal, WithdrawalSet},
 };
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -18,9 +18,46 @@
 /// A message between entry VMs. Delivery is neither certain nor in order nor once.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// The sender is alive and has this revision of the configuration.
-    Heartbeat {
-        /// The revision in force at the sender.
-        revision: Revision,
-    },
+    /// The sender says who it is, in answer to a message that named another receiver.
+    Introduce,
+    /// The sender is alive and wants a reply.
+    Exchange(ExchangeDigest),
+    /// The reply to an exchange.
+    ExchangeReply(ExchangeDigest),
+    /// A new configuration is in force at the sender.
+    Announce(ConfigurationStamp),
+    /// The sender wants the configuration if it is ahead of this stamp.
+    FetchConfiguration(ConfigurationStamp),
+    /// The configuration in force at the sender.
+    Configuration(ConfigurationState),
+    /// The membership list has changed.
+    Members(MemberDelta),
+    /// The sender wants the whole membership list.
+    FetchMembers,
+    /// Versions that take no new work.
+    Withdrawals(Vec<Withdrawal>),
+    /// What VMs of one data centre report together.
+    Shares(ShareMessage),
+    /// What a caller's session is pinned to.
+    Pin(PinMessage),
+}
+
+impl PeerMessage {
+    /// Returns the name of the kind, for metrics and logs.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Introduce => "introduce",
+            Self::Exchange(_) => "exchange",
+            Self::ExchangeReply(_) => "exchange-reply",
+            Self::Announce(_) => "announce",
+            Self::FetchConfiguration(_) => "fetch-configuration",
+            Self::Configuration(_) => "configuration",
+            Self::Members(_) => "members",
+            Self::FetchMembers => "fetch-members",
+            Self::Withdrawals(_) => "withdrawals",
+            Self::Shares(_) => "shares",
+            Self::Pin(_) => "pin",
+        }
+    }
 }
--- /dev/null
+++ b/src/peer/rendezvous.rs
@@ -0,0 +1,23 @@
+use super::*;
+
+/// Returns the weight of a VM for a key: the VM with the greatest one ranks first.
+#[must_use]
+pub fn rendezvous_weight(key: &str, vm: &VmId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(
+        vm.as_str().as_bytes(),
+        xxhash_rust::xxh3::xxh3_64(key.as_bytes()),
+    )
+}
+
+/// Returns VMs by rendezvous rank for a key, best first.
+pub fn rank_vms<'a>(key: &str, vms: impl IntoIterator<Item = &'a VmId>) -> Vec<VmId> {
+    let mut weighed: Vec<(u64, &VmId)> =
+        vms.into_iter().map(|vm| (rendezvous_weight(key, vm), vm)).collect();
+    weighed.sort_unstable_by(|a, b| b.cmp(a));
+    weighed.into_iter().map(|(_, vm)| vm.clone()).collect()
+}
+
+/// Returns the VM that ranks first for a key.
+pub fn first_vm<'a>(key: &str, vms: impl IntoIterator<Item = &'a VmId>) -> Option<&'a VmId> {
+    vms.into_iter().max_by_key(|vm| (rendezvous_weight(key, vm), *vm))
+}
--- a/src/settings/settings_file.rs
+++ b/src/settings/settings_file.rs
@@ -16,6 +16,9 @@
     pub peers: ListenerSettings,
     /// The platform.
     pub platform: PlatformSettings,
+    /// Entry VMs to ask for the configuration and the membership list while the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<VmMember>,
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -16,6 +16,7 @@
     id: AttemptId,
     target: WorkTarget,
     session: Option<SmolStr>,
+    session_moved: Option<SessionEnd>,
     events: Option<Receiver<AttemptEvent>>,
 }
 
@@ -121,6 +122,7 @@
             id: start.attempt,
             target: start.target.clone(),
             session: start.session.clone(),
+            session_moved: start.session_moved,
             events: Some(receiver),
         });
         let attempt = UpstreamAttempt {
@@ -164,6 +166,9 @@
             if let Some(session) = &attempt.session {
                 reply::insert_text(headers, "guavapass-session", session);
             }
+            if let Some(end) = attempt.session_moved {
+                reply::insert_text(headers, "guavapass-session-moved", end.as_str());
+            }
         }
         response
     }
--- a/src/traffic/peer_desk.rs
+++ b/src/traffic/peer_desk.rs
@@ -1,21 +1,21 @@
-use super::{caller_request::bearer, *};
+use super::*;
 
 /// The path of peers' messages.
 pub const PEER_PATH: &str = "/guavapass/v1/peer";
 
 /// Takes in messages of other entry VMs.
 pub struct PeerDesk {
-    secrets: Vec<Secret>,
+    seal: Arc<Mutex<PeerSeal>>,
     handle: ControlHandle,
 }
 
 impl PeerDesk {
-    const BODY_LIMIT: ByteSize = ByteSize(16 << 20);
+    const BODY_LIMIT: ByteSize = ByteSize(PeerSeal::MAX_BYTES as u64);
 
-    /// Returns a desk that knows these secrets.
+    /// Returns a desk that opens what comes under a seal.
     #[must_use]
-    pub const fn new(secrets: Vec<Secret>, handle: ControlHandle) -> Self {
-        Self { secrets, handle }
+    pub const fn new(seal: Arc<Mutex<PeerSeal>>, handle: ControlHandle) -> Self {
+        Self { seal, handle }
     }
 
     /// Answers one request.
@@ -28,19 +28,30 @@
     }
 
     async fn take(&self, request: WebRequest) -> WebResponse {
-        let key = bearer(request.headers()).and_then(|key| hex::decode(key).ok());
-        let key = key.unwrap_or_default();
-        if !self.secrets.iter().any(|secret| secret.matches(&key)) {
-            return reply::plain(401, "");
-        }
         let (_, body) = request.into_parts().1.replace_body(());
         let Ok(body) = caller_desk::read_body(body, Self::BODY_LIMIT).await else {
             return reply::plain(400, "");
         };
-        let Ok((from, message)) = rmp_serde::from_slice::<(PeerName, PeerMessage)>(&body) else {
-            return reply::plain(400, "");
-        };
-        self.handle.send(Event::FromPeer { from, message });
-        reply::plain(204, "")
+        match self.open(&body) {
+            Ok((from, message)) => {
+                self.handle.send(Event::FromPeer { from, message });
+                reply::plain(204, "")
+            }
+            Err((error, introduction)) => {
+                tracing::warn!(%error, "message of a peer dropped");
+                match introduction {
+                    Some(introduction) => reply::plain(409, introduction),
+                    None => reply::plain(error.status(), ""),
+                }
+            }
+        }
+    }
+
+    fn open(&self, body: &[u8]) -> Result<(PeerName, PeerMessage), (SealError, Option<Bytes>)> {
+        let mut seal = self.seal.lock().unwrap_or_else(PoisonError::into_inner);
+        seal.open(body).map_err(|error| {
+            let introduction = seal.introduce(&error);
+            (error, introduction)
+        })
     }
 }
--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -13,6 +13,7 @@
     stand_in::{
         BookingStandIn, CallRequest, CallerStandIn, EngineSetup, EngineStandIn, PlatformStandIn,
     },
+    units::Millis,
 };
 use std::{net::SocketAddr, time::Duration};
 
@@ -76,6 +77,7 @@
             publication: "first".into(),
             base: None,
             change: ConfigurationChange::Document(Box::new(document)),
+            wait: Millis(30_000),
         });
         let accepted = matches!(answer, OperatorAnswer::Published(PublicationOutcome::Accepted(_)));
         assert!(accepted, "the publication must be accepted: {answer:?}");
@@ -117,6 +119,7 @@
         operators: listener(),
         peers: listener(),
         platform: PlatformSettings { address: platform },
+        seeds: Vec::new(),
         log: LogSettings::default(),
         metrics: None,
         shutdown: ShutdownSettings::default(),
