Let truncated answers of stand-ins leave before their connection closes

Cause: a cut right after a write closed the connection with nothing sent, so that a truncated answer looked like none at all. Change: the cut waits for one turn of the runtime, in which the bytes are sent.

--- a/src/stand_in/engine_run.rs
+++ b/src/stand_in/engine_run.rs
@@ -4,7 +4,7 @@
 use {
     engine_stand_in::EngineFace,
     fault_switches::pause,
-    reply::{faulty_reply, reply},
+    reply::{cut_connection, faulty_reply, reply},
 };
 
 /// One request in a slot.
@@ -72,7 +72,7 @@
             if index > 0 && index == run.output_tokens / 2 {
                 match fault {
                     AnswerFault::Stalled => std::future::pending().await,
-                    AnswerFault::Truncated => return Some((Err(ConnectionCut), None)),
+                    AnswerFault::Truncated => return Some((cut_connection().await, None)),
                     AnswerFault::NotJson => {
                         let chunk = Bytes::from_static(b"data: %%% not JSON\n\n");
                         return Some((Ok(Frame::data(chunk)), Some((run, index + 1))));
--- a/src/stand_in/reply.rs
+++ b/src/stand_in/reply.rs
@@ -43,13 +43,25 @@
 /// Returns an answer whose connection closes after half of the promised bytes.
 pub(super) fn truncated_reply(body: &Bytes) -> Response<ReplyBody> {
     let half = body.slice(..body.len() / 2);
-    let parts = [Ok(Frame::data(half)), Err(ConnectionCut)];
-    let stream = StreamBody::new(futures_util::stream::iter(parts));
+    let stream = futures_util::stream::unfold(Some(half), |half| async move {
+        match half {
+            Some(half) if !half.is_empty() => Some((Ok(Frame::data(half)), Some(Bytes::new()))),
+            Some(_) => Some((cut_connection().await, None)),
+            None => None,
+        }
+    });
+    let stream = StreamBody::new(stream);
     let mut response = reply(StatusCode::OK, "application/json", BodyExt::boxed_unsync(stream));
     response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     response
 }
 
+/// Closes a connection after what was written has been sent.
+pub(super) async fn cut_connection() -> Result<Frame<Bytes>, ConnectionCut> {
+    tokio::task::yield_now().await;
+    Err(ConnectionCut)
+}
+
 /// Returns the raw bytes of an answer that is longer than the length it states.
 pub(super) fn overlong_answer(body: &Bytes) -> Bytes {
     let stated = body.len() / 2;
