Start a request on a tried server if no other is fit

Cause: a request whose attempts had failed on every server of its pool could never start again. It held its class of the queue until its deadline: with one server, one broken answer stopped all short work of the pool for 5 s. Change: a tried server is chosen when no other is fit. Conclusion: plain_truncated and three like it in tests/whole_path now end with 502 after the allowed attempts; before, with 504 at the deadline.

--- a/src/health/server_table.rs
+++ b/src/health/server_table.rs
@@ -61,6 +61,9 @@
     }
 
     /// Returns the server of a pool on which a request should start, and why others were not taken.
+    ///
+    /// A server to avoid is taken only if no other is fit, so that a request which has tried all
+    /// servers does not hold up the queue behind it.
     #[must_use]
     pub fn choose(
         &self,
@@ -72,17 +75,23 @@
     ) -> (Option<&ServerState>, Vec<PassedOver>) {
         let mut passed_over = Vec::new();
         let mut best: Option<&ServerState> = None;
+        let mut best_tried: Option<&ServerState> = None;
         for server in self.pools.get(pool).into_iter().flatten().map(|id| &self.servers[id]) {
-            if let Some(reason) = Self::unfit(now, server, entry, class, avoid) {
+            let tried = avoid.contains(&server.id);
+            let unfit = Self::unfit(now, server, entry, class);
+            if let Some(reason) = unfit.or(tried.then_some("tried before")) {
                 passed_over.push(PassedOver {
                     candidate: server.id.as_str().into(),
                     reason: reason.into(),
                 });
-            } else if best.is_none_or(|best| server.in_flight() < best.in_flight()) {
-                best = Some(server);
+            }
+            let best = if tried { &mut best_tried } else { &mut best };
+            let better = best.is_none_or(|best| server.in_flight() < best.in_flight());
+            if unfit.is_none() && better {
+                *best = Some(server);
             }
         }
-        (best, passed_over)
+        (best.or(best_tried), passed_over)
     }
 
     fn unfit(
@@ -90,14 +99,10 @@
         server: &ServerState,
         entry: &PoolEntry,
         class: SizeClass,
-        avoid: &[ServerId],
     ) -> Option<&'static str> {
         if server.member == MemberState::Leaving {
             return Some("leaving");
         }
-        if avoid.contains(&server.id) {
-            return Some("tried before");
-        }
         if server.trouble.is_some_and(|trouble| now < trouble.until) {
             return Some("in trouble");
         }
