Treat an event that is not JSON as a malformed stream

Cause: nonsense in a stream of server-sent events was passed on, and the stream ended as a whole one. Change: the scanner marks such a stream; its three flags are one.

--- a/src/traffic/sse_scanner.rs
+++ b/src/traffic/sse_scanner.rs
@@ -6,10 +6,9 @@
     line: Vec<u8>,
     events: u64,
     done: bool,
-    after_done: bool,
+    malformed: bool,
     usage: Option<TokenUsage>,
     text: String,
-    overlong: bool,
 }
 
 impl SseScanner {
@@ -32,7 +31,7 @@
             }
         }
         if self.line.len() + bytes.len() > Self::LINE_LIMIT_BYTES {
-            self.overlong = true;
+            self.malformed = true;
             return;
         }
         self.line.extend_from_slice(bytes);
@@ -43,7 +42,7 @@
         let Some(data) = line.strip_prefix(b"data:") else { return };
         let data = data.trim_ascii();
         if self.done {
-            self.after_done = true;
+            self.malformed = true;
             return;
         }
         if data == b"[DONE]" {
@@ -51,8 +50,9 @@
             return;
         }
         self.events += 1;
-        if let Ok(event) = serde_json::from_slice::<StreamEvent>(data) {
-            self.take_event(&event);
+        match serde_json::from_slice::<StreamEvent>(data) {
+            Ok(event) => self.take_event(&event),
+            Err(_) => self.malformed = true,
         }
     }
 
@@ -80,7 +80,7 @@
     /// Returns whether the stream breaks the protocol.
     #[must_use]
     pub const fn is_malformed(&self) -> bool {
-        self.after_done || self.overlong
+        self.malformed
     }
 
     /// Returns the tokens so far: as the stream says, or one an event.
