Test the whole path with bad input and failing servers

Cause: each kind of bad input needs a test that the process stays up, that the answer says truly whether the request ran, and that others are untouched.

--- /dev/null
+++ b/tests/whole_path/main.rs
@@ -0,0 +1,23 @@
+//! Requests over the whole path: callers, entry VMs, backend servers and platform, over sockets.
+
+use {
+    bench::{Bench, document, read_all},
+    call::{Answer, Call},
+    guavapass::{
+        configuration::*, control::*, document::*, driver::*, ids::*, platform::*, settings::*,
+        stand_in::*, traffic::*, units::*,
+    },
+    http::Method,
+    serde_json::{Value, json},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpStream},
+        time::{Duration, Instant},
+    },
+};
+
+mod bad_input;
+mod bench;
+mod call;
+mod calls;
+mod upstream_faults;
