Add the demo

Cause: a newcomer should see the whole path at work, and its promises checked, with one command and no settings.

--- a/src/command.rs
+++ b/src/command.rs
@@ -9,6 +9,7 @@
 
 mod check;
 mod command_error;
+mod demo;
 mod logs;
 mod serve;
 
@@ -26,6 +27,7 @@
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("demo", matches)) => demo::run(matches),
         _ => Ok(ExitCode::SUCCESS),
     };
     result.unwrap_or_else(|error| {
@@ -42,4 +44,5 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check::command())
+        .subcommand(demo::command())
 }
--- a/src/command/command_error.rs
+++ b/src/command/command_error.rs
@@ -20,6 +20,12 @@
     /// The entry VM cannot start.
     #[error(transparent)]
     Vm(#[from] VmError),
+    /// A publication was not accepted.
+    #[error("The configuration was not accepted: {0}.")]
+    Publication(SmolStr),
+    /// The entry VMs are not ready in time.
+    #[error("The entry VMs are not ready after {0}.")]
+    NotReady(Millis),
     /// The operating system refused something.
     #[error("The system refused: {0}.")]
     System(#[from] std::io::Error),
@@ -31,7 +37,7 @@
     pub const fn exit_code(&self) -> u8 {
         match self {
             Self::Settings(_) | Self::Document(_) | Self::Configuration { .. } => 2,
-            Self::Vm(_) | Self::System(_) => 1,
+            Self::Vm(_) | Self::Publication(_) | Self::NotReady(_) | Self::System(_) => 1,
         }
     }
 }
--- /dev/null
+++ b/src/command/demo.rs
@@ -0,0 +1,68 @@
+//! `guavapass demo`: stand-ins, three entry VMs in two data centres and a few seconds of traffic in
+//! one process.
+//!
+//! The demo checks the promises that its traffic can show and fails if one was broken.
+
+use super::*;
+use {
+    http::Method,
+    stand_in::{
+        BookingStandIn, CallOutcome, CallRequest, CallerStandIn, EngineSetup, EngineStandIn,
+        PlatformStandIn,
+    },
+};
+
+mod demo_call;
+mod demo_plan;
+mod demo_report;
+mod demo_stage;
+mod demo_traffic;
+mod promise_check;
+mod team_tally;
+
+use {
+    demo_call::{CallKind, DemoCall, DemoResult},
+    demo_plan::DemoPlan,
+    demo_report::DemoReport,
+    demo_stage::DemoStage,
+    demo_traffic::{DemoTraffic, TrafficRecord},
+    promise_check::PromiseCheck,
+    team_tally::TeamTally,
+};
+
+const DEMO_SEED: u64 = 1;
+
+/// Returns the command with its arguments.
+pub(super) fn command() -> clap::Command {
+    let flag = |name: &'static str, help: &'static str| {
+        clap::Arg::new(name).long(name).help(help).action(clap::ArgAction::SetTrue)
+    };
+    clap::Command::new("demo")
+        .about("Runs entry VMs before stand-ins, sends traffic and checks promises")
+        .arg(flag("json", "Print one JSON document"))
+        .arg(flag("keep", "Leave everything running until interrupted"))
+}
+
+/// Runs the demo.
+///
+/// # Errors
+///
+/// Returns why the demo could not run.
+pub(super) fn run(matches: &clap::ArgMatches) -> Result<ExitCode, CommandError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let stage = DemoStage::start()?;
+    runtime.block_on(stage.publish_first())?;
+    let record = runtime.block_on(DemoTraffic::new(&stage, DEMO_SEED).run())?;
+    let report = DemoReport::new(&stage, &record);
+    if matches.get_flag("json") {
+        println!("{:#}", report.json());
+    } else {
+        print!("{report}");
+    }
+    if matches.get_flag("keep") {
+        println!("{}", stage.invitation());
+        let _ = runtime.block_on(tokio::signal::ctrl_c());
+    }
+    stage.shut_down();
+    Ok(if report.all_held() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/src/command/demo/demo_stage.rs
@@ -0,0 +1,196 @@
+use super::*;
+
+/// The stand-ins and the entry VMs of the demo.
+pub(super) struct DemoStage {
+    pub(super) engines: Vec<EngineStandIn>,
+    pub(super) bookings: Vec<BookingStandIn>,
+    pub(super) vms: Vec<EntryVm>,
+    pub(super) document: ConfigurationDocument,
+    _platform: PlatformStandIn,
+}
+
+const EXAMPLE: &str = include_str!("../../../examples/ruedaparque/configuration.jsonc");
+
+const DATA_CENTRES: [&str; 2] = ["norte", "sur"];
+
+impl DemoStage {
+    const ENTRY_VMS: usize = 3;
+    const ENGINES: usize = 6;
+    const BOOKING_SERVERS: usize = 2;
+    const READY_TIMEOUT: Millis = Millis(10_000);
+    const POLL: Duration = Duration::from_millis(5);
+
+    /// Starts everything; the entry VMs know no configuration yet.
+    pub(super) fn start() -> Result<Self, CommandError> {
+        let document: ConfigurationDocument =
+            parse_document("examples/ruedaparque/configuration.jsonc", EXAMPLE)?;
+        let platform = PlatformStandIn::start();
+        let setup = engine_setup(&document);
+        let engines: Vec<_> =
+            (0..Self::ENGINES).map(|_| EngineStandIn::start(setup.clone())).collect();
+        let bookings: Vec<_> = (0..Self::BOOKING_SERVERS)
+            .map(|_| BookingStandIn::start(Duration::from_millis(4)))
+            .collect();
+        for (index, engine) in engines.iter().enumerate() {
+            list_server(&platform, "engine", index, "planning", engine.address());
+        }
+        for (index, booking) in bookings.iter().enumerate() {
+            list_server(&platform, "booking", index, "crew-booking", booking.address());
+        }
+        let vms = (0..Self::ENTRY_VMS)
+            .map(|index| start_vm(&platform, index))
+            .collect::<Result<Vec<_>, _>>()?;
+        Ok(Self { engines, bookings, vms, document, _platform: platform })
+    }
+
+    /// Publishes the example and waits until every entry VM serves it.
+    pub(super) async fn publish_first(&self) -> Result<(), CommandError> {
+        let revision = self.publish(&self.document).await?;
+        let servers = Self::ENGINES + Self::BOOKING_SERVERS;
+        self.wait_until(|status| {
+            status.ready && status.revision >= revision && status.servers.len() == servers
+        })
+        .await
+    }
+
+    /// Publishes a document and returns its revision.
+    pub(super) async fn publish(
+        &self,
+        document: &ConfigurationDocument,
+    ) -> Result<Revision, CommandError> {
+        let request = OperatorRequest::Publish {
+            publication: uuid::Uuid::now_v7().to_string().into(),
+            base: None,
+            change: ConfigurationChange::Document(Box::new(document.clone())),
+        };
+        match self.vms[0].handle().ask(request).await {
+            OperatorAnswer::Published(PublicationOutcome::Accepted(revision)) => Ok(revision),
+            other => Err(CommandError::Publication(format!("{other:?}").into())),
+        }
+    }
+
+    /// Waits until every entry VM is in a state.
+    pub(super) async fn wait_until(
+        &self,
+        holds: impl Fn(&VmStatus) -> bool,
+    ) -> Result<(), CommandError> {
+        let clock = Clock::start();
+        for vm in &self.vms {
+            loop {
+                let answer = vm.handle().ask(OperatorRequest::Status).await;
+                if matches!(&answer, OperatorAnswer::Status(status) if holds(status)) {
+                    break;
+                }
+                if clock.now() > Self::READY_TIMEOUT {
+                    return Err(CommandError::NotReady(Self::READY_TIMEOUT));
+                }
+                tokio::time::sleep(Self::POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the runs of a version, over all engines.
+    pub(super) fn version_runs(&self, version: &str) -> u64 {
+        self.engines.iter().map(|engine| engine.version_runs().runs(version)).sum()
+    }
+
+    /// Returns the runs of a chat request by the text of its question.
+    pub(super) fn question_runs(&self, text: &str) -> u64 {
+        self.engines.iter().map(|engine| engine.runs().runs(text)).sum()
+    }
+
+    /// Returns the runs of a booking, over all servers.
+    pub(super) fn booking_runs(&self, booking: &str) -> u64 {
+        self.bookings.iter().map(|server| server.bookings().runs(booking)).sum()
+    }
+
+    /// Returns what to print when everything is left running.
+    pub(super) fn invitation(&self) -> String {
+        let vms = self.vms.iter().enumerate().map(|(index, vm)| {
+            let (callers, operators) = (vm.callers, vm.operators);
+            format!("  vm-{index}: callers http://{callers}, operators http://{operators}\n")
+        });
+        let vms: String = vms.collect();
+        let callers = self.vms[0].callers;
+        format!(
+            "\nEntry VMs:\n{vms}\nTry:\n  curl -N http://{callers}/v1/chat/completions \
+             -H 'Authorization: Bearer plazas-key' \
+             -d '{{\"model\": \"auto\", \"stream\": true, \
+             \"messages\": [{{\"role\": \"user\", \"content\": \"Hello\"}}]}}'\n\
+             \nInterrupt to end.\n"
+        )
+    }
+
+    /// Ends the entry VMs after their work.
+    pub(super) fn shut_down(self) {
+        for vm in &self.vms {
+            vm.shut_down();
+        }
+        for vm in self.vms {
+            vm.wait();
+        }
+    }
+}
+
+fn engine_setup(document: &ConfigurationDocument) -> EngineSetup {
+    EngineSetup {
+        slots: 8,
+        queue_limit: 16,
+        first_token: Duration::from_millis(10),
+        prompt_token: Duration::from_micros(5),
+        next_token: Duration::from_millis(1),
+        output_tokens: 512,
+        load_lag: Duration::from_millis(300),
+        versions: document.versions().map(|(id, _)| id.to_string().into()).collect(),
+        ..EngineSetup::default()
+    }
+}
+
+fn list_server(
+    platform: &PlatformStandIn,
+    name: &str,
+    index: usize,
+    pool: &str,
+    address: SocketAddr,
+) {
+    platform.members().add_backend_server(ServerMember {
+        id: known(&format!("{name}-{index}")),
+        address,
+        data_centre: known(DATA_CENTRES[index % DATA_CENTRES.len()]),
+        pool: known(pool),
+        state: MemberState::Live,
+    });
+}
+
+fn start_vm(platform: &PlatformStandIn, index: usize) -> Result<EntryVm, CommandError> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = || ListenerSettings { listen: any, secret_files: Vec::new() };
+    let data_centre: DataCentreId = known(DATA_CENTRES[index % DATA_CENTRES.len()]);
+    let settings = EntrySettings {
+        vm: known(&format!("vm-{index}")),
+        data_centre: data_centre.clone(),
+        callers: CallerSettings::at(any),
+        operators: listener(),
+        peers: listener(),
+        platform: PlatformSettings { address: platform.address() },
+        log: LogSettings::default(),
+        metrics: None,
+        shutdown: ShutdownSettings { balancer_lag_ms: Millis(0) },
+    };
+    let secret = |name: &str| vec![Secret::new(format!("demo secret of {name}").as_bytes())];
+    let secrets = |name| secret(name).into_iter().flatten().collect::<Vec<_>>();
+    let vm = EntryVm::start(&settings, secrets("operators"), secrets("peers"))?;
+    platform.members().add_entry_vm(VmMember {
+        id: settings.vm.clone(),
+        address: vm.peers,
+        data_centre,
+        state: MemberState::Live,
+    });
+    Ok(vm)
+}
+
+/// Reads a name of the demo's own.
+fn known<T: FromStr<Err: fmt::Debug>>(name: &str) -> T {
+    name.parse().expect("the demo's names are valid")
+}
--- /dev/null
+++ b/src/command/demo/demo_traffic.rs
@@ -0,0 +1,81 @@
+use super::*;
+
+/// Sends the demo's calls and withdraws a version on the way.
+pub(super) struct DemoTraffic<'a> {
+    stage: &'a DemoStage,
+    calls: Vec<DemoCall>,
+}
+
+/// What the traffic showed.
+pub(super) struct TrafficRecord {
+    /// All calls with their answers.
+    pub(super) results: Vec<DemoResult>,
+    /// The version that was withdrawn.
+    pub(super) withdrawn: VersionId,
+    /// The time until the withdrawal was in force at every entry VM.
+    pub(super) in_force: Millis,
+    /// The runs of the withdrawn version when the withdrawal was in force.
+    pub(super) runs_in_force: u64,
+    /// Its runs at the end.
+    pub(super) runs_at_end: u64,
+}
+
+impl<'a> DemoTraffic<'a> {
+    const SPAN: Duration = Duration::from_secs(3);
+    const WITHDRAW_AT: Duration = Duration::from_millis(1_200);
+    /// The time that an attempt decided before the withdrawal takes to reach its engine.
+    const SETTLE: Duration = Duration::from_millis(200);
+
+    pub(super) fn new(stage: &'a DemoStage, seed: u64) -> Self {
+        Self { stage, calls: DemoPlan::calls(seed, Self::SPAN, stage.vms.len()) }
+    }
+
+    /// Sends all calls and returns what they showed.
+    pub(super) async fn run(self) -> Result<TrafficRecord, CommandError> {
+        let withdrawn: VersionId =
+            "planner-large@3.1".parse().expect("the version's name is valid");
+        let addresses: Vec<_> = self.stage.vms.iter().map(|vm| vm.callers).collect();
+        let calls = tokio::spawn(send_all(addresses, self.calls));
+        tokio::time::sleep(Self::WITHDRAW_AT).await;
+        let in_force = withdraw(self.stage, &withdrawn).await?;
+        tokio::time::sleep(Self::SETTLE).await;
+        let name = withdrawn.to_string();
+        let runs_in_force = self.stage.version_runs(&name);
+        let results = calls.await.map_err(std::io::Error::from)?;
+        let runs_at_end = self.stage.version_runs(&name);
+        Ok(TrafficRecord { results, withdrawn, in_force, runs_in_force, runs_at_end })
+    }
+}
+
+async fn withdraw(stage: &DemoStage, version: &VersionId) -> Result<Millis, CommandError> {
+    let mut document = stage.document.clone();
+    if let Some(model) = document.models.get_mut(&version.model) {
+        model.rollout = None;
+        if let Some(entry) = model.versions.get_mut(&version.version) {
+            entry.state = VersionState::Withdrawn;
+        }
+    }
+    let clock = Clock::start();
+    let revision = stage.publish(&document).await?;
+    stage.wait_until(|status| status.revision >= revision).await?;
+    Ok(clock.now())
+}
+
+async fn send_all(addresses: Vec<SocketAddr>, calls: Vec<DemoCall>) -> Vec<DemoResult> {
+    let start = tokio::time::Instant::now();
+    let callers: Vec<_> = addresses.into_iter().map(CallerStandIn::new).collect();
+    let sends = calls.into_iter().map(|call| {
+        let caller = callers[call.vm].clone();
+        tokio::spawn(async move {
+            tokio::time::sleep_until(start + call.at).await;
+            let outcome = caller.send(&call.request).await;
+            DemoResult { call, outcome }
+        })
+    });
+    let sends: Vec<_> = sends.collect();
+    let mut results = Vec::with_capacity(sends.len());
+    for send in sends {
+        results.extend(send.await);
+    }
+    results
+}
--- /dev/null
+++ b/src/command/demo/promise_check.rs
@@ -0,0 +1,123 @@
+use super::*;
+
+/// A promise that the demo checked.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct PromiseCheck {
+    /// The promise.
+    pub(super) promise: &'static str,
+    /// Whether it held.
+    pub(super) held: bool,
+    /// What was counted.
+    pub(super) evidence: String,
+}
+
+impl PromiseCheck {
+    const IN_FORCE_LIMIT: Millis = Millis(5_000);
+
+    /// Checks every promise that the traffic can show.
+    pub(super) fn all(stage: &DemoStage, record: &TrafficRecord) -> Vec<Self> {
+        vec![
+            Self::every_call_answered(record),
+            Self::whole_and_own(record),
+            Self::allowed_versions(stage, record),
+            Self::withdrawn_version(record),
+            Self::in_force(record),
+            Self::bookings_once(stage, record),
+            Self::not_run(stage, record),
+        ]
+    }
+
+    fn every_call_answered(record: &TrafficRecord) -> Self {
+        let silent = |result: &&DemoResult| !result.outcome.is_whole() && result.run().is_none();
+        let count = record.results.iter().filter(silent).count();
+        Self {
+            promise: "every call gets a whole answer or a word on whether it ran",
+            held: count == 0 && !record.results.is_empty(),
+            evidence: format!("{} calls, {count} without", record.results.len()),
+        }
+    }
+
+    fn whole_and_own(record: &TrafficRecord) -> Self {
+        let whole = record.results.iter().filter(|result| result.outcome.is_whole());
+        let (own, foreign): (Vec<_>, Vec<_>) = whole.partition(|result| result.is_answered());
+        Self {
+            promise: "a caller receives the answer to its own request",
+            held: foreign.is_empty() && !own.is_empty(),
+            evidence: format!("{} whole answers, {} foreign", own.len(), foreign.len()),
+        }
+    }
+
+    fn allowed_versions(stage: &DemoStage, record: &TrafficRecord) -> Self {
+        let allowed = |result: &DemoResult, version: &VersionId| {
+            stage.document.teams[&result.call.team].allows(version)
+        };
+        let mut answered = 0;
+        let mut wrong = 0;
+        for result in &record.results {
+            if let Some(version) = result.version() {
+                answered += 1;
+                wrong += u64::from(!allowed(result, &version));
+            }
+        }
+        Self {
+            promise: "a request runs only on a version that its team allows",
+            held: wrong == 0 && answered > 0,
+            evidence: format!("{answered} answers name a version, {wrong} are not allowed"),
+        }
+    }
+
+    fn withdrawn_version(record: &TrafficRecord) -> Self {
+        let after = record.runs_at_end - record.runs_in_force;
+        Self {
+            promise: "a withdrawn version receives no new work",
+            held: after == 0 && record.runs_in_force > 0,
+            evidence: format!(
+                "{} ran {} times before its withdrawal and {after} times after",
+                record.withdrawn, record.runs_in_force
+            ),
+        }
+    }
+
+    fn in_force(record: &TrafficRecord) -> Self {
+        Self {
+            promise: "an accepted configuration is in force everywhere within seconds",
+            held: record.in_force <= Self::IN_FORCE_LIMIT,
+            evidence: format!("{}", record.in_force),
+        }
+    }
+
+    fn bookings_once(stage: &DemoStage, record: &TrafficRecord) -> Self {
+        let calls = record.results.iter().filter(|result| result.call.kind == CallKind::Booking);
+        let sent = calls.clone().count();
+        let bookings: BTreeSet<_> = calls.map(|result| result.call.marker.as_str()).collect();
+        let runs = bookings.iter().map(|booking| stage.booking_runs(booking));
+        let (mut ran, mut twice) = (0, 0);
+        for count in runs {
+            ran += u64::from(count > 0);
+            twice += u64::from(count > 1);
+        }
+        Self {
+            promise: "a booking runs at most once",
+            held: twice == 0 && ran > 0,
+            evidence: format!(
+                "{} bookings sent {sent} times, {ran} ran, {twice} more than once",
+                bookings.len()
+            ),
+        }
+    }
+
+    fn not_run(stage: &DemoStage, record: &TrafficRecord) -> Self {
+        let refused = record.results.iter().filter(|result| result.run() == Some("not-run"));
+        let ran = |result: &&DemoResult| match result.call.kind {
+            CallKind::Booking => stage.booking_runs(&result.call.marker) > 0,
+            CallKind::Lookup => false,
+            CallKind::Question | CallKind::Dossier => stage.question_runs(&result.call.text) > 0,
+        };
+        let wrong = refused.clone().filter(ran).count();
+        Self {
+            promise: "a refusal that says \"not run\" is true",
+            held: wrong == 0,
+            evidence: format!("{} refusals say so, {wrong} are wrong", refused.count()),
+        }
+    }
+}
--- /dev/null
+++ b/src/command/demo/team_tally.rs
@@ -0,0 +1,94 @@
+use super::*;
+use hdrhistogram::Histogram;
+
+/// What one team sent and got.
+#[derive(Clone, Debug)]
+pub(super) struct TeamTally {
+    pub(super) requests: u64,
+    pub(super) answered: u64,
+    pub(super) refused: u64,
+    pub(super) failed: u64,
+    pub(super) cost: Cost,
+    first_token: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+impl TeamTally {
+    const HIGHEST_US: u64 = 600_000_000;
+    const DIGITS: u8 = 3;
+
+    fn new() -> Self {
+        let histogram = || {
+            Histogram::new_with_bounds(1, Self::HIGHEST_US, Self::DIGITS)
+                .expect("the bounds of the histogram are valid")
+        };
+        Self {
+            requests: 0,
+            answered: 0,
+            refused: 0,
+            failed: 0,
+            cost: Cost(0.0),
+            first_token: histogram(),
+            whole: histogram(),
+        }
+    }
+
+    /// Returns the tallies of all teams that sent a call.
+    pub(super) fn all(
+        document: &ConfigurationDocument,
+        results: &[DemoResult],
+    ) -> BTreeMap<TeamId, Self> {
+        let mut tallies = BTreeMap::new();
+        for result in results {
+            let tally = tallies.entry(result.call.team.clone()).or_insert_with(Self::new);
+            tally.add(document, result);
+        }
+        tallies
+    }
+
+    fn add(&mut self, document: &ConfigurationDocument, result: &DemoResult) {
+        self.requests += 1;
+        if result.is_answered() {
+            self.answered += 1;
+            self.cost += cost(document, result);
+            let outcome = &result.outcome;
+            self.first_token.saturating_record(outcome.first_byte.as_micros() as u64);
+            self.whole.saturating_record(outcome.whole.as_micros() as u64);
+        } else if result.run() == Some("not-run") {
+            self.refused += 1;
+        } else {
+            self.failed += 1;
+        }
+    }
+
+    /// Returns a quantile of the time to the first token, in milliseconds.
+    pub(super) fn first_token_ms(&self, quantile: f64) -> f64 {
+        self.first_token.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Returns a quantile of the time to the whole answer, in milliseconds.
+    pub(super) fn whole_ms(&self, quantile: f64) -> f64 {
+        self.whole.value_at_quantile(quantile) as f64 / 1e3
+    }
+}
+
+/// Returns the cost of an answer by the prices of the configuration.
+fn cost(document: &ConfigurationDocument, result: &DemoResult) -> Cost {
+    let service = |name: &str| {
+        let id = name.parse::<ServiceId>().ok()?;
+        document.services.get(&id).map(|entry| entry.cost_per_call)
+    };
+    match result.call.kind {
+        CallKind::Booking => service("crew-booking").unwrap_or_default(),
+        CallKind::Lookup => service("slot-status").unwrap_or_default(),
+        CallKind::Question | CallKind::Dossier => model_cost(document, result).unwrap_or_default(),
+    }
+}
+
+fn model_cost(document: &ConfigurationDocument, result: &DemoResult) -> Option<Cost> {
+    let entry = document.version(&result.version()?)?;
+    let (prompt, output) = result.outcome.usage()?;
+    let prompt_cost = prompt.0 as f64 * entry.cost_per_million_prompt_tokens.0;
+    let output_cost = output.0 as f64 * entry.cost_per_million_output_tokens.0;
+    Some(Cost((prompt_cost + output_cost) / 1e6))
+}
