--- a/src/command/demo/demo_stage.rs
+++ b/src/command/demo/demo_stage.rs
@@ -62,6 +62,7 @@
             publication: uuid::Uuid::now_v7().to_string().into(),
             base: None,
             change: ConfigurationChange::Document(Box::new(document.clone())),
+            wait: Millis(30_000),
         };
         match self.vms[0].handle().ask(request).await {
             OperatorAnswer::Published(PublicationOutcome::Accepted(revision)) => Ok(revision),
@@ -173,6 +174,7 @@
         callers: CallerSettings::at(any),
         operators: listener(),
         peers: listener(),
+        seeds: Vec::new(),
         platform: PlatformSettings { address: platform.address() },
         log: LogSettings::default(),
         metrics: None,
--- a/tests/whole_path/bench.rs
+++ b/tests/whole_path/bench.rs
@@ -76,6 +76,7 @@
             callers,
             operators: listener(),
             peers: listener(),
+            seeds: Vec::new(),
             platform: PlatformSettings { address: self.platform.address() },
             log: LogSettings::default(),
             metrics: None,
@@ -104,6 +105,7 @@
             publication: uuid::Uuid::now_v7().to_string().into(),
             base: None,
             change: ConfigurationChange::Document(Box::new(document.clone())),
+            wait: Millis(30_000),
         });
         let OperatorAnswer::Published(PublicationOutcome::Accepted(revision)) = answer else {
             panic!("not accepted: {answer:?}");
