Test entry VMs together under faults

Cause: the promises of configuration and membership concern several VMs.

VMs started together no longer read the membership list together.

--- a/src/control/cluster.rs
+++ b/src/control/cluster.rs
@@ -35,6 +35,7 @@
     pub(super) urgent: VecDeque<VmId>,
     pub(super) rumours: VecDeque<(Millis, VmId)>,
     pub(super) wanted: Option<WantedConfiguration>,
+    pub(super) list_reads: u64,
     pub(super) members_fetched: Option<Millis>,
     pub(super) snapshot_at: Option<Millis>,
     pub(super) snapshot_append: Option<AppendId>,
@@ -65,6 +66,24 @@
         self.cluster.wall_clock = (now, unix);
     }
 
+    /// Returns the configuration in force.
+    #[must_use]
+    pub const fn configuration(&self) -> &ConfigurationFold {
+        &self.configuration
+    }
+
+    /// Returns the other entry VMs.
+    #[must_use]
+    pub const fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// Returns the backend servers.
+    #[must_use]
+    pub const fn servers(&self) -> &ServerTable {
+        &self.servers
+    }
+
     pub(super) fn unix(&self, now: Millis) -> Millis {
         let (at, unix) = self.cluster.wall_clock;
         unix + now.since(at)
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -6,15 +6,28 @@
 const LIST_LONGEST_MS: u64 = 60_000;
 /// The time within which the whole list is not fetched again.
 const LIST_FETCH_MS: u64 = 1_000;
-/// The VMs of a data centre, as far as reading of load reports is shared.
-const LOAD_DUTY: &str = "load";
+/// The key of the turns in which the VMs of a data centre read the list.
+const LIST_DUTY: &str = "members";
 
 impl Control {
-    /// Sets when this VM reads the membership list again: the VMs of its data centre take turns.
+    /// Sets when this VM reads the membership list again.
+    ///
+    /// The VMs of its data centre take turns: the first time by rank, so that VMs that were started
+    /// together do not go on reading together, and later with some variation.
     pub(super) fn schedule_list(&mut self, now: Millis) {
-        let (_, sharers) = self.centre_rank(LOAD_DUTY);
-        let interval = LIST_INTERVAL_MS * sharers.max(1) as u64;
-        self.list_again = Some(now + Millis(interval.min(LIST_LONGEST_MS)));
+        let (rank, sharers) = self.centre_rank(LIST_DUTY);
+        let all = (LIST_INTERVAL_MS * sharers.max(1) as u64).min(LIST_LONGEST_MS);
+        self.cluster.list_reads += 1;
+        let interval = match self.cluster.list_reads {
+            1 => LIST_INTERVAL_MS,
+            2 => all * (rank as u64 + 1) / sharers.max(1) as u64,
+            turn => {
+                let name = self.identity.vm.as_str().as_bytes();
+                let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name, turn);
+                all * 7 / 8 + hash % (all / 4).max(1)
+            }
+        };
+        self.list_again = Some(now + Millis(interval));
     }
 
     /// Puts the list in force that this VM has read or learned.
--- a/src/stand_in.rs
+++ b/src/stand_in.rs
@@ -41,6 +41,7 @@
 mod call_request;
 mod caller_stand_in;
 mod chat_request;
+mod core_cluster;
 mod engine_run;
 mod engine_setup;
 mod engine_stand_in;
@@ -77,6 +78,7 @@
     call_outcome::CallOutcome,
     call_request::CallRequest,
     caller_stand_in::CallerStandIn,
+    core_cluster::{CoreCluster, CoreFaults, CoreLog, CoreState, CoreTraffic, CoreVm},
     engine_setup::EngineSetup,
     engine_stand_in::EngineStandIn,
     fault_switches::{AnswerFault, FaultSwitches},
--- /dev/null
+++ b/src/stand_in/core_cluster.rs
@@ -0,0 +1,513 @@
+use super::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Several control cores joined by a queue in memory, in virtual time.
+///
+/// Messages and calls of the platform can be delayed, lost, cut and counted. Nothing here models a
+/// network; the faults are switches.
+pub struct CoreCluster {
+    /// The time.
+    pub now: Millis,
+    /// The entry VMs in order.
+    pub vms: Vec<CoreVm>,
+    /// The configuration stream.
+    pub log: CoreLog,
+    /// The membership list.
+    pub members: MembershipList,
+    /// The faults.
+    pub faults: CoreFaults,
+    /// The time between two ticks of a core.
+    pub tick: Millis,
+    random: ChaCha8Rng,
+    queue: BTreeMap<(Millis, u64), CoreArrival>,
+    waiting: Vec<WaitingRead>,
+    sequence: u64,
+}
+
+/// One core and what it has answered.
+pub struct CoreVm {
+    /// The core.
+    pub control: Control,
+    /// Its name.
+    pub name: PeerName,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Whether it runs, stands still or is gone.
+    pub state: CoreState,
+    /// The answers to operators.
+    pub answers: Vec<(CallId, OperatorAnswer)>,
+    /// The commands for traffic, in order.
+    pub traffic: Vec<Command>,
+    /// The bytes and messages that it has sent and received.
+    pub bytes: CoreTraffic,
+    /// The time spent in its core.
+    pub spent: Duration,
+    born: Millis,
+}
+
+/// Whether a core runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CoreState {
+    /// It runs.
+    Running,
+    /// It stands still; what arrives waits.
+    Paused,
+    /// It is gone; what arrives is lost.
+    Dead,
+}
+
+/// Counts of what a VM has sent and received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CoreTraffic {
+    /// The messages to and from peers.
+    pub messages: u64,
+    /// Their bytes, without the envelope.
+    pub message_bytes: u64,
+    /// The calls of the platform and of servers.
+    pub calls: u64,
+    /// The load reports among them.
+    pub loads: u64,
+    /// The bytes of their bodies.
+    pub call_bytes: u64,
+}
+
+/// The configuration stream in memory.
+#[derive(Clone, Debug, Default)]
+pub struct CoreLog {
+    /// The records kept.
+    pub records: Vec<Bytes>,
+    /// The offset of the first record kept.
+    pub oldest: u64,
+}
+
+/// The faults of the cluster.
+#[derive(Clone, Debug, Default)]
+pub struct CoreFaults {
+    /// The share of messages between VMs that is lost.
+    pub loss: f64,
+    /// The longest additional delay of a message.
+    pub jitter: Millis,
+    /// The share of messages between VMs that arrives twice.
+    pub repeat: f64,
+    /// Whether the platform is down.
+    pub platform_down: bool,
+    /// How many of the next appends take effect without an answer.
+    pub lost_appends: u32,
+    /// Data centres that reach neither the others nor the platform.
+    pub cut: BTreeSet<DataCentreId>,
+}
+
+enum CoreArrival {
+    Event { vm: usize, incarnation: Incarnation, event: Event },
+    Append { vm: usize, incarnation: Incarnation, append: AppendId, records: Vec<Bytes> },
+}
+
+struct WaitingRead {
+    vm: usize,
+    incarnation: Incarnation,
+    stream: StreamId,
+    from: Offset,
+    until: Millis,
+}
+
+impl CoreLog {
+    /// Returns the offset of the next record.
+    #[must_use]
+    pub fn next(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+
+    /// Drops the records before an offset.
+    pub fn trim(&mut self, oldest: u64) {
+        let count = oldest.saturating_sub(self.oldest).min(self.records.len() as u64);
+        self.records.drain(..count as usize);
+        self.oldest += count;
+    }
+
+    fn read(&self, from: Offset) -> Result<LogPage, PlatformError> {
+        const PAGE_RECORDS: usize = 16;
+        if from.0 < self.oldest {
+            return Err(PlatformError::Trimmed { oldest: Offset(self.oldest) });
+        }
+        let skip = (from.0 - self.oldest) as usize;
+        let records: Vec<LogRecord> = self
+            .records
+            .iter()
+            .enumerate()
+            .skip(skip)
+            .take(PAGE_RECORDS)
+            .map(|(index, record)| LogRecord {
+                offset: Offset(self.oldest + index as u64),
+                record: record.clone(),
+            })
+            .collect();
+        let next = records.last().map_or(self.next(), |last| last.offset.0 + 1);
+        Ok(LogPage { oldest: Offset(self.oldest), next: Offset(next), records })
+    }
+}
+
+impl CoreCluster {
+    /// The delay of a message between two VMs.
+    const MESSAGE_MS: u64 = 2;
+    /// The delay of a call of the platform.
+    const CALL_MS: u64 = 3;
+
+    /// Returns an empty cluster.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: Millis(1_000),
+            vms: Vec::new(),
+            log: CoreLog::default(),
+            members: MembershipList::default(),
+            faults: CoreFaults::default(),
+            tick: Millis(20),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            waiting: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Adds VMs `vm-1`, `vm-2`, … to data centres in turn, and lists them.
+    #[must_use]
+    pub fn with_vms(mut self, count: usize, centres: &[&str]) -> Self {
+        for index in 0..count {
+            let name = format!("vm-{}", index + 1);
+            self.add_vm(&name, centres[index % centres.len()], 1);
+        }
+        for index in 0..count {
+            self.list_vm(index);
+        }
+        self
+    }
+
+    /// Adds a VM that the membership list does not have yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name is not valid.
+    pub fn add_vm(&mut self, name: &str, centre: &str, incarnation: u64) -> usize {
+        let index = self.vms.len();
+        let vm = self.core(name, centre, incarnation, index);
+        self.vms.push(vm);
+        index
+    }
+
+    /// Puts a new start in the place of a VM; it has the same address.
+    pub fn replace_vm(&mut self, index: usize, name: &str, incarnation: u64) {
+        let centre = self.vms[index].data_centre.to_string();
+        let vm = self.core(name, &centre, incarnation, index);
+        self.vms[index] = vm;
+        self.waiting.retain(|read| read.vm != index);
+    }
+
+    /// Gives a VM the VMs that its settings name.
+    pub fn seed(&mut self, index: usize, seeds: Vec<VmMember>) {
+        self.vms[index].control.set_cluster(ClusterSettings {
+            address: Some(Self::address(index)),
+            seeds,
+            session_keys: Self::keys(),
+        });
+    }
+
+    /// Returns the secrets of all VMs.
+    #[must_use]
+    pub fn keys() -> KeyRing {
+        KeyRing::new([b"a secret of all entry VMs".as_slice()])
+    }
+
+    fn core(&self, name: &str, centre: &str, incarnation: u64, index: usize) -> CoreVm {
+        let vm: VmId = name.parse().expect("the name is valid");
+        let data_centre: DataCentreId = centre.parse().expect("the name is valid");
+        let incarnation = Incarnation(incarnation);
+        let identity = VmIdentity { vm: vm.clone(), incarnation, data_centre: data_centre.clone() };
+        let mut control = Control::new(identity, Box::new(CheapestPolicy));
+        control.set_cluster(ClusterSettings {
+            address: Some(Self::address(index)),
+            seeds: Vec::new(),
+            session_keys: Self::keys(),
+        });
+        CoreVm {
+            control,
+            name: PeerName { vm, incarnation },
+            data_centre,
+            state: CoreState::Running,
+            answers: Vec::new(),
+            traffic: Vec::new(),
+            bytes: CoreTraffic::default(),
+            spent: Duration::ZERO,
+            born: self.now,
+        }
+    }
+
+    /// Returns the address of a VM by its index.
+    #[must_use]
+    pub fn address(index: usize) -> SocketAddr {
+        SocketAddr::from(([10, 0, 0, 1], 1_000 + index as u16))
+    }
+
+    /// Puts a VM on the membership list.
+    pub fn list_vm(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        self.members.entry_vms.push(VmMember {
+            id: vm.name.vm.clone(),
+            address: Self::address(index),
+            data_centre: vm.data_centre.clone(),
+            state: MemberState::Live,
+        });
+    }
+
+    /// Puts a backend server on the membership list.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a name is not valid.
+    pub fn list_server(&mut self, name: &str, pool: &str, centre: &str) {
+        self.members.backend_servers.push(ServerMember {
+            id: name.parse().expect("the name is valid"),
+            address: SocketAddr::from(([10, 0, 1, 1], 80)),
+            data_centre: centre.parse().expect("the name is valid"),
+            pool: pool.parse().expect("the name is valid"),
+            state: MemberState::Live,
+        });
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Millis) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets time pass until a condition holds, and returns how long that took.
+    pub fn run_until(
+        &mut self,
+        limit: Millis,
+        mut holds: impl FnMut(&Self) -> bool,
+    ) -> Option<Millis> {
+        let start = self.now;
+        while !holds(self) {
+            if self.now.since(start) > limit {
+                return None;
+            }
+            self.step();
+        }
+        Some(self.now.since(start))
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Millis(1);
+        for vm in 0..self.vms.len() {
+            let phase = (vm as u64 * 7) % self.tick.0;
+            if self.now.0 % self.tick.0 == phase {
+                self.handle(vm, Event::Tick);
+            }
+        }
+        self.answer_reads();
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let (key, arrival) = entry.remove_entry();
+            self.arrive(key.1, arrival);
+        }
+    }
+
+    fn arrive(&mut self, sequence: u64, arrival: CoreArrival) {
+        match arrival {
+            CoreArrival::Event { vm, incarnation, event } => {
+                if self.vms[vm].name.incarnation != incarnation {
+                    return;
+                }
+                match self.vms[vm].state {
+                    CoreState::Running => self.handle(vm, event),
+                    CoreState::Paused => {
+                        let later = CoreArrival::Event { vm, incarnation, event };
+                        self.queue.insert((self.now + Millis(1), sequence), later);
+                    }
+                    CoreState::Dead => {}
+                }
+            }
+            CoreArrival::Append { vm, incarnation, append, records } => {
+                let result = self.append(vm, &records);
+                self.push(Self::CALL_MS, vm, incarnation, Event::Appended { append, result });
+            }
+        }
+    }
+
+    fn append(&mut self, vm: usize, records: &[Bytes]) -> Result<Offset, PlatformError> {
+        if self.faults.platform_down || self.is_cut(vm) {
+            return Err(PlatformError::Refused { address: "platform".into(), status: 503 });
+        }
+        let first = Offset(self.log.next());
+        self.log.records.extend_from_slice(records);
+        if self.faults.lost_appends > 0 {
+            self.faults.lost_appends -= 1;
+            let (address, cause) = ("platform".into(), "the answer was lost".into());
+            return Err(PlatformError::Lost { address, cause });
+        }
+        Ok(first)
+    }
+
+    /// Hands an event to a core that runs, and carries out its commands.
+    pub fn handle(&mut self, vm: usize, event: Event) {
+        if self.vms[vm].state != CoreState::Running {
+            return;
+        }
+        let now = self.local(vm);
+        let start = Instant::now();
+        let commands = self.vms[vm].control.handle(now, event);
+        self.vms[vm].spent += start.elapsed();
+        for command in commands {
+            self.obey(vm, command);
+        }
+    }
+
+    /// Returns the time of a VM's own clock, which starts with the VM.
+    #[must_use]
+    pub fn local(&self, vm: usize) -> Millis {
+        self.now.since(self.vms[vm].born)
+    }
+
+    /// Asks a VM on behalf of an operator.
+    pub fn ask(&mut self, vm: usize, call: u64, request: OperatorRequest) {
+        self.handle(vm, Event::Operator { call: CallId(call), request });
+    }
+
+    /// Returns the answer to an operator's call.
+    #[must_use]
+    pub fn answer(&self, vm: usize, call: u64) -> Option<&OperatorAnswer> {
+        let mut answers = self.vms[vm].answers.iter();
+        answers.find(|(id, _)| *id == CallId(call)).map(|(_, answer)| answer)
+    }
+
+    fn is_cut(&self, vm: usize) -> bool {
+        self.faults.cut.contains(&self.vms[vm].data_centre)
+    }
+
+    fn push(&mut self, delay: u64, vm: usize, incarnation: Incarnation, event: Event) {
+        self.sequence += 1;
+        let key = (self.now + Millis(delay), self.sequence);
+        self.queue.insert(key, CoreArrival::Event { vm, incarnation, event });
+    }
+
+    fn obey(&mut self, vm: usize, command: Command) {
+        let incarnation = self.vms[vm].name.incarnation;
+        match command {
+            Command::Send { to, address, message } => self.send(vm, &to, address, message),
+            Command::Append { append, records, .. } => {
+                self.sequence += 1;
+                let key = (self.now + Millis(Self::CALL_MS), self.sequence);
+                self.count_call(vm, records.iter().map(Bytes::len).sum());
+                let arrival = CoreArrival::Append { vm, incarnation, append, records };
+                self.queue.insert(key, arrival);
+            }
+            Command::Read { stream, from, wait } => {
+                let until = self.now + wait;
+                self.waiting.push(WaitingRead { vm, incarnation, stream, from, until });
+            }
+            Command::ListMembers => {
+                let result = self.platform(vm, |cluster| cluster.members.clone());
+                let bytes = result
+                    .as_ref()
+                    .map_or(0, |list| serde_json::to_vec(list).map_or(0, |bytes| bytes.len()));
+                self.count_call(vm, bytes);
+                self.push(Self::CALL_MS, vm, incarnation, Event::Listed(result));
+            }
+            Command::ReadLoad { server, .. } => {
+                const REPORT_BYTES: usize = 64;
+                self.count_call(vm, REPORT_BYTES);
+                self.vms[vm].bytes.loads += 1;
+                let report = LoadReport { as_of_ms: self.now, ..LoadReport::default() };
+                let result = Ok(report);
+                self.push(Self::CALL_MS, vm, incarnation, Event::Loaded { server, result });
+            }
+            Command::AnswerOperator { call, answer } => self.vms[vm].answers.push((call, answer)),
+            command => self.vms[vm].traffic.push(command),
+        }
+    }
+
+    fn platform<T>(&self, vm: usize, answer: impl FnOnce(&Self) -> T) -> Result<T, PlatformError> {
+        if self.faults.platform_down || self.is_cut(vm) {
+            let (address, cause) = ("platform".into(), "it is down".into());
+            return Err(PlatformError::Unreachable { address, cause });
+        }
+        Ok(answer(self))
+    }
+
+    fn count_call(&mut self, vm: usize, bytes: usize) {
+        let traffic = &mut self.vms[vm].bytes;
+        traffic.calls += 1;
+        traffic.call_bytes += bytes as u64;
+    }
+
+    fn send(&mut self, vm: usize, to: &VmId, address: SocketAddr, message: PeerMessage) {
+        let bytes = rmp_serde::to_vec_named(&message).map_or(0, |bytes| bytes.len()) as u64;
+        let count = |traffic: &mut CoreTraffic| {
+            traffic.messages += 1;
+            traffic.message_bytes += bytes;
+        };
+        count(&mut self.vms[vm].bytes);
+        let Some(target) = (0..self.vms.len()).find(|index| Self::address(*index) == address)
+        else {
+            return;
+        };
+        let apart = self.vms[vm].data_centre != self.vms[target].data_centre
+            && (self.is_cut(vm) || self.is_cut(target));
+        let known = self.vms[target].name.vm == *to;
+        if apart || !known || self.random.random_bool(self.faults.loss) {
+            return;
+        }
+        if self.vms[target].state == CoreState::Dead {
+            let incarnation = self.vms[vm].name.incarnation;
+            self.push(Self::MESSAGE_MS, vm, incarnation, Event::Unsent { to: to.clone() });
+            return;
+        }
+        count(&mut self.vms[target].bytes);
+        let from = self.vms[vm].name.clone();
+        let incarnation = self.vms[target].name.incarnation;
+        let copies = 1 + u32::from(self.random.random_bool(self.faults.repeat));
+        for _ in 0..copies {
+            let jitter = self.random.random_range(0..=self.faults.jitter.0);
+            let event = Event::FromPeer { from: from.clone(), message: message.clone() };
+            self.push(Self::MESSAGE_MS + jitter, target, incarnation, event);
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        let reads = std::mem::take(&mut self.waiting);
+        for read in reads {
+            let page = self.platform(read.vm, |cluster| cluster.log.read(read.from));
+            let result = page.and_then(|page| page);
+            let empty = result.as_ref().is_ok_and(|page| page.records.is_empty());
+            if empty && self.now < read.until {
+                self.waiting.push(read);
+                continue;
+            }
+            let bytes = result
+                .as_ref()
+                .map_or(0, |page| page.records.iter().map(|record| record.record.len()).sum());
+            self.count_call(read.vm, bytes);
+            let event = Event::Read { stream: read.stream, result };
+            self.push(Self::CALL_MS, read.vm, read.incarnation, event);
+        }
+    }
+
+    /// Returns the revisions of the VMs that run, in order.
+    #[must_use]
+    pub fn revisions(&self) -> Vec<Revision> {
+        let running = self.vms.iter().filter(|vm| vm.state != CoreState::Dead);
+        running.map(|vm| vm.control.configuration().revision()).collect()
+    }
+
+    /// Returns whether all VMs that run have one revision and one document.
+    #[must_use]
+    pub fn agrees(&self) -> bool {
+        let running = self.vms.iter().filter(|vm| vm.state != CoreState::Dead);
+        let mut stamps = running.map(|vm| vm.control.configuration().stamp());
+        let first = stamps.next();
+        stamps.all(|stamp| Some(stamp) == first)
+    }
+}
