--- a/src/stand_in/core_cluster.rs
+++ b/src/stand_in/core_cluster.rs
@@ -396,7 +396,7 @@
     fn obey(&mut self, vm: usize, command: Command) {
         let incarnation = self.vms[vm].name.incarnation;
         match command {
-            Command::Send { to, address, message } => self.send(vm, &to, address, message),
+            Command::Send { to, address, message } => self.send(vm, &to, address, &message),
             Command::Append { append, records, .. } => {
                 self.sequence += 1;
                 let key = (self.now + Millis(Self::CALL_MS), self.sequence);
@@ -443,8 +443,8 @@
         traffic.call_bytes += bytes as u64;
     }
 
-    fn send(&mut self, vm: usize, to: &VmId, address: SocketAddr, message: PeerMessage) {
-        let bytes = rmp_serde::to_vec_named(&message).map_or(0, |bytes| bytes.len()) as u64;
+    fn send(&mut self, vm: usize, to: &VmId, address: SocketAddr, message: &PeerMessage) {
+        let bytes = rmp_serde::to_vec_named(message).map_or(0, |bytes| bytes.len()) as u64;
         let count = |traffic: &mut CoreTraffic| {
             traffic.messages += 1;
             traffic.message_bytes += bytes;
