--- /dev/null
+++ b/src/billing.rs
@@ -0,0 +1,28 @@
+//! Bills: each request that ran is billed exactly once.
+//!
+//! A [`BillLedger`] opens a bill before a request starts and has peers keep copies of it, closes
+//! it when the request has ended, and appends it to the `bills` stream in batches. Appends and
+//! messages may be repeated freely: the [`BillFold`] of the stream takes the first final record of
+//! each key.
+
+use super::*;
+
+mod fold;
+mod key;
+mod ledger;
+mod message;
+mod part;
+mod record;
+mod report;
+mod unsettled;
+
+pub use {
+    fold::{BillFold, BillState},
+    key::BillKey,
+    ledger::{BillAction, BillLedger},
+    message::BillMessage,
+    part::{BillPart, PartCharge},
+    record::{BillRecord, BillStage},
+    report::{BillReport, TeamTotal},
+    unsettled::UnsettledRule,
+};
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,12 +12,15 @@
 
 mod arrive;
 mod attempt;
+mod bills;
+mod claims;
 mod cluster;
 mod command;
 mod core;
 mod decision;
 mod dispatch;
 mod event;
+mod gate;
 mod learn;
 mod members;
 mod operate;
@@ -27,21 +30,31 @@
 mod request;
 mod sessions;
 mod shares;
+mod shutdown;
 mod spread;
+mod suspects;
+mod tickets;
 mod withdraw;
 
+use {
+    bills::BillingState,
+    claims::ClaimState,
+    gate::{GateStage, GatedArrival},
+};
+
 pub use {
     cluster::ClusterSettings,
     command::{AttemptStart, Command, ReleaseRule, RepeatRule},
     core::{Control, VmIdentity},
     decision::{PassedOver, RouteDecision},
     event::{
-        AnswerMode, Arrival, ArrivalTarget, AttemptFault, AttemptOutcome, AttemptReport, Event,
-        TokenUsage,
+        AnswerMode, Arrival, ArrivalHop, ArrivalTarget, AttemptFault, AttemptOutcome,
+        AttemptReport, Event, TokenUsage,
     },
     operate::{OperatorAnswer, OperatorRequest, PeerStatus, ServerStatus, VmStatus},
     refusal::{Refusal, RefusalCode},
     request::{AttemptRun, AttemptState, RequestPhase, RequestState, RunState, WorkTarget},
+    shutdown::ShutdownStage,
 };
 
 use {
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -6,7 +6,10 @@
 
     pub(super) fn on_arrival(&mut self, now: Millis, arrival: Arrival) {
         let request = arrival.request;
+        let earlier = self.earlier_run(&arrival);
         if let Err(refusal) = self.admit(now, arrival) {
+            let run = refusal.run.max(earlier);
+            let refusal = refusal.with_run(run);
             tracing::info!(
                 request = %self.request_id(request),
                 code = refusal.code.as_str(),
@@ -25,6 +28,9 @@
             self.emit(Command::ListModels { request: arrival.request, models });
             return Ok(());
         }
+        if arrival.target == ArrivalTarget::Ticket {
+            return self.issue_ticket(now, arrival.request, &team);
+        }
         let session = self.session_choice(now, &document, &team, &arrival)?;
         let profile = Self::profile(now, &document, &arrival, team, subscriber);
         let plan = self.plan(now, &document, &arrival, &profile, session.as_ref())?;
@@ -33,7 +39,7 @@
         {
             return Ok(());
         }
-        self.enqueue(now, &document, arrival, profile, plan, session)
+        self.gate(now, &document, arrival, profile, plan, session)
     }
 
     /// Goes on with a request whose session has got its version.
@@ -54,11 +60,11 @@
         let (team, subscriber) = self.identify(&arrival)?;
         let profile = Self::profile(now, &document, &arrival, team, subscriber);
         let plan = self.plan(now, &document, &arrival, &profile, Some(&session))?;
-        self.enqueue(now, &document, arrival, profile, plan, Some(session))
+        self.gate(now, &document, arrival, profile, plan, Some(session))
     }
 
     fn serving_document(&self) -> Result<Arc<ConfigurationDocument>, Refusal> {
-        if self.stopping {
+        if !self.shutdown.takes_work() {
             let message = "This entry VM is shutting down; send the request again.";
             return Err(Refusal::not_run(RefusalCode::Unavailable, message));
         }
@@ -126,7 +132,7 @@
                 self.plan_model(now, document, selector, profile, kept)
             }
             ArrivalTarget::Service(name) => Self::plan_service(document, name, profile),
-            ArrivalTarget::ModelList => unreachable!("a list of models needs no plan"),
+            ArrivalTarget::ModelList | ArrivalTarget::Ticket => unreachable!("it needs no plan"),
         }
     }
 
@@ -210,7 +216,7 @@
         PassedOver { candidate: candidate.to_string().into(), reason: reason.into() }
     }
 
-    fn enqueue(
+    pub(super) fn enqueue(
         &mut self,
         now: Millis,
         document: &ConfigurationDocument,
--- a/src/control/attempt.rs
+++ b/src/control/attempt.rs
@@ -54,6 +54,7 @@
                 Some(fault)
             }
         };
+        self.note_attempt_end(now, request, attempt);
         let blame = fault.filter(|fault| *fault != AttemptFault::Cancelled);
         self.servers.ended(now, &server, class, blame);
         match fault {
@@ -113,6 +114,7 @@
 
     /// Gives the caller its final answer and cancels what still runs.
     pub(super) fn refuse(&mut self, _now: Millis, request: RequestNumber, refusal: Refusal) {
+        let refusal = self.with_earlier_run(request, refusal);
         let id = self.request_id(request);
         tracing::info!(
             request = %id,
@@ -127,6 +129,12 @@
 
     pub(super) fn on_caller_gone(&mut self, _now: Millis, request: RequestNumber) {
         self.session_waits.remove(request);
+        self.claims.forwards.remove(&request);
+        self.forget_gated(request);
+        let running = self.requests.get(&request).is_some_and(RequestState::is_running);
+        if running && self.claims.table.key_of(request).is_some() {
+            return;
+        }
         self.unqueue(request);
         self.cancel_attempts(request);
     }
@@ -152,8 +160,9 @@
     fn finish(&mut self, request: RequestNumber) {
         let running = self.requests.get(&request).is_some_and(RequestState::is_running);
         if !running {
-            self.requests.remove(&request);
-            self.stop_if_idle();
+            let Some(state) = self.requests.remove(&request) else { return };
+            self.close_bill(&state);
+            self.end_once(request, state.run());
         }
     }
 }
--- /dev/null
+++ b/src/control/bills.rs
@@ -0,0 +1,279 @@
+//! Bills: opened before a request starts, closed when it has ended.
+
+use super::*;
+
+/// The state of bills.
+#[derive(Debug, Default)]
+pub(super) struct BillingState {
+    pub(super) ledger: BillLedger,
+    append: Option<AppendId>,
+    review_at: Millis,
+}
+
+impl Control {
+    /// How long a request waits for a peer to keep a copy of its bill.
+    const COPY_WAIT_MS: u64 = 50;
+    /// How long it then waits for the log to take its open bill.
+    const LIST_WAIT_MS: u64 = 200;
+    const BILL_REVIEW_MS: u64 = 1_000;
+
+    /// Opens the bill of a request and lets it go on once a peer keeps a copy.
+    pub(super) fn gate_bill(&mut self, now: Millis, mut gated: GatedArrival) {
+        let request = gated.arrival.request;
+        if self.bills.ledger.is_full() {
+            self.end_once(request, RunState::NotRun);
+            let message = "Bills wait for the platform's log and no more fit; send it later.";
+            let run = if self.holds_key(&gated.arrival) {
+                RunState::NotRun
+            } else {
+                self.earlier_run(&gated.arrival)
+            };
+            let refusal = Refusal::not_run(RefusalCode::Unavailable, message).with_run(run);
+            self.refuse_gated(request, refusal.with_retry_after(Self::retry_after(request)));
+            return;
+        }
+        let keepers = self.bill_keepers();
+        let record = self.open_record(now, &gated);
+        let unheard = keepers.is_empty();
+        self.bills.ledger.open(record, keepers);
+        if self.peers.iter().next().is_none() {
+            self.leave_gate(now, gated);
+            return;
+        }
+        if unheard {
+            self.bills.ledger.list(request);
+            gated.stage = GateStage::Listing(now + Millis(Self::LIST_WAIT_MS));
+        } else {
+            gated.stage = GateStage::Copying(now + Millis(Self::COPY_WAIT_MS));
+        }
+        self.claims.gated.insert(request, gated);
+        self.pump_bills(now);
+    }
+
+    fn open_record(&self, now: Millis, gated: &GatedArrival) -> BillRecord {
+        let step = &gated.plan.steps[0];
+        BillRecord {
+            key: self.bill_key(&gated.arrival, &gated.profile.team),
+            request: self.request_id(gated.arrival.request),
+            team: gated.profile.team.clone(),
+            subscriber: gated.profile.subscriber.clone(),
+            opened: self.unix(now),
+            stage: BillStage::Open { target: step.target.clone(), estimate: step.expected_cost },
+        }
+    }
+
+    fn bill_key(&self, arrival: &Arrival, team: &TeamId) -> BillKey {
+        let by_request = || BillKey::of_request(&self.request_id(arrival.request));
+        match self.claims.table.key_of(arrival.request) {
+            Some(OnceKey::Claim(key)) => return BillKey::of_claim(key),
+            Some(OnceKey::Ticket(number)) => {
+                return BillKey::of_ticket(&self.name(), number);
+            }
+            None => {}
+        }
+        if self.earlier_run(arrival) == RunState::NotRun {
+            return by_request();
+        }
+        let key = arrival.idempotency_key.as_ref().and_then(|text| text.parse().ok());
+        match key {
+            Some(IdempotencyKey::Own(uuid)) => BillKey::of_claim(ClaimKey::new(team, uuid)),
+            _ => by_request(),
+        }
+    }
+
+    /// Returns two peers that keep copies: one in this data centre and one in another, if in
+    /// reach.
+    fn bill_keepers(&self) -> Vec<VmId> {
+        let own = self.identity.vm.as_str();
+        let peers: Vec<&PeerState> = self.peers.iter().filter(|peer| peer.may_serve()).collect();
+        let is_near = |peer: &&&PeerState| peer.data_centre == self.identity.data_centre;
+        let (near, far): (Vec<&PeerState>, Vec<&PeerState>) =
+            peers.iter().partition(|peer| is_near(peer));
+        let first =
+            |peers: &[&PeerState]| first_vm(own, peers.iter().map(|peer| &peer.vm)).cloned();
+        let mut keepers: Vec<VmId> = first(&near).into_iter().chain(first(&far)).collect();
+        for vm in rank_vms(own, peers.iter().map(|peer| &peer.vm)) {
+            if keepers.len() < 2 && !keepers.contains(&vm) {
+                keepers.push(vm);
+            }
+        }
+        keepers
+    }
+
+    /// Closes the bill of a request that has ended.
+    pub(super) fn close_bill(&mut self, state: &RequestState) {
+        let request = state.arrival.request;
+        let Some(open) = self.bills.ledger.get(request).map(|bill| bill.stage.clone()) else {
+            return;
+        };
+        let end = match state.run() {
+            RunState::NotRun => BillStage::Void,
+            run if Self::is_unsettled(state, run) => open,
+            _ => self.final_stage(state),
+        };
+        self.bills.ledger.close(request, end);
+    }
+
+    /// Returns whether nobody knows how far a call of a service got.
+    fn is_unsettled(state: &RequestState, run: RunState) -> bool {
+        let whole = state.attempts.iter().any(|attempt| attempt.run == AttemptRun::Whole);
+        let service = matches!(state.target(), WorkTarget::Service(_));
+        service && !whole && run != RunState::NotRun
+    }
+
+    fn final_stage(&self, state: &RequestState) -> BillStage {
+        let parts: Vec<BillPart> =
+            state.attempts.iter().map(|attempt| self.bill_part(state, attempt)).collect();
+        let charged = parts.iter().filter(|part| part.charge == PartCharge::Charged);
+        let cost = charged.fold(Cost(0.0), |sum, part| sum + part.cost);
+        BillStage::Final { cost, parts }
+    }
+
+    fn bill_part(&self, state: &RequestState, attempt: &AttemptState) -> BillPart {
+        let reported = match attempt.outcome {
+            Some(AttemptOutcome::Whole { usage, .. }) => usage,
+            _ => TokenUsage { prompt: Tokens(0), output: attempt.output_tokens },
+        };
+        let produced = attempt.run == AttemptRun::Whole || reported.output.0 > 0;
+        let prompt = match reported.prompt {
+            Tokens(0) if produced => state.profile.prompt_tokens,
+            tokens => tokens,
+        };
+        let usage = TokenUsage { prompt, output: reported.output };
+        let released = state.released == Some(attempt.id);
+        let charged = attempt.run == AttemptRun::Whole || (released && produced);
+        BillPart {
+            attempt: attempt.id,
+            target: attempt.target.clone(),
+            server: attempt.server.clone(),
+            run: attempt.run.run(),
+            usage,
+            cost: self.part_cost(&attempt.target, usage, produced),
+            charge: if charged { PartCharge::Charged } else { PartCharge::Free },
+        }
+    }
+
+    fn part_cost(&self, target: &WorkTarget, usage: TokenUsage, produced: bool) -> Cost {
+        let Some(document) = self.configuration.document().filter(|_| produced) else {
+            return Cost(0.0);
+        };
+        match target {
+            WorkTarget::Service(id) => {
+                document.services.get(id).map_or(Cost(0.0), |entry| entry.cost_per_call)
+            }
+            WorkTarget::Version(id) => document.version(id).map_or(Cost(0.0), |entry| {
+                let prompt = usage.prompt.0 as f64 * entry.cost_per_million_prompt_tokens.0;
+                let output = usage.output.0 as f64 * entry.cost_per_million_output_tokens.0;
+                Cost((prompt + output) / 1e6)
+            }),
+        }
+    }
+
+    /// Takes in a message about bills.
+    pub(super) fn on_bill_message(&mut self, now: Millis, from: &PeerName, message: &BillMessage) {
+        let reply = self.bills.ledger.on_message(from, message);
+        self.act_on_bills(reply);
+        if let BillMessage::Kept { open, .. } = message {
+            for request in open {
+                self.leave_copying(now, *request);
+            }
+        }
+    }
+
+    fn leave_copying(&mut self, now: Millis, request: RequestNumber) {
+        let copying = |gated: &GatedArrival| {
+            matches!(gated.stage, GateStage::Copying(_) | GateStage::Listing(_))
+        };
+        if self.claims.gated.get(&request).is_some_and(copying)
+            && let Some(gated) = self.claims.gated.remove(&request)
+        {
+            self.leave_gate(now, gated);
+        }
+    }
+
+    /// Takes in the answer to an append of bills; returns whether it was one.
+    pub(super) fn on_bills_appended(
+        &mut self,
+        now: Millis,
+        append: AppendId,
+        result: &Result<Offset, PlatformError>,
+    ) -> bool {
+        if self.bills.append != Some(append) {
+            return false;
+        }
+        self.bills.append = None;
+        let actions = self.bills.ledger.on_appended(now, result);
+        self.act_on_bills(actions);
+        let listing = |gated: &GatedArrival| matches!(gated.stage, GateStage::Listing(_));
+        let listed = self.claims.gated.iter().filter(|(_, gated)| listing(gated));
+        let listed = listed.map(|(request, _)| *request);
+        let listed: Vec<RequestNumber> =
+            listed.filter(|request| self.bills.ledger.is_kept(*request)).collect();
+        for request in listed {
+            self.leave_copying(now, request);
+        }
+        true
+    }
+
+    /// Sends and appends what is due, and adopts the bills of peers that have vanished.
+    pub(super) fn pump_bills(&mut self, now: Millis) {
+        if self.bills.review_at <= now {
+            self.bills.review_at = now + Millis(Self::BILL_REVIEW_MS);
+            self.review_bills();
+        }
+        let vms = self.peers.iter().count() + 1;
+        let actions = self.bills.ledger.pump(now, vms);
+        self.act_on_bills(actions);
+        self.end_bill_waits(now);
+    }
+
+    /// Goes on with requests whose bill no peer keeps in time: first to the log, then without.
+    fn end_bill_waits(&mut self, now: Millis) {
+        let (mut uncopied, mut unlisted) = (Vec::new(), Vec::new());
+        for (request, gated) in &mut self.claims.gated {
+            match gated.stage {
+                GateStage::Copying(until) if until <= now => {
+                    gated.stage = GateStage::Listing(now + Millis(Self::LIST_WAIT_MS));
+                    uncopied.push(*request);
+                }
+                GateStage::Listing(until) if until <= now => unlisted.push(*request),
+                _ => {}
+            }
+        }
+        for request in uncopied {
+            self.bills.ledger.list(request);
+        }
+        for request in unlisted {
+            tracing::warn!(request = %self.request_id(request), "nobody else has the bill");
+            self.leave_copying(now, request);
+        }
+    }
+
+    fn review_bills(&mut self) {
+        let peers = &self.peers;
+        self.bills.ledger.adopt(|origin| {
+            peers.get(&origin.vm).is_none_or(|peer| {
+                let replaced = peer.incarnation.is_some_and(|known| known > origin.incarnation);
+                replaced || !peer.is_in_reach()
+            })
+        });
+        let reach = self.peers.iter().filter(|peer| peer.is_in_reach());
+        let reach: BTreeSet<VmId> = reach.map(|peer| peer.vm.clone()).collect();
+        let fresh = self.bill_keepers();
+        self.bills.ledger.replace_keepers(&reach, &fresh);
+    }
+
+    fn act_on_bills(&mut self, actions: impl IntoIterator<Item = BillAction>) {
+        for action in actions {
+            match action {
+                BillAction::Send(to, message) => self.send(&to, PeerMessage::Bill(message)),
+                BillAction::Append(record) => {
+                    let append = self.next_append();
+                    self.bills.append = Some(append);
+                    let stream = self.streams.bills.clone();
+                    self.emit(Command::Append { append, stream, records: vec![record] });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/claims.rs
@@ -0,0 +1,447 @@
+//! Callers' own keys: claims, their verdicts and the gatherers of the streams.
+
+use super::*;
+
+/// The state of tickets and claims.
+#[derive(Debug, Default)]
+pub(super) struct ClaimState {
+    pub(super) table: OnceTable,
+    pub(super) gated: BTreeMap<RequestNumber, GatedArrival>,
+    pub(super) gatherers: BTreeMap<ClaimStream, ClaimGatherer>,
+    pub(super) appends: BTreeMap<AppendId, ClaimStream>,
+    pub(super) releases: BTreeMap<ClaimAttempt, (ClaimKey, Millis)>,
+    pub(super) forwards: BTreeSet<RequestNumber>,
+    pub(super) tickets: u64,
+    attempts: u64,
+    review_at: Millis,
+}
+
+impl Control {
+    const ASK_REPEAT_MS: u64 = 200;
+    const CLAIM_REVIEW_MS: u64 = 1_000;
+
+    /// Lets a request that may not be repeated run, join an earlier one, or hear its end.
+    pub(super) fn gate_once(&mut self, now: Millis, gated: GatedArrival) -> Result<(), Refusal> {
+        let Some(text) = gated.arrival.idempotency_key.clone() else {
+            let message = "The service needs an Idempotency-Key: a ticket of POST \
+                           /guavapass/v1/tickets or a UUID of version 7.";
+            return Err(Refusal::not_run(RefusalCode::BadRequest, message));
+        };
+        match text.parse() {
+            Ok(IdempotencyKey::Ticket(ticket)) => self.gate_ticket(now, gated, &ticket),
+            Ok(IdempotencyKey::Own(uuid)) => {
+                let key = ClaimKey::new(&gated.profile.team, uuid);
+                self.gate_claim(now, gated, key)
+            }
+            Err(error) => Err(Refusal::not_run(RefusalCode::BadRequest, error.to_string())),
+        }
+    }
+
+    fn gate_claim(
+        &mut self,
+        now: Millis,
+        gated: GatedArrival,
+        key: ClaimKey,
+    ) -> Result<(), Refusal> {
+        if self.claims.table.get(OnceKey::Claim(key)).is_some() {
+            self.join(now, gated, OnceKey::Claim(key));
+            return Ok(());
+        }
+        self.check_window(now, key)?;
+        let attempt = self.next_claim();
+        let request = gated.arrival.request;
+        let entry = OnceEntry {
+            request,
+            fingerprint: gated.arrival.fingerprint,
+            stage: OnceStage::Claiming { attempt, asked: now },
+            waiters: Vec::new(),
+            expires: now + Millis(KeyWindow::LENGTH_MS + 2 * KeyWindow::SKEW_MS),
+        };
+        let fingerprint = entry.fingerprint;
+        self.claims.table.insert(OnceKey::Claim(key), entry);
+        self.claims.gated.insert(request, gated);
+        self.ask_claim(now, key, attempt, fingerprint);
+        Ok(())
+    }
+
+    fn check_window(&self, now: Millis, key: ClaimKey) -> Result<(), Refusal> {
+        if self.cluster.wall_clock.1 == Millis(0) {
+            let message = "This entry VM does not know the time yet; send the request again.";
+            let refusal = Refusal::not_run(RefusalCode::Unavailable, message);
+            return Err(refusal.with_run(RunState::Unknown));
+        }
+        if KeyWindow::at(self.unix(now)).contains(key) {
+            return Ok(());
+        }
+        let message = "The time in the Idempotency-Key is too far from now to tell whether it was \
+                       used before; make a new key for a request that was never sent.";
+        let run = self.known_run(&BillKey::of_claim(key));
+        Err(Refusal::not_run(RefusalCode::Unprocessable, message).with_run(run))
+    }
+
+    /// Returns what is known about a run whose VM cannot be asked.
+    pub(super) fn known_run(&self, key: &BillKey) -> RunState {
+        if self.bills.ledger.has_final(key) { RunState::Ran } else { RunState::Unknown }
+    }
+
+    const fn next_claim(&mut self) -> ClaimAttempt {
+        self.claims.attempts += 1;
+        ClaimAttempt(self.claims.attempts)
+    }
+
+    /// Adds a later request with a key to the first one.
+    pub(super) fn join(&mut self, now: Millis, mut gated: GatedArrival, key: OnceKey) {
+        let request = gated.arrival.request;
+        let Some(entry) = self.claims.table.get_mut(key) else { return };
+        if entry.fingerprint != gated.arrival.fingerprint {
+            self.refuse_gated(request, Self::reused_key());
+            return;
+        }
+        let (first, stage) = (entry.request, entry.stage.clone());
+        if let OnceStage::Ended { run } = stage {
+            self.replay(request, first, run);
+            return;
+        }
+        entry.waiters.push(request);
+        gated.stage = GateStage::Joined(key);
+        tracing::info!(
+            request = %self.request_id(request),
+            first = %self.request_id(first),
+            waited_ms = now.since(gated.profile.arrived).0,
+            "joined"
+        );
+        self.claims.gated.insert(request, gated);
+    }
+
+    /// The key stands for another request, so that this one has certainly not run.
+    fn reused_key() -> Refusal {
+        let message = "The Idempotency-Key was used for another request; make a new key.";
+        Refusal::not_run(RefusalCode::Unprocessable, message)
+    }
+
+    fn replay(&mut self, request: RequestNumber, first: RequestNumber, run: RunState) {
+        self.claims.gated.remove(&request);
+        let message = "An earlier request with this Idempotency-Key has ended, and its answer is \
+                       no longer kept.";
+        let otherwise = Refusal::not_run(RefusalCode::Conflict, message).with_run(run);
+        self.emit(Command::Replay { request, first, otherwise });
+    }
+
+    fn claim_name(&self, attempt: ClaimAttempt) -> ClaimName {
+        ClaimName { claimant: self.name(), attempt }
+    }
+
+    fn ask_claim(&mut self, now: Millis, key: ClaimKey, attempt: ClaimAttempt, fingerprint: u64) {
+        let name = self.claim_name(attempt);
+        self.ask(now, vec![ClaimEntry::Claim { key, name, fingerprint }]);
+    }
+
+    /// Gives up a claim for good; from here on this VM will not send for it.
+    fn release_claim(&mut self, key: ClaimKey, attempt: ClaimAttempt) {
+        self.claims.releases.insert(attempt, (key, Millis(0)));
+    }
+
+    /// Sends entries of one stream to its gatherer.
+    fn ask(&mut self, now: Millis, entries: Vec<ClaimEntry>) {
+        let Some(first) = entries.first() else { return };
+        let stream = first.key().stream();
+        let gatherer = self.gatherer(stream, 0);
+        if gatherer.as_ref() == Some(&self.identity.vm) {
+            let own = self.identity.vm.clone();
+            self.gather(now, &own, entries);
+        } else if let Some(gatherer) = gatherer {
+            self.send(&gatherer, PeerMessage::Claim(ClaimMessage::Ask(entries)));
+        }
+    }
+
+    /// Returns the VM of a rank among those in reach that could gather a stream.
+    fn gatherer(&self, stream: ClaimStream, rank: usize) -> Option<VmId> {
+        let peers = self.peers.iter().filter(|peer| peer.may_serve()).map(|peer| &peer.vm);
+        let own = self.shutdown.is_serving().then_some(&self.identity.vm);
+        let ranked = rank_vms(stream.id().as_str(), peers.chain(own));
+        if ranked.is_empty() {
+            return Some(self.identity.vm.clone());
+        }
+        ranked.into_iter().nth(rank)
+    }
+
+    fn gather(&mut self, now: Millis, from: &VmId, entries: Vec<ClaimEntry>) {
+        let Some(first) = entries.first() else { return };
+        let stream = first.key().stream();
+        let unix = self.unix(now);
+        let gatherer = self.claims.gatherers.entry(stream).or_default();
+        let mut actions = Vec::new();
+        for entry in entries {
+            actions.extend(gatherer.ask(now, from, entry));
+        }
+        actions.extend(gatherer.pump(now, unix));
+        self.act(now, stream, actions);
+    }
+
+    fn act(&mut self, now: Millis, stream: ClaimStream, actions: Vec<GathererAction>) {
+        for action in actions {
+            match action {
+                GathererAction::Append(record) => {
+                    let append = self.next_append();
+                    self.claims.appends.insert(append, stream);
+                    let records = vec![record];
+                    self.emit(Command::Append { append, stream: stream.id(), records });
+                }
+                GathererAction::Read(from) => {
+                    let wait = Millis(Self::READ_WAIT_MS);
+                    self.emit(Command::Read { stream: stream.id(), from, wait });
+                }
+                GathererAction::Tell(vm, name, verdict) if vm == self.identity.vm => {
+                    self.on_verdict(now, &name, &verdict);
+                }
+                GathererAction::Tell(vm, name, verdict) => {
+                    let message = ClaimMessage::Verdict { name, verdict };
+                    self.send(&vm, PeerMessage::Claim(message));
+                }
+            }
+        }
+    }
+
+    /// Takes in a message about claims.
+    pub(super) fn on_claim_message(&mut self, now: Millis, from: &PeerName, message: ClaimMessage) {
+        match message {
+            ClaimMessage::Ask(entries) => self.gather(now, &from.vm, entries),
+            ClaimMessage::Verdict { name, verdict } => self.on_verdict(now, &name, &verdict),
+        }
+    }
+
+    /// Takes in the answer to an append of claims; returns whether it was one.
+    pub(super) fn on_claims_appended(
+        &mut self,
+        now: Millis,
+        append: AppendId,
+        result: &Result<Offset, PlatformError>,
+    ) -> bool {
+        let Some(stream) = self.claims.appends.remove(&append) else { return false };
+        let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { return true };
+        let actions = gatherer.on_appended(now, result);
+        self.act(now, stream, actions);
+        true
+    }
+
+    /// Takes in a read of a claims stream; returns whether it was one.
+    pub(super) fn on_claims_read(
+        &mut self,
+        now: Millis,
+        stream: &StreamId,
+        result: &Result<LogPage, PlatformError>,
+    ) -> bool {
+        let Some(stream) = ClaimStream::of_id(stream) else { return false };
+        let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { return true };
+        let actions = gatherer.on_read(now, result);
+        self.act(now, stream, actions);
+        true
+    }
+
+    fn on_verdict(&mut self, now: Millis, name: &ClaimName, verdict: &ClaimVerdict) {
+        if name.claimant != self.name() {
+            return;
+        }
+        if *verdict == ClaimVerdict::Released {
+            self.claims.releases.remove(&name.attempt);
+            return;
+        }
+        let Some(key) = self.claims.table.claimed_by(name.attempt) else { return };
+        let Some(entry) = self.claims.table.get(OnceKey::Claim(key)) else { return };
+        if !matches!(entry.stage, OnceStage::Claiming { .. }) {
+            return;
+        }
+        let request = entry.request;
+        match verdict {
+            ClaimVerdict::Taken => self.on_taken(now, key, name.attempt, request),
+            ClaimVerdict::Held(holder) => self.on_held(now, key, name.attempt, holder),
+            ClaimVerdict::Void => self.claim_again(now, key, name.attempt),
+            ClaimVerdict::Uncovered => {
+                self.release_claim(key, name.attempt);
+                let message = "The log no longer tells whether the Idempotency-Key was used \
+                               before; make a new key for a request that was never sent.";
+                let run = self.known_run(&BillKey::of_claim(key));
+                let refusal = Refusal::not_run(RefusalCode::Unprocessable, message).with_run(run);
+                self.drop_claim(key, &refusal);
+            }
+            ClaimVerdict::Down => {
+                self.release_claim(key, name.attempt);
+                let message = "The platform's log is down, so keys of your own cannot be claimed. \
+                               If this key was never sent before, nothing has run: get a ticket \
+                               from POST /guavapass/v1/tickets. Else send it again later.";
+                let refusal = Refusal::not_run(RefusalCode::Unavailable, message)
+                    .with_run(self.known_run(&BillKey::of_claim(key)))
+                    .with_retry_after(Self::retry_after(request));
+                self.drop_claim(key, &refusal);
+            }
+            ClaimVerdict::Released => {}
+        }
+    }
+
+    fn on_taken(
+        &mut self,
+        now: Millis,
+        key: ClaimKey,
+        attempt: ClaimAttempt,
+        request: RequestNumber,
+    ) {
+        if let Err(refusal) = self.check_window(now, key) {
+            self.release_claim(key, attempt);
+            self.drop_claim(key, &refusal);
+            return;
+        }
+        let Some(entry) = self.claims.table.get_mut(OnceKey::Claim(key)) else { return };
+        entry.stage = OnceStage::Held { attempt: Some(attempt) };
+        let Some(gated) = self.claims.gated.remove(&request) else {
+            self.end_once(request, RunState::NotRun);
+            return;
+        };
+        self.gate_bill(now, gated);
+    }
+
+    fn on_held(&mut self, now: Millis, key: ClaimKey, attempt: ClaimAttempt, holder: &ClaimHolder) {
+        let Some(entry) = self.claims.table.get(OnceKey::Claim(key)) else { return };
+        let fingerprint = entry.fingerprint;
+        if holder.name.claimant == self.name() {
+            self.release_claim(key, holder.name.attempt);
+            self.claim_again(now, key, attempt);
+            return;
+        }
+        if holder.fingerprint != fingerprint {
+            self.drop_claim(key, &Self::reused_key());
+            return;
+        }
+        let Some(entry) = self.claims.table.remove(OnceKey::Claim(key)) else { return };
+        let run = self.known_run(&BillKey::of_claim(key));
+        let holder = holder.name.claimant.clone();
+        for request in std::iter::once(entry.request).chain(entry.waiters) {
+            self.pass_on(request, &holder, run);
+        }
+    }
+
+    /// Has the VM that a key belongs to answer a request, if it can be asked.
+    pub(super) fn pass_on(&mut self, request: RequestNumber, owner: &PeerName, run: RunState) {
+        let Some(gated) = self.claims.gated.remove(&request) else { return };
+        let message = "The entry VM that the Idempotency-Key belongs to cannot be asked.";
+        let otherwise = Refusal::not_run(RefusalCode::Conflict, message).with_run(run);
+        let address = self.peers.get(&owner.vm).and_then(|peer| {
+            let same = peer.incarnation.is_none_or(|known| known == owner.incarnation);
+            same.then_some(peer.address)
+        });
+        match address {
+            Some(address) if gated.arrival.hop == ArrivalHop::Caller => {
+                self.claims.forwards.insert(request);
+                self.emit(Command::Forward { request, address, otherwise });
+            }
+            _ => self.refuse_gated(request, otherwise),
+        }
+    }
+
+    /// Claims a key under a new attempt, after a pause.
+    fn claim_again(&mut self, now: Millis, key: ClaimKey, _old: ClaimAttempt) {
+        let attempt = self.next_claim();
+        let Some(mut entry) = self.claims.table.remove(OnceKey::Claim(key)) else { return };
+        entry.stage = OnceStage::Claiming { attempt, asked: now };
+        self.claims.table.insert(OnceKey::Claim(key), entry);
+    }
+
+    /// Ends a claim that did not take its key, with an answer for all who wait for it.
+    fn drop_claim(&mut self, key: ClaimKey, refusal: &Refusal) {
+        let Some(entry) = self.claims.table.remove(OnceKey::Claim(key)) else { return };
+        for request in std::iter::once(entry.request).chain(entry.waiters) {
+            self.refuse_gated(request, refusal.clone());
+        }
+    }
+
+    /// Gives up the claim of a request that no longer wants to run.
+    pub(super) fn withdraw_claim(&mut self, request: RequestNumber) {
+        let Some(OnceKey::Claim(key)) = self.claims.table.key_of(request) else { return };
+        let Some(entry) = self.claims.table.get(OnceKey::Claim(key)) else { return };
+        if let OnceStage::Claiming { attempt, .. } = entry.stage {
+            self.release_claim(key, attempt);
+        }
+        let message = "The first request with this Idempotency-Key was given up; send it again.";
+        let refusal = Refusal::not_run(RefusalCode::Unavailable, message);
+        let refusal = refusal.with_run(RunState::Unknown);
+        let Some(entry) = self.claims.table.remove(OnceKey::Claim(key)) else { return };
+        for waiter in entry.waiters {
+            self.refuse_gated(waiter, refusal.clone());
+        }
+    }
+
+    /// Takes in the end of a request: its key is spent, or free again if it has not run.
+    pub(super) fn end_once(&mut self, request: RequestNumber, run: RunState) {
+        let Some(key) = self.claims.table.key_of(request) else { return };
+        let Some(entry) = self.claims.table.get_mut(key) else { return };
+        let waiters = std::mem::take(&mut entry.waiters);
+        if run != RunState::NotRun {
+            entry.stage = OnceStage::Ended { run };
+            for waiter in waiters {
+                self.replay(waiter, request, run);
+            }
+            return;
+        }
+        let Some(entry) = self.claims.table.remove(key) else { return };
+        if let (OnceKey::Claim(key), OnceStage::Held { attempt: Some(attempt) }) =
+            (key, entry.stage)
+        {
+            self.release_claim(key, attempt);
+        }
+        let message = "The first request with this Idempotency-Key did not run; send it again.";
+        for waiter in waiters {
+            let refusal = Refusal::not_run(RefusalCode::Unavailable, message);
+            self.refuse_gated(waiter, refusal.with_retry_after(Self::retry_after(waiter)));
+        }
+    }
+
+    /// Sends again what is due and lets the gatherers work.
+    pub(super) fn pump_claims(&mut self, now: Millis) {
+        self.repeat_asks(now);
+        if self.claims.review_at <= now {
+            self.claims.review_at = now + Millis(Self::CLAIM_REVIEW_MS);
+            self.claims.table.prune(now);
+            for stream in ClaimStream::all() {
+                let ranks = [0, 1].map(|rank| self.gatherer(stream, rank));
+                if ranks.contains(&Some(self.identity.vm.clone())) {
+                    self.claims.gatherers.entry(stream).or_default().start(now);
+                }
+            }
+        }
+        let unix = self.unix(now);
+        let streams: Vec<ClaimStream> = self.claims.gatherers.keys().copied().collect();
+        for stream in streams {
+            let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { continue };
+            let actions = gatherer.pump(now, unix);
+            self.act(now, stream, actions);
+        }
+    }
+
+    fn repeat_asks(&mut self, now: Millis) {
+        for (key, entry) in self.claims.table.claiming() {
+            let OnceStage::Claiming { attempt, asked } = entry.stage else { continue };
+            if now.since(asked) < Millis(Self::ASK_REPEAT_MS) {
+                continue;
+            }
+            if let Some(entry) = self.claims.table.get_mut(OnceKey::Claim(key)) {
+                entry.stage = OnceStage::Claiming { attempt, asked: now };
+            }
+            self.ask_claim(now, key, attempt, entry.fingerprint);
+        }
+        let due =
+            |asked: Millis| asked == Millis(0) || now.since(asked) >= Millis(Self::ASK_REPEAT_MS);
+        let releases = self.claims.releases.iter().filter(|(_, (_, asked))| due(*asked));
+        let releases: Vec<(ClaimAttempt, ClaimKey)> =
+            releases.map(|(attempt, (key, _))| (*attempt, *key)).collect();
+        for (attempt, key) in releases {
+            self.claims.releases.insert(attempt, (key, now));
+            let name = self.claim_name(attempt);
+            self.ask(now, vec![ClaimEntry::Release { key, name }]);
+        }
+    }
+
+    /// Returns whether no claim or release of this VM or its peers is under way here.
+    pub(super) fn claims_are_idle(&self) -> bool {
+        self.claims.releases.is_empty()
+            && self.claims.gatherers.values().all(ClaimGatherer::is_idle)
+    }
+}
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -33,6 +33,31 @@
         /// The models and versions that the team may use.
         models: Vec<SmolStr>,
     },
+    /// Answer with a ticket.
+    IssueTicket {
+        /// The request.
+        request: RequestNumber,
+        /// The ticket.
+        ticket: SmolStr,
+    },
+    /// Answer with the kept answer of an earlier request.
+    Replay {
+        /// The request.
+        request: RequestNumber,
+        /// The earlier request.
+        first: RequestNumber,
+        /// The answer if that one is no longer kept.
+        otherwise: Refusal,
+    },
+    /// Have another entry VM answer the request.
+    Forward {
+        /// The request.
+        request: RequestNumber,
+        /// The address of that VM's listener for peers.
+        address: SocketAddr,
+        /// The answer if that VM cannot be asked.
+        otherwise: Refusal,
+    },
     /// Append records to a stream of the log.
     Append {
         /// The append, repeated in its answer.
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct StreamNames {
     pub(super) configuration: StreamId,
+    pub(super) bills: StreamId,
 }
 
 /// Owns all control state of an entry VM.
@@ -37,7 +38,11 @@
     pub(super) read_again: Option<Millis>,
     pub(super) list_again: Option<Millis>,
     pub(super) load_again: Millis,
-    pub(super) stopping: bool,
+    pub(super) claims: ClaimState,
+    pub(super) bills: BillingState,
+    pub(super) suspects: SuspectTable,
+    pub(super) shutdown: ShutdownStage,
+    pub(super) balancer_lag: Millis,
     appends: u64,
     commands: Vec<Command>,
 }
@@ -53,9 +58,10 @@
     #[must_use]
     pub fn new(identity: VmIdentity, policy: Box<dyn RoutingPolicy>) -> Self {
         let configuration = "configuration".parse().expect("the stream name is valid");
+        let bills = "bills".parse().expect("the stream name is valid");
         Self {
             identity,
-            streams: StreamNames { configuration },
+            streams: StreamNames { configuration, bills },
             configuration: ConfigurationFold::default(),
             keys: KeyIndex::default(),
             policy,
@@ -72,12 +78,21 @@
             read_again: Some(Millis(0)),
             list_again: Some(Millis(0)),
             load_again: Millis(0),
-            stopping: false,
+            claims: ClaimState::default(),
+            bills: BillingState::default(),
+            suspects: SuspectTable::default(),
+            shutdown: ShutdownStage::default(),
+            balancer_lag: Millis(0),
             appends: 0,
             commands: Vec::new(),
         }
     }
 
+    /// Sets how long work is still taken after the order to end.
+    pub const fn set_balancer_lag(&mut self, lag: Millis) {
+        self.balancer_lag = lag;
+    }
+
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Command> {
         match event {
@@ -98,7 +113,10 @@
             Event::FromPeer { from, message } => self.on_peer(now, &from, message),
             Event::Unsent { to } => self.on_unsent(now, &to),
             Event::WallClock { unix } => self.set_wall_clock(now, unix),
-            Event::Shutdown => self.on_shutdown(),
+            Event::Forwarded { request } => {
+                self.claims.forwards.remove(&request);
+            }
+            Event::Shutdown => self.on_shutdown(now),
         }
         std::mem::take(&mut self.commands)
     }
@@ -106,7 +124,7 @@
     /// Returns whether the VM takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.stopping && self.configuration.document().is_some()
+        self.shutdown.is_serving() && self.configuration.document().is_some()
     }
 
     pub(super) fn emit(&mut self, command: Command) {
@@ -134,17 +152,11 @@
             self.read_loads();
         }
         self.shed_expired(now);
+        self.shed_gated(now);
+        self.pump_claims(now);
+        self.pump_bills(now);
+        self.send_suspects(now);
         self.dispatch_all(now);
-    }
-
-    fn on_shutdown(&mut self) {
-        self.stopping = true;
-        self.stop_if_idle();
-    }
-
-    pub(super) fn stop_if_idle(&mut self) {
-        if self.stopping && self.requests.is_empty() && self.session_waits.is_empty() {
-            self.emit(Command::Stop);
-        }
+        self.advance_shutdown(now);
     }
 }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -7,6 +7,8 @@
     May(Box<StartPlace>),
     /// Not now: no server has room.
     NotNow,
+    /// Not now: it has to run alone, and others go first.
+    Aside,
     /// Never: it is refused.
     Never(Refusal),
 }
@@ -30,12 +32,15 @@
     pub(super) fn dispatch(&mut self, now: Millis, pool: &PoolId) {
         let Some(document) = self.configuration.document().cloned() else { return };
         let mut blocked: Vec<SizeClass> = Vec::new();
+        let mut aside: Vec<QueueEntry> = Vec::new();
         loop {
             let Some(queue) = self.queues.get_mut(pool) else { return };
-            let Some(entry) = queue.pop(|class| !blocked.contains(&class)) else { return };
+            let Some(entry) = queue.pop(|class| !blocked.contains(&class)) else { break };
+            self.reserve_for_suspect(now, &document, entry.request);
             match self.may_start(now, &document, entry.request) {
                 StartCheck::May(place) => self.start(now, &document, entry.request, *place),
                 StartCheck::Never(refusal) => self.refuse(now, entry.request, refusal),
+                StartCheck::Aside => aside.push(entry),
                 StartCheck::NotNow => {
                     blocked.push(entry.class);
                     if let Some(queue) = self.queues.get_mut(pool) {
@@ -44,6 +49,9 @@
                 }
             }
         }
+        if let Some(queue) = self.queues.get_mut(pool) {
+            aside.into_iter().rev().for_each(|entry| queue.push_front(entry));
+        }
     }
 
     /// Decides whether a request may start here now. Every attempt passes through this check.
@@ -62,10 +70,17 @@
         }
         let step = &state.plan.steps[state.step];
         let Some(pool) = document.pools.get(&step.pool) else { return StartCheck::NotNow };
-        let tried: Vec<ServerId> =
-            state.attempts.iter().map(|attempt| attempt.server.clone()).collect();
+        let standing = self.suspects.standing(now, state.arrival.fingerprint);
+        if standing == SuspectStanding::Refused {
+            return StartCheck::Never(Self::suspect_refusal(request).with_run(state.run()));
+        }
+        let avoid = self.servers_to_avoid(request, state);
         let (server, passed_over) =
-            self.servers.choose(now, &step.pool, pool, state.profile.class, &tried);
+            self.servers.choose(now, &step.pool, pool, state.profile.class, &avoid);
+        let busy = server.is_none_or(|server| server.in_flight() > 0);
+        if standing == SuspectStanding::Alone && busy {
+            return StartCheck::Aside;
+        }
         match server {
             Some(server) => StartCheck::May(Box::new(StartPlace {
                 server: server.id.clone(),
@@ -148,6 +163,7 @@
         };
         let class = state.profile.class;
         let session_moved = state.session.as_ref().and_then(|session| session.end);
+        let fingerprint = state.arrival.fingerprint;
         let session = self.session_token(now, request, &step.target);
         let start = AttemptStart {
             request,
@@ -163,6 +179,9 @@
             session_moved,
         };
         self.servers.started(&place.server, class);
+        if self.suspects.standing(now, fingerprint) == SuspectStanding::Alone {
+            self.suspects.start_alone(now, fingerprint);
+        }
         self.emit(Command::LogRoute(decision));
         self.emit(Command::Start(start));
     }
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -72,6 +72,11 @@
         /// The receiver.
         to: VmId,
     },
+    /// The exchange that had been passed on to another entry VM is over.
+    Forwarded {
+        /// The request.
+        request: RequestNumber,
+    },
     /// The wall clock's time; it may step.
     WallClock {
         /// The time since 1970.
@@ -106,6 +111,18 @@
     pub idempotency_key: Option<SmolStr>,
     /// How long the caller waits; the team's default if none.
     pub deadline: Option<Millis>,
+    /// Where the request comes from.
+    pub hop: ArrivalHop,
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ArrivalHop {
+    /// Its caller.
+    #[default]
+    Caller,
+    /// Another entry VM, which passed it on; it is not passed on again.
+    Peer,
 }
 
 /// What a request asks for.
@@ -117,6 +134,8 @@
     Service(SmolStr),
     /// The list of models that the team may use.
     ModelList,
+    /// A ticket for a request that may not be repeated.
+    Ticket,
 }
 
 /// Whether an answer is streamed.
--- a/src/control/learn.rs
+++ b/src/control/learn.rs
@@ -2,7 +2,7 @@
 
 impl Control {
     const READ_PAUSE_MS: u64 = 500;
-    const READ_WAIT_MS: u64 = 10_000;
+    pub(super) const READ_WAIT_MS: u64 = 10_000;
     /// The time after which a read that has not returned is taken for lost.
     const READ_LOST_MS: u64 = 30_000;
 
@@ -38,6 +38,9 @@
         stream: &StreamId,
         result: Result<LogPage, PlatformError>,
     ) {
+        if self.on_claims_read(now, stream, &result) {
+            return;
+        }
         if *stream != self.streams.configuration {
             return;
         }
@@ -96,6 +99,11 @@
         append: AppendId,
         result: &Result<Offset, PlatformError>,
     ) {
+        if self.on_claims_appended(now, append, result)
+            || self.on_bills_appended(now, append, result)
+        {
+            return;
+        }
         self.on_publication_appended(now, append, result);
     }
 
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -76,7 +76,11 @@
             id: self.identity.vm.clone(),
             address,
             data_centre: self.identity.data_centre.clone(),
-            state: if self.stopping { MemberState::Leaving } else { MemberState::Live },
+            state: if !self.shutdown.is_serving() {
+                MemberState::Leaving
+            } else {
+                MemberState::Live
+            },
         });
         let recent = self.cluster.rumours.iter().rev();
         let recent = recent.filter(|(at, _)| now.since(*at) <= Millis(RUMOUR_MS));
@@ -176,6 +180,13 @@
             PeerMessage::Withdrawals(notices) => self.on_withdrawals(now, notices),
             PeerMessage::Shares(message) => self.on_shares(now, from, message),
             PeerMessage::Pin(message) => self.on_pin(now, from, message),
+            PeerMessage::Claim(message) => self.on_claim_message(now, from, message),
+            PeerMessage::Bill(message) => self.on_bill_message(now, from, &message),
+            PeerMessage::Suspects(notices) => {
+                for notice in &notices {
+                    self.suspects.take(now, notice);
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/src/control/suspects.rs
@@ -0,0 +1,109 @@
+//! Requests that crash their backend servers.
+
+use super::*;
+
+impl Control {
+    pub(super) fn check_suspect(&self, now: Millis, arrival: &Arrival) -> Result<(), Refusal> {
+        match self.suspects.standing(now, arrival.fingerprint) {
+            SuspectStanding::Refused => Err(Self::suspect_refusal(arrival.request)),
+            SuspectStanding::Clear | SuspectStanding::Alone => Ok(()),
+        }
+    }
+
+    pub(super) fn suspect_refusal(request: RequestNumber) -> Refusal {
+        let message = "Backend servers crashed while they ran this request; change it, or ask \
+                       the operators.";
+        Refusal::not_run(RefusalCode::Unprocessable, message)
+            .with_retry_after(Self::retry_after(request))
+    }
+
+    /// Takes in the end of an attempt: a broken one marks its request, a whole one clears it.
+    pub(super) fn note_attempt_end(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        attempt: AttemptId,
+    ) {
+        let id = self.request_id(request);
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(entry) = state.attempts.iter().find(|entry| entry.id == attempt) else { return };
+        let fingerprint = state.arrival.fingerprint;
+        let server = entry.server.clone();
+        match entry.outcome {
+            Some(AttemptOutcome::Whole { .. }) => self.suspects.cleared(now, fingerprint),
+            Some(AttemptOutcome::Failed { fault, .. }) if Self::is_crash(fault, entry.run) => {
+                tracing::warn!(request = %id, %attempt, %server, %fault, "broke in flight");
+                self.suspects.crashed(now, fingerprint, CrashId { request: id, attempt }, &server);
+            }
+            _ => self.suspects.reopen(now, fingerprint, request),
+        }
+        self.suspects.give_back(request);
+    }
+
+    /// Keeps a server free for a suspect that has to run alone.
+    pub(super) fn reserve_for_suspect(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        request: RequestNumber,
+    ) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let fingerprint = state.arrival.fingerprint;
+        if self.suspects.standing(now, fingerprint) != SuspectStanding::Alone {
+            return;
+        }
+        let step = &state.plan.steps[state.step];
+        let Some(pool) = document.pools.get(&step.pool) else { return };
+        let choose = |avoid: &[ServerId]| {
+            let class = state.profile.class;
+            let (server, _) = self.servers.choose(now, &step.pool, pool, class, avoid);
+            server.map(|server| server.id.clone())
+        };
+        let avoid = self.servers_to_avoid(request, state);
+        let in_pool =
+            |id: &ServerId| self.servers.get(id).is_some_and(|server| server.pool == step.pool);
+        if self.suspects.reserved_for(request).is_some() {
+            if choose(&avoid).is_none() {
+                self.suspects.give_back(request);
+            }
+        } else if !self.suspects.reserved().any(in_pool)
+            && let Some(server) = choose(&avoid)
+        {
+            self.suspects.reserve(&server, request);
+        }
+    }
+
+    /// Returns the servers on which a request may not run: those tried before, and those kept for
+    /// a suspect; for a suspect with a server of its own, all others.
+    pub(super) fn servers_to_avoid(
+        &self,
+        request: RequestNumber,
+        state: &RequestState,
+    ) -> Vec<ServerId> {
+        if let Some(own) = self.suspects.reserved_for(request) {
+            let others = self.servers.iter().filter(|server| server.id != *own);
+            return others.map(|server| server.id.clone()).collect();
+        }
+        let tried = state.attempts.iter().map(|attempt| &attempt.server);
+        tried.chain(self.suspects.reserved()).cloned().collect()
+    }
+
+    fn is_crash(fault: AttemptFault, run: AttemptRun) -> bool {
+        let broke = matches!(fault, AttemptFault::Closed | AttemptFault::Truncated);
+        broke && matches!(run, AttemptRun::Written | AttemptRun::Running)
+    }
+
+    /// Tells all peers about suspects.
+    pub(super) fn send_suspects(&mut self, now: Millis) {
+        let requests = &self.requests;
+        self.suspects.retain_reserved(|request| requests.contains_key(&request));
+        let due = self.suspects.due(now);
+        if due.is_empty() {
+            return;
+        }
+        let peers: Vec<VmId> = self.peers.iter().map(|peer| peer.vm.clone()).collect();
+        for peer in peers {
+            self.send(&peer, PeerMessage::Suspects(due.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/src/control/tickets.rs
@@ -0,0 +1,65 @@
+//! Tickets: the right to run one request once, at the incarnation that issued it.
+
+use super::*;
+
+impl Control {
+    /// Issues a ticket to the caller's team.
+    pub(super) fn issue_ticket(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        team: &TeamId,
+    ) -> Result<(), Refusal> {
+        let number = TicketNumber(self.claims.tickets + 1);
+        let keys = &self.cluster.settings.session_keys;
+        let ticket = Ticket::issue(keys, self.name(), number, now, team);
+        let Some(ticket) = ticket.filter(|_| self.shutdown.is_serving()) else {
+            let message = "This entry VM issues no tickets now; ask again.";
+            return Err(Refusal::not_run(RefusalCode::Unavailable, message)
+                .with_retry_after(Self::retry_after(request)));
+        };
+        self.claims.tickets = number.0;
+        self.emit(Command::IssueTicket { request, ticket: ticket.to_string().into() });
+        Ok(())
+    }
+
+    pub(super) fn gate_ticket(
+        &mut self,
+        now: Millis,
+        gated: GatedArrival,
+        ticket: &Ticket,
+    ) -> Result<(), Refusal> {
+        if !ticket.is_genuine(&self.cluster.settings.session_keys, &gated.profile.team) {
+            let message = "The ticket was not issued to this team; get another one.";
+            let refusal = Refusal::not_run(RefusalCode::Unprocessable, message);
+            return Err(refusal.with_run(RunState::Unknown));
+        }
+        let request = gated.arrival.request;
+        if ticket.issuer != self.name() {
+            let run = self.known_run(&BillKey::of_ticket(&ticket.issuer, ticket.number));
+            self.claims.gated.insert(request, gated);
+            self.pass_on(request, &ticket.issuer, run);
+            return Ok(());
+        }
+        let key = OnceKey::Ticket(ticket.number);
+        if self.claims.table.get(key).is_some() {
+            self.join(now, gated, key);
+            return Ok(());
+        }
+        if ticket.has_expired(now) {
+            let message = "The ticket has expired; get another one for a request that never ran.";
+            let run = self.known_run(&BillKey::of_ticket(&ticket.issuer, ticket.number));
+            return Err(Refusal::not_run(RefusalCode::Unprocessable, message).with_run(run));
+        }
+        let entry = OnceEntry {
+            request,
+            fingerprint: gated.arrival.fingerprint,
+            stage: OnceStage::Held { attempt: None },
+            waiters: Vec::new(),
+            expires: ticket.issued + Millis(Ticket::VALID_MS + 1),
+        };
+        self.claims.table.insert(key, entry);
+        self.gate_bill(now, gated);
+        Ok(())
+    }
+}
--- a/src/driver/control_handle.rs
+++ b/src/driver/control_handle.rs
@@ -8,6 +8,8 @@
     Event(Event),
     /// A request, and where its directives go.
     Request(Arrival, RequestMailbox),
+    /// The thread ends at once and leaves everything as it is.
+    Halt,
     /// An operator's call, and where its answer goes.
     Operator(OperatorRequest, tokio::sync::oneshot::Sender<OperatorAnswer>),
 }
@@ -44,6 +46,11 @@
         let _ = self.events.send(ControlInput::Event(event));
     }
 
+    /// Ends the control thread at once.
+    pub(super) fn halt(&self) {
+        let _ = self.events.send(ControlInput::Halt);
+    }
+
     /// Sends a request.
     ///
     /// # Errors
--- a/src/driver/control_thread.rs
+++ b/src/driver/control_thread.rs
@@ -34,6 +34,10 @@
             }
             if now >= next_sweep {
                 next_sweep = now + Millis(Self::SWEEP_MS);
+                let unix = self.clock.unix();
+                if self.handle(Event::WallClock { unix }).is_break() {
+                    return;
+                }
                 self.sweep();
             }
             if self.receive(next_tick).is_break() {
@@ -69,6 +73,7 @@
 
     fn take(&mut self, input: ControlInput) -> ControlFlow<()> {
         match input {
+            ControlInput::Halt => ControlFlow::Break(()),
             ControlInput::Event(event) => self.handle(event),
             ControlInput::Request(arrival, mailbox) => {
                 self.mailboxes.insert(arrival.request, mailbox);
@@ -111,6 +116,18 @@
             Command::ListModels { request, models } => {
                 self.post(request, Directive::ListModels(models));
             }
+            Command::IssueTicket { request, ticket } => {
+                self.metrics.count("tickets");
+                self.post(request, Directive::Ticket(ticket));
+            }
+            Command::Replay { request, first, otherwise } => {
+                self.metrics.count("replays");
+                self.post(request, Directive::Replay { first, otherwise });
+            }
+            Command::Forward { request, address, otherwise } => {
+                self.metrics.count("forwards");
+                self.post(request, Directive::Forward { address, otherwise });
+            }
             Command::AnswerOperator { call, answer } => {
                 if let Some(sender) = self.operators.remove(&call) {
                     let _ = sender.send(answer);
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -1,5 +1,6 @@
 use super::*;
 use std::{io, net::TcpListener, thread::JoinHandle};
+use xitca_server::ServerHandle;
 use xitca_web::HttpServer;
 
 /// A running entry VM.
@@ -12,7 +13,9 @@
     pub peers: SocketAddr,
     handle: ControlHandle,
     control: Option<JoinHandle<()>>,
-    servers: Vec<Box<dyn Fn() + Send + Sync>>,
+    servers: Vec<ServerThread>,
+    connections: Arc<ConnectionTable>,
+    exchanges: ExchangeCount,
     _runtime: tokio::runtime::Runtime,
 }
 
@@ -33,6 +36,7 @@
 }
 
 impl EntryVm {
+    const EXCHANGE_POLL: Duration = Duration::from_millis(10);
     const OPERATOR_THREADS: usize = 1;
     const ERRAND_THREADS: usize = 2;
 
@@ -75,8 +79,9 @@
         control.set_cluster(ClusterSettings {
             address: Some(addresses.2).filter(|address| !address.ip().is_unspecified()),
             seeds: settings.seeds.clone(),
-            session_keys: keys,
+            session_keys: keys.clone(),
         });
+        control.set_balancer_lag(settings.shutdown.balancer_lag_ms);
         let thread = ControlThread {
             control,
             clock,
@@ -98,12 +103,15 @@
             shelf,
             &ready,
             &connections,
+            &keys,
         );
+        let exchanges = caller_desk.exchanges();
         let operator_desk = OperatorDesk::new(operator_secrets, handle.clone(), Arc::clone(&ready));
-        let peer_desk = PeerDesk::new(seal, handle.clone());
+        let peer_desk = PeerDesk::new(seal, handle.clone(), caller_desk.clone());
         let threads = settings.callers.threads;
+        let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
         let servers = vec![
-            serve_callers(CallerListener { listener: callers, connections }, threads, caller_desk)?,
+            serve_callers(listener, threads, caller_desk)?,
             serve_operators(operators, Self::OPERATOR_THREADS, operator_desk)?,
             serve_peers(peers, Self::OPERATOR_THREADS, peer_desk)?,
         ];
@@ -114,6 +122,8 @@
             handle,
             control: Some(control),
             servers,
+            connections,
+            exchanges,
             _runtime: runtime,
         })
     }
@@ -129,22 +139,44 @@
         self.handle.send(Event::Shutdown);
     }
 
-    /// Waits until the control thread has ended, then stops the listeners.
+    /// Waits until the control thread has ended and every caller has its answer, then stops the
+    /// listeners.
     pub fn wait(mut self) {
         if let Some(control) = self.control.take() {
             let _ = control.join();
         }
+        while self.exchanges.get() > 0 {
+            std::thread::sleep(Self::EXCHANGE_POLL);
+        }
+        self.connections.hang_up();
+        let others = self.servers.split_off(1);
+        for callers in self.servers.drain(..) {
+            callers.handle.stop(true);
+            let _ = callers.thread.join();
+        }
+        self.servers = others;
     }
 }
 
 impl Drop for EntryVm {
+    /// Ends at once, as a crash would.
     fn drop(&mut self) {
-        for stop in &self.servers {
-            stop();
+        self.handle.halt();
+        for server in &self.servers {
+            server.handle.stop(false);
+        }
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
         }
     }
 }
 
+/// A listener's thread, and what stops it.
+struct ServerThread {
+    handle: ServerHandle,
+    thread: JoinHandle<()>,
+}
+
 fn address(listener: &TcpListener) -> io::Result<SocketAddr> {
     listener.local_addr()
 }
@@ -190,7 +222,7 @@
             listener: $listener,
             threads: usize,
             desk: $desk,
-        ) -> io::Result<Box<dyn Fn() + Send + Sync>> {
+        ) -> io::Result<ServerThread> {
             let desk = Arc::new(desk);
             let service = xitca_web::service::fn_service(move |request: WebRequest| {
                 let desk = Arc::clone(&desk);
@@ -203,12 +235,13 @@
                 .listen(listener)?
                 .run();
             let handle = server.handle()?;
-            std::thread::Builder::new().name(stringify!($name).into()).spawn(move || {
-                if let Err(error) = server.wait() {
-                    tracing::error!(%error, "listener ended");
-                }
-            })?;
-            Ok(Box::new(move || handle.stop(false)))
+            let thread =
+                std::thread::Builder::new().name(stringify!($name).into()).spawn(move || {
+                    if let Err(error) = server.wait() {
+                        tracing::error!(%error, "listener ended");
+                    }
+                })?;
+            Ok(ServerThread { handle, thread })
         }
     };
 }
--- a/src/driver/errands.rs
+++ b/src/driver/errands.rs
@@ -54,6 +54,9 @@
             | Command::Cancel { .. }
             | Command::Refuse { .. }
             | Command::ListModels { .. }
+            | Command::IssueTicket { .. }
+            | Command::Replay { .. }
+            | Command::Forward { .. }
             | Command::AnswerOperator { .. }
             | Command::LogRoute(_)
             | Command::Stop => tracing::error!(?command, "not an errand"),
--- a/src/health.rs
+++ b/src/health.rs
@@ -4,8 +4,10 @@
 
 mod server_state;
 mod server_table;
+mod suspect_table;
 
 pub use {
     server_state::{ServerState, ServerTrouble},
     server_table::ServerTable,
+    suspect_table::{CrashId, SuspectNotice, SuspectStanding, SuspectTable},
 };
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -142,6 +142,15 @@
     Fence
 );
 
+number_id!(
+    /// One claim of a key, unique within an incarnation of its claimant.
+    ClaimAttempt
+);
+number_id!(
+    /// The count of a ticket within one incarnation of an entry VM.
+    TicketNumber
+);
+
 /// A version of a model, written `model@version`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct VersionId {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,8 @@
 };
 
 pub mod admission;
+pub mod billing;
+pub mod claim;
 pub mod command;
 pub mod configuration;
 pub mod control;
@@ -52,8 +54,9 @@
 pub mod units;
 
 use {
-    admission::*, configuration::*, control::*, document::*, driver::*, health::*, ids::*, peer::*,
-    platform::*, routing::*, session::*, settings::*, traffic::*, units::*,
+    admission::*, billing::*, claim::*, configuration::*, control::*, document::*, driver::*,
+    health::*, ids::*, peer::*, platform::*, routing::*, session::*, settings::*, traffic::*,
+    units::*,
 };
 
 /// Runs the program with its arguments and returns its exit code.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -40,6 +40,12 @@
     Shares(ShareMessage),
     /// What a caller's session is pinned to.
     Pin(PinMessage),
+    /// About claims.
+    Claim(ClaimMessage),
+    /// About bills.
+    Bill(BillMessage),
+    /// About requests that were in flight at crashes.
+    Suspects(Vec<SuspectNotice>),
 }
 
 impl PeerMessage {
@@ -58,6 +64,9 @@
             Self::Withdrawals(_) => "withdrawals",
             Self::Shares(_) => "shares",
             Self::Pin(_) => "pin",
+            Self::Claim(_) => "claim",
+            Self::Bill(_) => "bill",
+            Self::Suspects(_) => "suspects",
         }
     }
 }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -8,11 +8,14 @@
 use super::*;
 
 mod answer_shelf;
+mod answer_store;
 mod attempt_event;
 mod caller_desk;
 mod caller_listener;
 mod caller_request;
 mod exchange;
+mod exchange_count;
+mod forward;
 mod operator_desk;
 mod peer_desk;
 mod reply;
@@ -21,8 +24,11 @@
 
 pub use {
     answer_shelf::AnswerShelf,
+    answer_store::{AnswerStore, StoredAnswer},
     caller_desk::CallerDesk,
     caller_listener::{CallerConnection, CallerListener, ConnectionTable},
+    exchange_count::ExchangeCount,
+    forward::FORWARD_PATH,
     operator_desk::{OPERATOR_PATH, OperatorDesk},
     peer_desk::{PEER_PATH, PeerDesk},
     sse_scanner::SseScanner,
@@ -33,6 +39,7 @@
     caller_desk::DeskShared,
     caller_request::{CallerRequest, RequestError},
     exchange::CallerExchange,
+    exchange_count::CountedBody,
 };
 
 /// A request as xitca-web hands it over.
--- a/src/traffic/caller_desk.rs
+++ b/src/traffic/caller_desk.rs
@@ -1,7 +1,8 @@
-use super::*;
+use super::{caller_request::CallerOrigin, *};
 use std::cell::RefCell;
 
 /// Serves callers.
+#[derive(Clone)]
 pub struct CallerDesk {
     shared: Arc<DeskShared>,
 }
@@ -12,6 +13,9 @@
     pub(super) identity: VmIdentity,
     pub(super) handle: ControlHandle,
     pub(super) shelf: Arc<AnswerShelf>,
+    pub(super) store: AnswerStore,
+    pub(super) peer_keys: KeyRing,
+    pub(super) exchanges: ExchangeCount,
     ready: Arc<AtomicBool>,
     connections: Arc<ConnectionTable>,
     numbers: AtomicU64,
@@ -39,6 +43,7 @@
     Ready,
     Models,
     Chat,
+    Ticket,
     Service(SmolStr),
 }
 
@@ -52,12 +57,16 @@
         shelf: Arc<AnswerShelf>,
         ready: &Arc<AtomicBool>,
         connections: &Arc<ConnectionTable>,
+        peer_keys: &KeyRing,
     ) -> Self {
         let shared = DeskShared {
             settings,
             identity,
             handle: handle.clone(),
             shelf,
+            store: AnswerStore::default(),
+            peer_keys: peer_keys.clone(),
+            exchanges: ExchangeCount::default(),
             ready: Arc::clone(ready),
             connections: Arc::clone(connections),
             numbers: AtomicU64::new(1),
@@ -65,6 +74,29 @@
         Self { shared: Arc::new(shared) }
     }
 
+    /// Returns the count of open exchanges with callers.
+    #[must_use]
+    pub fn exchanges(&self) -> ExchangeCount {
+        self.shared.exchanges.clone()
+    }
+
+    /// Returns the secrets of the entry VMs.
+    pub(super) fn peer_keys(&self) -> &KeyRing {
+        &self.shared.peer_keys
+    }
+
+    /// Answers one request that another entry VM has passed on.
+    pub(super) async fn serve_forwarded(&self, request: WebRequest) -> WebResponse {
+        let service = match Self::route(&request) {
+            Ok(Route::Service(service)) => Ok(Route::Service(service)),
+            _ => Err(RequestError::NotFound),
+        };
+        match service {
+            Ok(route) => self.take(request, route, ArrivalHop::Peer).await,
+            Err(error) => self.refuse(&error.refusal()),
+        }
+    }
+
     /// Answers one request.
     pub async fn serve(&self, request: WebRequest) -> WebResponse {
         match Self::route(&request) {
@@ -73,7 +105,7 @@
                 reply::plain(200, "ready\n")
             }
             Ok(Route::Ready) => reply::plain(503, "not ready\n"),
-            Ok(route) => self.take(request, route).await,
+            Ok(route) => self.take(request, route, ArrivalHop::Caller).await,
             Err(error) => self.refuse(&error.refusal()),
         }
     }
@@ -85,6 +117,7 @@
             (&http::Method::GET, "/readyz") => Ok(Route::Ready),
             (&http::Method::GET, "/v1/models") => Ok(Route::Models),
             (&http::Method::POST, "/v1/chat/completions") => Ok(Route::Chat),
+            (&http::Method::POST, "/guavapass/v1/tickets") => Ok(Route::Ticket),
             _ => {
                 let rest = path.strip_prefix("/services/").ok_or(RequestError::NotFound)?;
                 let service = rest.split('/').next().unwrap_or_default();
@@ -101,12 +134,14 @@
         reply::refusal(refusal, &self.shared.request_id(self.next_number()))
     }
 
-    async fn take(&self, request: WebRequest, route: Route) -> WebResponse {
+    async fn take(&self, request: WebRequest, route: Route, hop: ArrivalHop) -> WebResponse {
+        let open = self.shared.exchanges.enter();
         let (head, body) = request.into_parts();
         let connection = self.shared.connections.get(body.socket_addr());
         let (_, body) = body.replace_body(());
         let number = self.next_number();
-        let read = self.read(&head, body, &route).await;
+        let earlier = earlier_run(&head.headers, &route);
+        let read = self.read(&head, body, &route, hop).await;
         let arrival = read.and_then(|request| {
             let arrival =
                 request.arrival(number, &head.headers, Self::target(&route, &request)?)?;
@@ -115,17 +150,18 @@
         let (request, arrival) = match arrival {
             Ok(arrival) => arrival,
             Err(error) => {
-                return reply::refusal(&error.refusal(), &self.shared.request_id(number));
+                let refusal = error.refusal().with_run(earlier);
+                return reply::refusal(&refusal, &self.shared.request_id(number));
             }
         };
         let (mailbox, directives) = tokio::sync::mpsc::unbounded_channel();
         if let Err(refusal) = self.shared.handle.arrive(arrival, mailbox) {
-            return reply::refusal(&refusal, &self.shared.request_id(number));
+            return reply::refusal(&refusal.with_run(earlier), &self.shared.request_id(number));
         }
         let shared = Arc::clone(&self.shared);
         let exchange =
             CallerExchange::new(shared, Arc::new(request), number, directives, connection);
-        exchange.respond().await
+        CountedBody::wrap(exchange.respond().await, open)
     }
 
     async fn read(
@@ -133,6 +169,7 @@
         head: &http::request::Parts,
         body: RequestBody,
         route: &Route,
+        hop: ArrivalHop,
     ) -> Result<CallerRequest, RequestError> {
         let settings = &self.shared.settings;
         let limit = settings.body_limit_bytes;
@@ -159,6 +196,11 @@
             body,
             chat,
             mode,
+            origin: CallerOrigin {
+                path: path.into(),
+                authorization: head.headers.get(http::header::AUTHORIZATION).cloned(),
+            },
+            hop,
         })
     }
 
@@ -171,11 +213,21 @@
                 let model = model.ok_or(RequestError::Field { field: "model", expected })?;
                 Ok(ArrivalTarget::Model(model.into()))
             }
+            Route::Ticket => Ok(ArrivalTarget::Ticket),
             Route::Health | Route::Ready | Route::Models => Ok(ArrivalTarget::ModelList),
         }
     }
 }
 
+/// Returns what is known about the run of a request that has not reached the control core: an
+/// earlier one with the same key may have run.
+fn earlier_run(headers: &http::HeaderMap, route: &Route) -> RunState {
+    match route {
+        Route::Service(_) if headers.contains_key("idempotency-key") => RunState::Unknown,
+        _ => RunState::NotRun,
+    }
+}
+
 fn parse_chat(body: &[u8]) -> Result<serde_json::Value, RequestError> {
     let chat: serde_json::Value = serde_json::from_slice(body)
         .map_err(|error| RequestError::Json { cause: error.to_string().into() })?;
--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -47,7 +47,15 @@
 /// it.
 async fn watch(stream: tokio::net::TcpStream, connection: Arc<CallerConnection>) {
     loop {
-        let ready = tokio::time::timeout(IDLE_LIMIT, stream.ready(Interest::READABLE)).await;
+        let ready = tokio::time::timeout(IDLE_LIMIT, stream.ready(Interest::READABLE));
+        let ready = tokio::select! {
+            ready = ready => ready,
+            () = connection.hang_up.notified() => {
+                // xitca-web sees the end of input, sends what it still has and closes.
+                let _ = socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Read);
+                break;
+            }
+        };
         match ready {
             Ok(Ok(ready)) if !ready.is_read_closed() => {
                 let _ = stream.try_io(Interest::READABLE, || {
@@ -81,6 +89,13 @@
         connection
     }
 
+    /// Lets each connection close once its last answer has been sent.
+    pub fn hang_up(&self) {
+        let Ok(connections) = self.connections.lock() else { return };
+        let open = connections.values().filter_map(Weak::upgrade);
+        open.for_each(|connection| connection.hang_up.notify_one());
+    }
+
     /// Returns the connection of a caller.
     #[must_use]
     pub fn get(&self, address: &SocketAddr) -> Option<Arc<CallerConnection>> {
@@ -93,6 +108,7 @@
 pub struct CallerConnection {
     closed: AtomicBool,
     notify: tokio::sync::Notify,
+    hang_up: tokio::sync::Notify,
     busy: AtomicU64,
 }
 
--- a/src/traffic/caller_request.rs
+++ b/src/traffic/caller_request.rs
@@ -15,6 +15,19 @@
     pub(super) chat: Option<serde_json::Value>,
     /// Whether the answer is streamed.
     pub(super) mode: AnswerMode,
+    /// The request as its caller sent it.
+    pub(super) origin: CallerOrigin,
+    /// Where it comes from.
+    pub(super) hop: ArrivalHop,
+}
+
+/// What of a caller's request does not go to a backend server.
+#[derive(Clone, Debug)]
+pub(super) struct CallerOrigin {
+    /// The path and query.
+    pub(super) path: SmolStr,
+    /// The credentials.
+    pub(super) authorization: Option<http::HeaderValue>,
 }
 
 /// Why a caller's request cannot be used.
@@ -127,6 +140,7 @@
             session: session.map(SmolStr::new),
             idempotency_key: text_header(caller_headers, "idempotency-key")?.map(SmolStr::new),
             deadline,
+            hop: self.hop,
         })
     }
 
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -69,6 +69,16 @@
                     self.answered = true;
                     return Self::list(&models);
                 }
+                Step::Directive(Some(Directive::Ticket(ticket))) => {
+                    self.answered = true;
+                    return self.ticket(&ticket);
+                }
+                Step::Directive(Some(Directive::Replay { first, otherwise })) => {
+                    return self.replay(first, &otherwise);
+                }
+                Step::Directive(Some(Directive::Forward { address, otherwise })) => {
+                    return self.forward(address, &otherwise).await;
+                }
                 Step::Directive(Some(directive)) => self.obey(directive),
                 Step::Event(AttemptEvent::Whole { head, body }) => {
                     self.answered = true;
@@ -76,7 +86,12 @@
                 }
                 Step::Event(AttemptEvent::Head(head)) => return self.stream(*head),
                 Step::Event(AttemptEvent::Chunk(_) | AttemptEvent::End) => {}
-                Step::CallerGone => return reply::plain(499, ""),
+                Step::CallerGone => {
+                    let mut response = reply::plain(499, "");
+                    let run = RunState::Unknown.as_str();
+                    reply::insert_text(response.headers_mut(), "guavapass-run", run);
+                    return response;
+                }
             }
         }
     }
@@ -132,7 +147,11 @@
             Directive::Start(start) => self.start(*start),
             Directive::Release(attempt) => self.released = Some(attempt),
             Directive::Cancel(attempt) => self.drop_attempt(Some(attempt)),
-            Directive::Refuse(_) | Directive::ListModels(_) => {}
+            Directive::Refuse(_)
+            | Directive::ListModels(_)
+            | Directive::Ticket(_)
+            | Directive::Replay { .. }
+            | Directive::Forward { .. } => {}
         }
     }
 
@@ -152,8 +171,7 @@
             start,
             request: Arc::clone(&self.request),
             client: DeskShared::client(),
-            handle: self.desk.handle.clone(),
-            shelf: Arc::clone(&self.desk.shelf),
+            desk: Arc::clone(&self.desk),
             answer_limit: self.desk.settings.answer_limit_bytes,
             events: sender,
         };
@@ -165,6 +183,37 @@
         reply::refusal(refusal, &self.desk.request_id(self.number))
     }
 
+    fn ticket(&self, ticket: &SmolStr) -> WebResponse {
+        let body = serde_json::json!({ "ticket": ticket, "valid_ms": Ticket::VALID_MS });
+        let mut response = reply::json(201, &body);
+        let id = self.desk.request_id(self.number);
+        reply::insert_text(response.headers_mut(), "guavapass-request", &id.to_string());
+        response
+    }
+
+    /// Returns the kept answer to an earlier request with the same key.
+    fn replay(&mut self, first: RequestNumber, otherwise: &Refusal) -> WebResponse {
+        let Some(answer) = self.desk.store.get(first) else { return self.refuse(otherwise) };
+        self.answered = true;
+        let mut response = reply::plain(answer.status.as_u16(), answer.body);
+        *response.headers_mut() = answer.headers;
+        let headers = response.headers_mut();
+        reply::strip_hop_headers(headers);
+        let id = self.desk.request_id(first);
+        reply::insert_text(headers, "guavapass-request", &id.to_string());
+        response
+    }
+
+    /// Returns the answer of the entry VM that the request's key belongs to.
+    async fn forward(&mut self, address: SocketAddr, otherwise: &Refusal) -> WebResponse {
+        let (client, limit) = (DeskShared::client(), self.desk.settings.answer_limit_bytes);
+        let keys = &self.desk.peer_keys;
+        let answer = forward::forward(&client, keys, address, &self.request, limit).await;
+        self.desk.handle.send(Event::Forwarded { request: self.number });
+        self.answered = true;
+        answer.unwrap_or_else(|| self.refuse(otherwise))
+    }
+
     fn list(models: &[SmolStr]) -> WebResponse {
         let data: Vec<_> = models
             .iter()
--- a/src/traffic/peer_desk.rs
+++ b/src/traffic/peer_desk.rs
@@ -7,6 +7,7 @@
 pub struct PeerDesk {
     seal: Arc<Mutex<PeerSeal>>,
     handle: ControlHandle,
+    callers: CallerDesk,
 }
 
 impl PeerDesk {
@@ -14,8 +15,12 @@
 
     /// Returns a desk that opens what comes under a seal.
     #[must_use]
-    pub const fn new(seal: Arc<Mutex<PeerSeal>>, handle: ControlHandle) -> Self {
-        Self { seal, handle }
+    pub const fn new(
+        seal: Arc<Mutex<PeerSeal>>,
+        handle: ControlHandle,
+        callers: CallerDesk,
+    ) -> Self {
+        Self { seal, handle, callers }
     }
 
     /// Answers one request.
@@ -23,10 +28,19 @@
         match (request.method(), request.uri().path()) {
             (&http::Method::GET, "/healthz") => reply::plain(200, "ok\n"),
             (&http::Method::POST, PEER_PATH) => self.take(request).await,
+            (_, path) if path.starts_with(FORWARD_PATH) => self.take_forwarded(request).await,
             _ => reply::plain(404, ""),
         }
     }
 
+    /// Answers a caller's request that another entry VM has passed on.
+    async fn take_forwarded(&self, request: WebRequest) -> WebResponse {
+        match forward::incoming(self.callers.peer_keys(), request) {
+            Some(request) => self.callers.serve_forwarded(request).await,
+            None => reply::plain(401, ""),
+        }
+    }
+
     async fn take(&self, request: WebRequest) -> WebResponse {
         let (_, body) = request.into_parts().1.replace_body(());
         let Ok(body) = caller_desk::read_body(body, Self::BODY_LIMIT).await else {
--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -31,8 +31,7 @@
     pub(super) start: AttemptStart,
     pub(super) request: Arc<CallerRequest>,
     pub(super) client: UpstreamClient,
-    pub(super) handle: ControlHandle,
-    pub(super) shelf: Arc<AnswerShelf>,
+    pub(super) desk: Arc<DeskShared>,
     pub(super) answer_limit: ByteSize,
     pub(super) events: Sender<AttemptEvent>,
 }
@@ -50,12 +49,15 @@
 }
 
 impl UpstreamAttempt {
-    /// Runs the attempt and reports its end.
+    /// Runs the attempt and reports its end. One that may not be repeated goes on when its caller
+    /// has gone, so that a caller that comes back gets the answer.
     pub(super) async fn run(self) {
         let events = self.events.clone();
         let outcome = tokio::select! {
             outcome = self.exchange() => outcome,
-            () = events.closed() => Err(AttemptFault::Cancelled.into()),
+            () = events.closed(), if self.start.repeat == RepeatRule::Repeatable => {
+                Err(AttemptFault::Cancelled.into())
+            }
         };
         let outcome = outcome.unwrap_or_else(|failure: Failure| AttemptOutcome::Failed {
             fault: failure.fault,
@@ -66,7 +68,7 @@
 
     fn report(&self, report: AttemptReport) {
         let (request, attempt) = (self.start.request, self.start.attempt);
-        self.handle.send(Event::Attempt { request, attempt, report });
+        self.desk.handle.send(Event::Attempt { request, attempt, report });
     }
 
     async fn exchange(&self) -> Result<AttemptOutcome, Failure> {
@@ -174,8 +176,17 @@
         }
         let usage = self.check_whole(&head, &bytes)?;
         let status = head.status.as_u16();
-        let event = AttemptEvent::Whole { head: Box::new(head), body: bytes.into() };
-        self.pass(event).await?;
+        let body = Bytes::from(bytes);
+        let once = self.start.repeat == RepeatRule::Once;
+        if once {
+            let (status, headers) = (head.status, head.headers.clone());
+            let answer = StoredAnswer { status, headers, body: body.clone() };
+            self.desk.store.put(self.start.request, answer);
+        }
+        let passed = self.pass(AttemptEvent::Whole { head: Box::new(head), body }).await;
+        if !once {
+            passed?;
+        }
         Ok(AttemptOutcome::Whole { status, usage })
     }
 
@@ -191,7 +202,7 @@
             serde_json::from_slice(body).map_err(|_| AttemptFault::Malformed)?;
         let choice = answer.choices.first().ok_or(AttemptFault::Malformed)?;
         let text = choice.message.content.as_deref().unwrap_or_default();
-        self.shelf.put(self.start.request, self.start.attempt, self.request.question(), text);
+        self.desk.shelf.put(self.start.request, self.start.attempt, self.request.question(), text);
         Ok(answer.usage.map_or(TokenUsage::default(), |usage| TokenUsage {
             prompt: Tokens(usage.prompt_tokens),
             output: Tokens(usage.completion_tokens),
@@ -229,7 +240,7 @@
             return Err(Self::failed(&scanner, AttemptFault::Truncated));
         }
         let (request, attempt) = (self.start.request, self.start.attempt);
-        self.shelf.put(request, attempt, self.request.question(), scanner.text());
+        self.desk.shelf.put(request, attempt, self.request.question(), scanner.text());
         self.pass(AttemptEvent::End).await?;
         Ok(AttemptOutcome::Whole { status, usage: scanner.usage() })
     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -93,6 +93,7 @@
             session: None,
             idempotency_key: None,
             deadline: None,
+            hop: ArrivalHop::Caller,
         };
         self.control.handle(self.now, Event::Arrived(arrival))
     }
