--- a/src/control/attempt.rs
+++ b/src/control/attempt.rs
@@ -98,7 +98,8 @@
             return false;
         };
         let repeatable = Self::repeat_rule(document, &entry.target) == RepeatRule::Repeatable;
-        let sent_on = entry.head.is_some();
+        let streams = state.profile.mode == AnswerMode::Stream;
+        let sent_on = streams && entry.head.is_some();
         let safe = entry.run.run() == RunState::NotRun || (repeatable && !sent_on);
         safe && state.attempts.len() < Self::MAX_ATTEMPTS && !state.is_running()
     }
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -76,10 +76,10 @@
             id: self.identity.vm.clone(),
             address,
             data_centre: self.identity.data_centre.clone(),
-            state: if !self.shutdown.is_serving() {
-                MemberState::Leaving
-            } else {
+            state: if self.shutdown.is_serving() {
                 MemberState::Live
+            } else {
+                MemberState::Leaving
             },
         });
         let recent = self.cluster.rumours.iter().rev();
