Report bills on the command line; prove bookings, bills and shutdown over sockets

Cause: operators could not read bills, and nothing showed the promises on real connections. Change: guavapass bills, the rule for unsettled bills in the configuration, a fold that notices a log that lost records, and tests over sockets: resends at other VMs, tickets while the log is down, a killed VM, answers that cross, a shutdown under 200 streams.

--- a/src/billing/ledger.rs
+++ b/src/billing/ledger.rs
@@ -60,6 +60,16 @@
     const REVIEW_MS: u64 = 30_000;
     const BATCH_BILLS: usize = 2_000;
 
+    /// Returns the name of the stream of bills.
+    ///
+    /// # Panics
+    ///
+    /// Never: the name is valid.
+    #[must_use]
+    pub fn stream() -> StreamId {
+        "bills".parse().expect("the stream name is valid")
+    }
+
     /// Returns whether new billable work must be refused.
     #[must_use]
     pub const fn is_full(&self) -> bool {
--- a/src/claim/fold.rs
+++ b/src/claim/fold.rs
@@ -27,6 +27,14 @@
         Self { next: oldest, trimmed: oldest > Offset(0), ..Self::default() }
     }
 
+    /// Returns a fold that starts again after the stream lost records: keys from before now may
+    /// have been claimed in them.
+    #[must_use]
+    pub fn restored(oldest: Offset, unix: Millis) -> Self {
+        let covered_from = Some(unix + Millis(KeyWindow::SKEW_MS));
+        Self { next: oldest, trimmed: true, covered_from, ..Self::default() }
+    }
+
     /// Returns the offset to read next.
     #[must_use]
     pub const fn next(&self) -> Offset {
--- a/src/claim/gatherer.rs
+++ b/src/claim/gatherer.rs
@@ -170,6 +170,7 @@
     pub fn on_read(
         &mut self,
         now: Millis,
+        unix: Millis,
         result: &Result<LogPage, PlatformError>,
     ) -> Vec<GathererAction> {
         self.reading = false;
@@ -177,12 +178,15 @@
         match result {
             Ok(page) => {
                 if page.oldest > self.fold.next() {
-                    self.restart(page.oldest);
+                    self.restart(ClaimFold::starting_at(page.oldest));
+                } else if page.next < self.fold.next() && page.records.is_empty() {
+                    tracing::warn!(next = %page.next, "the claims stream lost records");
+                    self.restart(ClaimFold::restored(page.oldest, unix));
                 }
                 page.records.iter().flat_map(|record| self.fold_record(record)).collect()
             }
             Err(PlatformError::Trimmed { oldest }) => {
-                self.restart(*oldest);
+                self.restart(ClaimFold::starting_at(*oldest));
                 Vec::new()
             }
             Err(error) => {
@@ -194,8 +198,8 @@
     }
 
     /// Forgets what was read before a gap; claimants ask again.
-    fn restart(&mut self, offset: Offset) {
-        self.fold = ClaimFold::starting_at(offset);
+    fn restart(&mut self, fold: ClaimFold) {
+        self.fold = fold;
         self.askers.clear();
         let queue = std::mem::take(&mut self.queue);
         let kind = |entry: &ClaimEntry| EntryKind::of(entry) == EntryKind::Release;
@@ -204,7 +208,7 @@
 
     fn fold_record(&mut self, record: &LogRecord) -> Vec<GathererAction> {
         if record.offset > self.fold.next() {
-            self.restart(record.offset);
+            self.restart(ClaimFold::starting_at(record.offset));
         }
         let entries = self.fold.fold(record);
         entries.iter().filter_map(|entry| self.tell(entry)).collect()
--- a/src/command.rs
+++ b/src/command.rs
@@ -7,6 +7,7 @@
 use super::*;
 use clap::{Arg, ArgMatches, Command as CommandLine};
 
+mod bills;
 mod check;
 mod command_error;
 mod demo;
@@ -27,6 +28,7 @@
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("bills", matches)) => bills::run(matches),
         Some(("demo", matches)) => demo::run(matches),
         _ => Ok(ExitCode::SUCCESS),
     };
@@ -44,5 +46,6 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check::command())
+        .subcommand(bills::command())
         .subcommand(demo::command())
 }
--- a/src/command/command_error.rs
+++ b/src/command/command_error.rs
@@ -26,6 +26,9 @@
     /// The entry VMs are not ready in time.
     #[error("The entry VMs are not ready after {0}.")]
     NotReady(Millis),
+    /// The platform cannot be read.
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
     /// The operating system refused something.
     #[error("The system refused: {0}.")]
     System(#[from] std::io::Error),
@@ -37,7 +40,11 @@
     pub const fn exit_code(&self) -> u8 {
         match self {
             Self::Settings(_) | Self::Document(_) | Self::Configuration { .. } => 2,
-            Self::Vm(_) | Self::Publication(_) | Self::NotReady(_) | Self::System(_) => 1,
+            Self::Vm(_)
+            | Self::Platform(_)
+            | Self::Publication(_)
+            | Self::NotReady(_)
+            | Self::System(_) => 1,
         }
     }
 }
--- a/src/configuration/document.rs
+++ b/src/configuration/document.rs
@@ -19,6 +19,9 @@
     pub presets: BTreeMap<PresetId, PresetEntry>,
     /// The preset in force.
     pub preset: PresetId,
+    /// How a bill whose end nobody knows is billed.
+    #[serde(default)]
+    pub unsettled_bills: UnsettledRule,
 }
 
 impl ConfigurationDocument {
--- a/src/configuration/fold.rs
+++ b/src/configuration/fold.rs
@@ -45,6 +45,16 @@
 }
 
 impl ConfigurationFold {
+    /// Returns the name of the stream of configurations.
+    ///
+    /// # Panics
+    ///
+    /// Never: the name is valid.
+    #[must_use]
+    pub fn stream() -> StreamId {
+        "configuration".parse().expect("the stream name is valid")
+    }
+
     /// The publications whose outcome is remembered.
     pub const OUTCOME_LIMIT: usize = 64;
 
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -232,8 +232,9 @@
         result: &Result<LogPage, PlatformError>,
     ) -> bool {
         let Some(stream) = ClaimStream::of_id(stream) else { return false };
+        let unix = self.unix(now);
         let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { return true };
-        let actions = gatherer.on_read(now, result);
+        let actions = gatherer.on_read(now, unix, result);
         self.act(now, stream, actions);
         true
     }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -51,17 +51,14 @@
     const LOAD_INTERVAL_MS: u64 = 1_000;
 
     /// Returns a core that knows nothing yet.
-    ///
-    /// # Panics
-    ///
-    /// Never: the built-in stream name is valid.
     #[must_use]
     pub fn new(identity: VmIdentity, policy: Box<dyn RoutingPolicy>) -> Self {
-        let configuration = "configuration".parse().expect("the stream name is valid");
-        let bills = "bills".parse().expect("the stream name is valid");
         Self {
             identity,
-            streams: StreamNames { configuration, bills },
+            streams: StreamNames {
+                configuration: ConfigurationFold::stream(),
+                bills: BillLedger::stream(),
+            },
             configuration: ConfigurationFold::default(),
             keys: KeyIndex::default(),
             policy,
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -202,7 +202,7 @@
                     });
                     let next = Offset(log.len() as u64);
                     let page = LogPage { oldest: Offset(0), next, records: records.collect() };
-                    gatherers[which].on_read(now, &Ok(page))
+                    gatherers[which].on_read(now, NOW, &Ok(page))
                 }
             };
             actions.extend(gatherers[which].pump(now, NOW));
@@ -232,15 +232,31 @@
         next: Offset(offset + 1),
         records: vec![record(offset, NOW, entries)],
     };
-    gatherer.on_read(Millis(0), &Ok(page(0, vec![claim(key, name(1, 1))])));
+    gatherer.on_read(Millis(0), NOW, &Ok(page(0, vec![claim(key, name(1, 1))])));
     assert_eq!(gatherer.fold().len(), 1);
-    gatherer.on_read(Millis(0), &Err(PlatformError::Trimmed { oldest: Offset(5) }));
+    gatherer.on_read(Millis(0), NOW, &Err(PlatformError::Trimmed { oldest: Offset(5) }));
     assert!(gatherer.fold().is_empty());
-    gatherer.on_read(Millis(0), &Ok(page(5, vec![claim(key, name(2, 1))])));
+    gatherer.on_read(Millis(0), NOW, &Ok(page(5, vec![claim(key, name(2, 1))])));
     let verdict = gatherer.fold().verdict(&claim(key, name(2, 1)));
     assert_eq!(verdict, Some(ClaimVerdict::Uncovered));
 }
 
+#[test]
+fn gatherer_stream_restored_to_earlier_state() {
+    let mut gatherer = ClaimGatherer::new();
+    let (old, new) = (key_at(1, NOW), key_at(2, NOW + Millis(KeyWindow::SKEW_MS)));
+    gatherer.start(Millis(0));
+    let page = |from, next, records| LogPage { oldest: Offset(from), next: Offset(next), records };
+    let first = record(0, NOW, vec![claim(old, name(1, 1))]);
+    gatherer.on_read(Millis(0), NOW, &Ok(page(0, 1, vec![first])));
+    gatherer.on_read(Millis(0), NOW, &Ok(page(0, 0, Vec::new())));
+    let again = record(0, NOW, vec![claim(old, name(2, 1)), claim(new, name(2, 2))]);
+    gatherer.on_read(Millis(0), NOW, &Ok(page(0, 1, vec![again])));
+    let verdict = |key, name| gatherer.fold().verdict(&claim(key, name));
+    assert_eq!(verdict(old, name(2, 1)), Some(ClaimVerdict::Uncovered));
+    assert_eq!(verdict(new, name(2, 2)), Some(ClaimVerdict::Taken));
+}
+
 #[test]
 fn gatherer_batches_while_append_is_under_way() {
     let mut gatherer = ClaimGatherer::new();
--- a/tests/whole_path/bench.rs
+++ b/tests/whole_path/bench.rs
@@ -64,6 +64,24 @@
         self
     }
 
+    /// Adds a booking server whose calls take a time.
+    pub fn booking_of(mut self, name: &str, call_time: Duration) -> Self {
+        let service = BookingStandIn::start(call_time);
+        self.list_server(name, "crew-booking", service.address());
+        self.bookings.push(service);
+        self
+    }
+
+    /// Adds a server of the caller's own making.
+    pub fn server(self, name: &str, pool: &str, address: SocketAddr) -> Self {
+        self.list_server(name, pool, address);
+        self
+    }
+
+    pub const fn log(&self) -> &PlatformStandIn {
+        &self.platform
+    }
+
     pub fn vm(mut self, name: &str) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let listener = || ListenerSettings { listen: any, secret_files: Vec::new() };
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -4,8 +4,8 @@
     bench::{Bench, document, read_all},
     call::{Answer, Call},
     guavapass::{
-        configuration::*, control::*, document::*, driver::*, ids::*, platform::*, settings::*,
-        stand_in::*, traffic::*, units::*,
+        billing::*, claim::*, configuration::*, control::*, document::*, driver::*, ids::*,
+        platform::*, settings::*, stand_in::*, traffic::*, units::*,
     },
     http::Method,
     serde_json::{Value, json},
@@ -20,4 +20,6 @@
 mod bench;
 mod call;
 mod calls;
+mod once;
+mod shutdown;
 mod upstream_faults;
--- /dev/null
+++ b/tests/whole_path/once.rs
@@ -0,0 +1,164 @@
+//! Bookings and bills over sockets: resends, tickets and a killed entry VM.
+
+use super::{shutdown::bills, *};
+use std::collections::BTreeMap;
+
+fn book(key: &str, booking: &str) -> CallRequest {
+    let body = json!({"booking": booking});
+    let call = CallRequest::new(Method::POST, "/services/crew-booking/deliveries", body);
+    call.key("plazas-key").header("idempotency-key", key)
+}
+
+fn new_key() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
+
+fn runs(bench: &Bench, booking: &str) -> u64 {
+    bench.bookings.iter().map(|service| service.bookings().runs(booking)).sum()
+}
+
+fn three_vms() -> Bench {
+    let call_time = Duration::from_millis(30);
+    Bench::new().booking_of("booking-1", call_time).vm("vm-1").vm("vm-2").vm("vm-3").publish()
+}
+
+#[test]
+fn once_resend_at_other_vm() {
+    let bench = three_vms();
+    let key = new_key();
+    let first = Answer(bench.send(bench.vms[0].callers, &book(&key, "b-1"))).expect_status(200);
+    for vm in &bench.vms {
+        let again = Answer(bench.send(vm.callers, &book(&key, "b-1"))).expect_status(200);
+        assert_eq!(again.0.body, first.0.body);
+        assert_eq!(again.0.header("guavapass-request"), first.0.header("guavapass-request"));
+    }
+    assert_eq!(runs(&bench, "b-1"), 1);
+}
+
+#[test]
+fn once_other_body() {
+    let bench = three_vms();
+    let key = new_key();
+    Answer(bench.send(bench.vms[0].callers, &book(&key, "b-1"))).expect_status(200);
+    for vm in &bench.vms {
+        let other = Answer(bench.send(vm.callers, &book(&key, "b-2"))).expect_status(422);
+        other.expect_run("not-run");
+    }
+    assert_eq!((runs(&bench, "b-1"), runs(&bench, "b-2")), (1, 0));
+}
+
+#[test]
+fn once_ticket_at_other_vm_while_log_is_down() {
+    let bench = three_vms();
+    bench.log().log().faults().set_outage(true);
+    let ask = CallRequest::new(Method::POST, "/guavapass/v1/tickets", Value::Null);
+    let answer = Answer(bench.send(bench.vms[0].callers, &ask.key("plazas-key")));
+    let answer = answer.expect_status(201);
+    let ticket = answer.0.json()["ticket"].as_str().unwrap().to_owned();
+    for vm in bench.vms.iter().rev() {
+        Answer(bench.send(vm.callers, &book(&ticket, "b-1"))).expect_status(200);
+    }
+    assert_eq!(runs(&bench, "b-1"), 1);
+    let claim = Answer(bench.send(bench.vms[1].callers, &book(&new_key(), "b-2")));
+    claim.expect_status(503).expect_run("unknown");
+    assert_eq!(runs(&bench, "b-2"), 0);
+    bench.log().log().faults().set_outage(false);
+}
+
+#[test]
+fn once_silent_service_is_unknown() {
+    let bench = three_vms();
+    bench.bookings[0].faults().set_answer(AnswerFault::Stalled);
+    let key = new_key();
+    let first = Answer(bench.send(bench.vms[0].callers, &book(&key, "b-1")));
+    first.expect_status(502).expect_run("unknown");
+    bench.bookings[0].faults().set_answer(AnswerFault::None);
+    let again = Answer(bench.send(bench.vms[1].callers, &book(&key, "b-1")));
+    again.expect_status(409).expect_run("unknown");
+    assert_eq!(runs(&bench, "b-1"), 1);
+}
+
+#[test]
+fn once_killed_vm_loses_no_bill() {
+    const BOOKINGS: usize = 60;
+    let mut bench = three_vms();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let mut keys: BTreeMap<String, String> = BTreeMap::new();
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..BOOKINGS {
+        let (key, booking) = (new_key(), format!("b-{number}"));
+        let call = book(&key, &booking);
+        keys.insert(booking.clone(), key);
+        let caller = CallerStandIn::new(bench.vms[number % 3].callers);
+        callers.spawn_on(async move { (booking, caller.send(&call).await) }, runtime.handle());
+    }
+    let start = Instant::now();
+    while bench.bookings[0].bookings().started() < 10 {
+        assert!(start.elapsed() < Duration::from_secs(20), "bookings must start");
+        std::thread::yield_now();
+    }
+    drop(bench.vms.remove(1));
+    for (booking, outcome) in runtime.block_on(callers.join_all()) {
+        if !outcome.is_whole() {
+            let call = book(&keys[&booking], &booking);
+            let again = Answer(bench.send(bench.vms[0].callers, &call));
+            assert!(again.0.is_whole() || again.0.header("guavapass-run").is_some());
+        }
+    }
+    let team: TeamId = "plazas".parse().unwrap();
+    let ran: BTreeMap<BillKey, u64> = keys
+        .iter()
+        .map(|(booking, key)| {
+            let key = ClaimKey::new(&team, uuid::Uuid::parse_str(key).unwrap());
+            (BillKey::of_claim(key), runs(&bench, booking))
+        })
+        .filter(|(_, runs)| *runs > 0)
+        .collect();
+    assert!(ran.values().all(|runs| *runs == 1), "{ran:?}");
+    loop {
+        let fold = bills(&bench);
+        let missing = ran.keys().filter(|key| !fold.bills().any(|(billed, _)| billed == *key));
+        if missing.count() == 0 {
+            break;
+        }
+        assert!(start.elapsed() < Duration::from_secs(40), "every run must be billed");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A server that sends a second, stale answer after its first one on the same connection.
+fn crossing_server() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            std::thread::spawn(move || {
+                let mut bytes = [0; 4_096];
+                let Ok(length @ 1..) = stream.read(&mut bytes) else { return };
+                let asked = String::from_utf8_lossy(&bytes[..length]).into_owned();
+                let question = asked.split("q-").nth(1).map_or("", |rest| &rest[..1]);
+                let answer = |text: &str| {
+                    let body = json!({"choices": [{"message": {"content": text}}]}).to_string();
+                    let length = body.len();
+                    format!(
+                        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}"
+                    )
+                };
+                let own = answer(&format!("answer to: q-{question}"));
+                let _ = stream.write_all(format!("{own}{}", answer("stale")).as_bytes());
+                let _ = stream.read(&mut bytes);
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn whole_answer_never_crosses() {
+    let bench = Bench::new().vm("vm-1").server("raw-1", "planning", crossing_server());
+    bench.publish_document(&document());
+    for question in ["q-1", "q-2", "q-3"] {
+        bench.call("plazas-key").chat(question).expect_status(200).expect_text(question);
+    }
+}
