--- a/benches/traffic/bench_stage.rs
+++ b/benches/traffic/bench_stage.rs
@@ -38,6 +38,7 @@
         callers: CallerSettings::at(any),
         operators: listener(),
         peers: listener(),
+        seeds: Vec::new(),
         platform: PlatformSettings { address: platform },
         log: LogSettings::default(),
         metrics: None,
@@ -60,6 +61,7 @@
         publication: "bench".into(),
         base: None,
         change: ConfigurationChange::Document(Box::new(document)),
+        wait: Millis(30_000),
     });
     let accepted =
         matches!(answer.await, OperatorAnswer::Published(PublicationOutcome::Accepted(_)));
