Order engines under a lease on the log, by a plan that changes least

Cause: nothing decided which versions are loaded where, nor who may order that. Change: PlacementLease (a record's offset is the fence; a record counts only if its writer had read up to it), PlacementPlan (pure), PoolPlacement (orders within the weight store's rate and a share of the pool), drains by notice to all entry VMs, EngineOrders over HTTP. Load reports between entry VMs carry the loaded versions, so that a version starts only where it is loaded.

--- a/src/configuration/pool.rs
+++ b/src/configuration/pool.rs
@@ -21,6 +21,20 @@
     /// The accelerator memory of one server.
     #[serde(default)]
     pub memory_bytes: ByteSize,
+    /// The loads of versions that the weight store grants the pool in a minute.
+    #[serde(default = "default_loads_per_minute")]
+    pub loads_per_minute: u32,
+    /// The share of the servers that may change what they have loaded at the same time.
+    #[serde(default = "default_change_share")]
+    pub change_share: Share,
+}
+
+const fn default_loads_per_minute() -> u32 {
+    6
+}
+
+fn default_change_share() -> Share {
+    Share::new(0.3).unwrap_or_default()
 }
 
 /// What the servers of a pool run.
--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,7 @@
 mod members;
 mod operate;
 mod peers;
+mod placement;
 mod publish;
 mod refusal;
 mod request;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -85,6 +85,8 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Send an order to an engine, unless it has expired by then.
+    Order(EngineOrder),
     /// Have a held or finished answer rated.
     Rate {
         /// The request.
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -16,6 +16,7 @@
 pub(super) struct StreamNames {
     pub(super) configuration: StreamId,
     pub(super) bills: StreamId,
+    pub(super) placement: StreamId,
 }
 
 /// Owns all control state of an entry VM.
@@ -27,6 +28,7 @@
     pub(super) policy: Box<dyn RoutingPolicy>,
     pub(super) servers: ServerTable,
     pub(super) peers: PeerTable,
+    pub(super) placement: PlacementState,
     pub(super) queues: BTreeMap<PoolId, FairQueue>,
     pub(super) requests: FxHashMap<RequestNumber, RequestState>,
     pub(super) cluster: ClusterState,
@@ -53,17 +55,20 @@
     /// Returns a core that knows nothing yet.
     #[must_use]
     pub fn new(identity: VmIdentity, policy: Box<dyn RoutingPolicy>) -> Self {
+        let own = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
         Self {
             identity,
             streams: StreamNames {
                 configuration: ConfigurationFold::stream(),
                 bills: BillLedger::stream(),
+                placement: PlacementState::stream(),
             },
             configuration: ConfigurationFold::default(),
             keys: KeyIndex::default(),
             policy,
             servers: ServerTable::default(),
             peers: PeerTable::default(),
+            placement: PlacementState::new(own),
             queues: BTreeMap::new(),
             requests: FxHashMap::default(),
             cluster: ClusterState::default(),
@@ -106,6 +111,7 @@
             Event::Rated { request, attempt, result } => {
                 self.on_rated(now, request, attempt, &result);
             }
+            Event::Ordered { order, result } => self.on_ordered(now, order, &result),
             Event::Operator { call, request } => self.on_operator(now, call, request),
             Event::FromPeer { from, message } => self.on_peer(now, &from, message),
             Event::Unsent { to } => self.on_unsent(now, &to),
@@ -146,8 +152,9 @@
         }
         if self.load_again <= now {
             self.load_again = now + Millis(Self::LOAD_INTERVAL_MS);
-            self.read_loads();
+            self.read_loads(now);
         }
+        self.run_placement(now);
         self.shed_expired(now);
         self.shed_gated(now);
         self.pump_claims(now);
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -7,7 +7,7 @@
     May(Box<StartPlace>),
     /// Not now: no server has room.
     NotNow,
-    /// Not now: it has to run alone, and others go first.
+    /// Not now: it has to run alone or its version is loaded nowhere, and others go first.
     Aside,
     /// Never: it is refused.
     Never(Refusal),
@@ -75,8 +75,12 @@
             return StartCheck::Never(Self::suspect_refusal(request).with_run(state.run()));
         }
         let avoid = self.servers_to_avoid(request, state);
+        let without = self.servers_without(now, &step.pool, state.target());
+        if !without.is_empty() && without.len() == self.servers.in_pool(&step.pool) {
+            return StartCheck::Aside;
+        }
         let (server, passed_over) =
-            self.servers.choose(now, &step.pool, pool, state.profile.class, &avoid);
+            self.servers.choose(now, &step.pool, pool, state.profile.class, &avoid, &without);
         let busy = server.is_none_or(|server| server.in_flight() > 0);
         if standing == SuspectStanding::Alone && busy {
             return StartCheck::Aside;
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -60,6 +60,13 @@
         /// What is asked.
         request: OperatorRequest,
     },
+    /// An engine answered an order.
+    Ordered {
+        /// The order.
+        order: OrderId,
+        /// Whether the engine took it.
+        result: Result<(), OrderError>,
+    },
     /// A message of another entry VM has arrived and been authenticated.
     FromPeer {
         /// The sender.
--- a/src/control/learn.rs
+++ b/src/control/learn.rs
@@ -41,6 +41,10 @@
         if self.on_claims_read(now, stream, &result) {
             return;
         }
+        if *stream == self.streams.placement {
+            self.on_placement_read(now, result);
+            return;
+        }
         if *stream != self.streams.configuration {
             return;
         }
@@ -131,7 +135,10 @@
         if report.leaving {
             self.servers.leave(server);
         }
-        self.cluster.own_loads.insert(server.clone(), ServerLoad::pack(server, &report));
+        if !self.placement.reads.contains(server) {
+            self.cluster.own_loads.insert(server.clone(), ServerLoad::pack(server, &report));
+        }
+        self.placement.loaded(now, server, &report);
         self.servers.report(server, report);
         self.dispatch_all(now);
     }
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -70,7 +70,7 @@
 
     /// Reads the load reports of the servers that fall to this VM in its data centre, and of data
     /// centres without an entry VM in reach.
-    pub(super) fn read_loads(&mut self) {
+    pub(super) fn read_loads(&mut self, now: Millis) {
         let mut vms: BTreeMap<&DataCentreId, Vec<&VmId>> = BTreeMap::new();
         for peer in self.peers.iter().filter(|peer| peer.may_serve()) {
             vms.entry(&peer.data_centre).or_default().push(&peer.vm);
@@ -86,6 +86,7 @@
             }
         }
         self.cluster.own_loads.retain(|id, _| mine.iter().any(|(mine, _)| mine == id));
+        mine.extend(self.placement_loads(now, &mine));
         for (server, address) in mine {
             self.emit(Command::ReadLoad { server, address });
         }
--- a/src/control/operate.rs
+++ b/src/control/operate.rs
@@ -19,6 +19,8 @@
     Configuration,
     /// Describe the entry VM.
     Status,
+    /// Describe the placement of versions on servers.
+    Placement,
 }
 
 const fn default_publish_wait() -> Millis {
@@ -34,6 +36,8 @@
     Configuration(Revision, Option<Box<ConfigurationDocument>>),
     /// The state of the entry VM.
     Status(Box<VmStatus>),
+    /// The placement in each pool, as the entry VM sees it.
+    Placement(Vec<PlacementStatus>),
     /// The call cannot be answered now.
     Failed(SmolStr),
 }
@@ -123,6 +127,10 @@
                 let answer = OperatorAnswer::Status(Box::new(self.status(now)));
                 self.emit(Command::AnswerOperator { call, answer });
             }
+            OperatorRequest::Placement => {
+                let answer = OperatorAnswer::Placement(self.placement_status(now));
+                self.emit(Command::AnswerOperator { call, answer });
+            }
         }
     }
 
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -187,6 +187,7 @@
                     self.suspects.take(now, notice);
                 }
             }
+            PeerMessage::Placement(message) => self.on_placement_message(now, from, &message),
         }
     }
 
--- /dev/null
+++ b/src/control/placement.rs
@@ -0,0 +1,294 @@
+use super::*;
+
+impl Control {
+    const PLACEMENT_INTERVAL_MS: u64 = 1_000;
+    const PLACEMENT_WAIT_MS: u64 = 10_000;
+    const PLACEMENT_READ_PAUSE_MS: u64 = 500;
+    const REPORT_INTERVAL_MS: u64 = 5_000;
+    /// Keeps the reports that one holder receives at ten a second, however many VMs there are.
+    const REPORT_SPACING_MS: u64 = 100;
+
+    /// Describes the placement in each pool.
+    #[must_use]
+    pub fn placement_status(&self, now: Millis) -> Vec<PlacementStatus> {
+        self.placement.status(now)
+    }
+
+    /// Moves the placement of every pool on.
+    pub(super) fn run_placement(&mut self, now: Millis) {
+        let Some(document) = self.configuration.document().cloned() else { return };
+        self.read_placement(now);
+        if now < self.placement.step_at {
+            return;
+        }
+        self.placement.step_at = now + Millis(Self::PLACEMENT_INTERVAL_MS);
+        self.placement.configure(&document);
+        self.report_demand(now, &document);
+        if !self.shutdown.is_serving() {
+            return;
+        }
+        let runs = self.version_runs();
+        let peers: Vec<VmId> = self.peers.iter().map(|peer| peer.vm.clone()).collect();
+        let in_reach: BTreeSet<VmId> =
+            self.peers.in_reach(now).map(|peer| peer.vm.clone()).collect();
+        let data_centres = self.data_centres_in_reach(now);
+        let versions = document.versions().map(|(id, _)| id);
+        let withdrawn: BTreeSet<VersionId> = versions.filter(|id| self.is_withdrawn(id)).collect();
+        let pools: Vec<PoolId> = self.placement.pools.keys().cloned().collect();
+        for pool in pools {
+            let rank = self.placement_rank(&pool);
+            let servers = self
+                .servers
+                .iter()
+                .filter(|server| server.pool == pool && server.member == MemberState::Live);
+            let scene = PoolScene {
+                pool: &pool,
+                document: &document,
+                servers: servers.collect(),
+                runs: &runs,
+                peers: &peers,
+                in_reach: &in_reach,
+                data_centres: &data_centres,
+                withdrawn: &withdrawn,
+                rank,
+            };
+            let Some(placement) = self.placement.pools.get_mut(&pool) else { continue };
+            let table = &self.placement.table;
+            let actions = placement.step(now, &scene, table, &mut self.placement.orders);
+            for action in actions {
+                self.act_on_placement(now, action);
+            }
+        }
+    }
+
+    fn act_on_placement(&mut self, now: Millis, action: PlacementAction) {
+        match action {
+            PlacementAction::Append(record) => {
+                let Ok(bytes) = serde_json::to_vec(&record) else { return };
+                let append = self.next_append();
+                let stream = self.streams.placement.clone();
+                self.emit(Command::Append { append, stream, records: vec![bytes.into()] });
+            }
+            PlacementAction::Order(order) => self.emit(Command::Order(order)),
+            PlacementAction::Notify(peers, message) => {
+                if let PlacementMessage::Drain { pool, fence, drains } = &message {
+                    self.placement.drains.note(now, pool, *fence, drains);
+                }
+                for peer in peers {
+                    self.send(&peer, PeerMessage::Placement(message.clone()));
+                }
+            }
+        }
+    }
+
+    fn read_placement(&mut self, now: Millis) {
+        let wanted = self.placement.pools.values().any(|pool| pool.wants_log(now));
+        if !wanted || self.placement.read_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.placement.read_at = None;
+        let wait = if self.placement.caught_up { Self::PLACEMENT_WAIT_MS } else { 0 };
+        self.emit(Command::Read {
+            stream: self.streams.placement.clone(),
+            from: self.placement.table.next(),
+            wait: Millis(wait),
+        });
+    }
+
+    pub(super) fn on_placement_read(
+        &mut self,
+        now: Millis,
+        result: Result<LogPage, PlatformError>,
+    ) {
+        self.placement.read_at = Some(now);
+        match result {
+            Ok(page) => {
+                self.placement.caught_up = page.records.is_empty();
+                self.placement.read(now, &page);
+            }
+            Err(PlatformError::Trimmed { oldest }) => self.placement.table.skip_to(oldest),
+            Err(error) => {
+                tracing::warn!(%error, "placement not read");
+                self.placement.read_at = Some(now + Millis(Self::PLACEMENT_READ_PAUSE_MS));
+            }
+        }
+    }
+
+    pub(super) fn on_ordered(
+        &mut self,
+        now: Millis,
+        order: OrderId,
+        result: &Result<(), OrderError>,
+    ) {
+        if let Err(error) = result {
+            tracing::warn!(%order, %error, "order not confirmed");
+        }
+        self.placement.ordered(now, order, result);
+    }
+
+    pub(super) fn on_placement_message(
+        &mut self,
+        now: Millis,
+        from: &PeerName,
+        message: &PlacementMessage,
+    ) {
+        match message {
+            PlacementMessage::Demand { pool, busy } => {
+                if let Some(placement) = self.placement.pools.get_mut(pool) {
+                    placement.demand.report(now, &from.vm, busy.clone());
+                }
+            }
+            PlacementMessage::Drain { pool, fence, drains } => {
+                if self.placement.drains.note(now, pool, *fence, drains) {
+                    self.answer_drain(from, pool, *fence, drains);
+                }
+            }
+            PlacementMessage::Runs { pool, fence, runs } => {
+                let placement = self.placement.pools.get_mut(pool);
+                if let Some(placement) = placement
+                    && placement.lease.fence(now) == Some(*fence)
+                {
+                    placement.drains.report(now, &from.vm, runs);
+                }
+            }
+        }
+    }
+
+    fn answer_drain(
+        &mut self,
+        from: &PeerName,
+        pool: &PoolId,
+        fence: Fence,
+        drains: &[ServerVersion],
+    ) {
+        let counts = self.version_runs();
+        let runs = drains.iter().map(|place| VersionRuns {
+            place: place.clone(),
+            runs: counts.get(place).copied().unwrap_or(0),
+        });
+        let message = PlacementMessage::Runs { pool: pool.clone(), fence, runs: runs.collect() };
+        self.send(&from.vm, PeerMessage::Placement(message));
+    }
+
+    /// Returns the servers of a pool on which a version must not be started now.
+    pub(super) fn servers_without(
+        &self,
+        now: Millis,
+        pool: &PoolId,
+        target: &WorkTarget,
+    ) -> Vec<ServerId> {
+        let WorkTarget::Version(version) = target else { return Vec::new() };
+        let servers = self.servers.iter().filter(|server| server.pool == *pool);
+        let without = servers.filter(|server| !self.placement.may_start(now, server, version));
+        without.map(|server| server.id.clone()).collect()
+    }
+
+    /// Returns the requests that run, by server and version.
+    fn version_runs(&self) -> BTreeMap<ServerVersion, u32> {
+        let mut runs = BTreeMap::new();
+        let attempts = self.requests.values().flat_map(|request| &request.attempts);
+        for attempt in attempts.filter(|attempt| attempt.outcome.is_none()) {
+            let WorkTarget::Version(version) = attempt.target.clone() else { continue };
+            let place = ServerVersion { server: attempt.server.clone(), version };
+            *runs.entry(place).or_default() += 1;
+        }
+        runs
+    }
+
+    fn data_centres_in_reach(&self, now: Millis) -> BTreeSet<DataCentreId> {
+        let listed: BTreeSet<&DataCentreId> =
+            self.peers.iter().map(|peer| &peer.data_centre).collect();
+        let servers = self.servers.iter().map(|server| &server.data_centre);
+        let without_vm = servers.filter(|data_centre| !listed.contains(data_centre));
+        let heard = self.peers.in_reach(now).map(|peer| &peer.data_centre);
+        let own = std::iter::once(&self.identity.data_centre);
+        without_vm.chain(heard).chain(own).cloned().collect()
+    }
+
+    /// Returns the VMs that may order in a pool, by rank.
+    fn placement_candidates(&self, pool: &PoolId) -> Vec<VmId> {
+        let mut ranked = self.peers.ranked(&self.identity.vm, pool.as_str());
+        ranked.truncate(PoolPlacement::CANDIDATES);
+        ranked
+    }
+
+    fn placement_rank(&self, pool: &PoolId) -> usize {
+        let candidates = self.placement_candidates(pool);
+        let rank = candidates.iter().position(|vm| *vm == self.identity.vm);
+        rank.unwrap_or(usize::MAX)
+    }
+
+    /// Returns the servers whose reports are to be read for placement besides this VM's own.
+    pub(super) fn placement_loads(
+        &mut self,
+        now: Millis,
+        own: &[(ServerId, SocketAddr)],
+    ) -> Vec<(ServerId, SocketAddr)> {
+        let own: BTreeSet<&ServerId> = own.iter().map(|(server, _)| server).collect();
+        let due: BTreeSet<PoolId> = self
+            .placement
+            .pools
+            .iter()
+            .filter(|(_, placement)| placement.reads_due(now))
+            .map(|(pool, _)| pool.clone())
+            .collect();
+        let servers = self.servers.iter().filter(|server| due.contains(&server.pool));
+        let loads: Vec<_> = servers
+            .filter(|server| !own.contains(&server.id))
+            .map(|server| (server.id.clone(), server.address))
+            .collect();
+        self.placement.reads.retain(|server| !own.contains(server));
+        self.placement.reads.extend(loads.iter().map(|(server, _)| server.clone()));
+        for pool in due {
+            if let Some(placement) = self.placement.pools.get_mut(&pool) {
+                placement.note_reads(now);
+            }
+        }
+        loads
+    }
+
+    /// Tells the VMs that may order what is asked of each version here.
+    fn report_demand(&mut self, now: Millis, document: &ConfigurationDocument) {
+        const RECEIVERS: usize = 2;
+        if now < self.placement.report_at {
+            return;
+        }
+        let spacing = Self::REPORT_SPACING_MS * self.peers.iter().count() as u64;
+        self.placement.report_at = now + Millis(spacing.max(Self::REPORT_INTERVAL_MS));
+        for (pool, busy) in self.busy_versions(document) {
+            let candidates = self.placement_candidates(&pool);
+            for vm in candidates.into_iter().take(RECEIVERS) {
+                if vm == self.identity.vm {
+                    if let Some(placement) = self.placement.pools.get_mut(&pool) {
+                        placement.demand.report(now, &vm, busy.clone());
+                    }
+                    continue;
+                }
+                let (pool, busy) = (pool.clone(), busy.clone());
+                let message = PlacementMessage::Demand { pool, busy };
+                self.send(&vm, PeerMessage::Placement(message));
+            }
+        }
+    }
+
+    fn busy_versions(
+        &self,
+        document: &ConfigurationDocument,
+    ) -> BTreeMap<PoolId, Vec<VersionBusy>> {
+        let mut counts: BTreeMap<VersionId, u32> = BTreeMap::new();
+        for request in self.requests.values() {
+            if request.phase == RequestPhase::Answered {
+                continue;
+            }
+            if let WorkTarget::Version(version) = request.target() {
+                *counts.entry(version.clone()).or_default() += 1;
+            }
+        }
+        let mut pools: BTreeMap<PoolId, Vec<VersionBusy>> = BTreeMap::new();
+        for (version, busy) in counts {
+            let Some(entry) = document.version(&version) else { continue };
+            pools.entry(entry.pool.clone()).or_default().push(VersionBusy { version, busy });
+        }
+        pools
+    }
+}
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -39,7 +39,7 @@
         let own = RevisionShare { count: 1, some: vec![self.identity.vm.clone()] };
         ShareParts {
             revisions: BTreeMap::from([(self.configuration.revision(), own)]),
-            loads: self.cluster.own_loads.values().copied().collect(),
+            loads: self.cluster.own_loads.values().cloned().collect(),
         }
     }
 
@@ -110,6 +110,10 @@
     }
 
     fn learn_loads(&mut self, centres: &BTreeMap<DataCentreId, ShareParts>) {
+        let document = self.configuration.document();
+        let versions = document.into_iter().flat_map(|document| document.versions());
+        let names: FxHashMap<u32, VersionId> =
+            versions.map(|(id, _)| (ServerLoad::hash_version(&id), id)).collect();
         for load in centres.values().flat_map(|parts| &parts.loads) {
             let Some(server) = self.cluster.servers.get(&load.server).cloned() else { continue };
             if self.cluster.own_loads.contains_key(&server) {
@@ -118,9 +122,7 @@
             if load.leaving {
                 self.servers.leave(&server);
             }
-            let mut report = load.unpack();
-            let known = self.servers.get(&server).and_then(|state| state.load.as_ref());
-            report.versions = known.and_then(|load| load.versions.clone());
+            let report = load.unpack(&names);
             self.servers.report(&server, report);
         }
     }
--- a/src/control/suspects.rs
+++ b/src/control/suspects.rs
@@ -54,9 +54,10 @@
         }
         let step = &state.plan.steps[state.step];
         let Some(pool) = document.pools.get(&step.pool) else { return };
+        let without = self.servers_without(now, &step.pool, state.target());
         let choose = |avoid: &[ServerId]| {
             let class = state.profile.class;
-            let (server, _) = self.servers.choose(now, &step.pool, pool, class, avoid);
+            let (server, _) = self.servers.choose(now, &step.pool, pool, class, avoid, &without);
             server.map(|server| server.id.clone())
         };
         let avoid = self.servers_to_avoid(request, state);
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -72,7 +72,7 @@
         let ready = Arc::new(AtomicBool::new(false));
         let errands = {
             let _guard = runtime.enter();
-            errand_runner(settings, &seal, &runtime, &handle, &shelf)
+            errand_runner(settings, &seal, &runtime, &handle, &shelf, &clock)
         };
         let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
         let mut control = Control::new(identity.clone(), Box::new(CheapestPolicy));
@@ -202,6 +202,7 @@
     runtime: &tokio::runtime::Runtime,
     handle: &ControlHandle,
     shelf: &Arc<AnswerShelf>,
+    clock: &Clock,
 ) -> ErrandRunner {
     let platform = Arc::new(HttpPlatform::new(settings.platform.address));
     ErrandRunner {
@@ -211,6 +212,8 @@
         members: platform.clone(),
         loads: platform.clone(),
         ratings: platform,
+        orders: Arc::new(HttpOrders::new()),
+        clock: clock.clone(),
         shelf: Arc::clone(shelf),
         peers: Arc::new(PeerClient::new(Arc::clone(seal), handle.clone())),
     }
--- a/src/driver/errands.rs
+++ b/src/driver/errands.rs
@@ -8,6 +8,8 @@
     pub(super) members: Arc<dyn MembershipService>,
     pub(super) loads: Arc<dyn LoadReports>,
     pub(super) ratings: Arc<dyn RatingService>,
+    pub(super) orders: Arc<dyn EngineOrders>,
+    pub(super) clock: Clock,
     pub(super) shelf: Arc<AnswerShelf>,
     pub(super) peers: Arc<PeerClient>,
 }
@@ -44,6 +46,7 @@
                     handle.send(Event::Loaded { server, result });
                 });
             }
+            Command::Order(order) => self.order(order),
             Command::Rate { request, attempt, version } => self.rate(request, attempt, version),
             Command::Send { to, address, message } => {
                 let peers = Arc::clone(&self.peers);
@@ -63,6 +66,21 @@
         }
     }
 
+    /// Sends an order, unless the lease that it was given under may have ended.
+    fn order(&self, order: EngineOrder) {
+        let orders = Arc::clone(&self.orders);
+        let handle = self.handle.clone();
+        let clock = self.clock.clone();
+        self.runtime.spawn(async move {
+            let result = if clock.now() < order.expires {
+                orders.order(&order).await
+            } else {
+                Err(OrderError::Expired)
+            };
+            handle.send(Event::Ordered { order: order.id, result });
+        });
+    }
+
     fn rate(&self, request: RequestNumber, attempt: AttemptId, version: VersionId) {
         let Some((question, answer)) = self.shelf.get(request, attempt) else { return };
         let ratings = Arc::clone(&self.ratings);
--- a/src/health/server_table.rs
+++ b/src/health/server_table.rs
@@ -60,6 +60,12 @@
         self.servers.values()
     }
 
+    /// Returns how many servers a pool has.
+    #[must_use]
+    pub fn in_pool(&self, pool: &PoolId) -> usize {
+        self.pools.get(pool).map_or(0, Vec::len)
+    }
+
     /// Returns the server of a pool on which a request should start, and why others were not taken.
     ///
     /// A server to avoid is taken only if no other is fit, so that a request which has tried all
@@ -72,6 +78,7 @@
         entry: &PoolEntry,
         class: SizeClass,
         avoid: &[ServerId],
+        without: &[ServerId],
     ) -> (Option<&ServerState>, Vec<PassedOver>) {
         let mut passed_over = Vec::new();
         let mut best: Option<&ServerState> = None;
@@ -79,6 +86,7 @@
         for server in self.pools.get(pool).into_iter().flatten().map(|id| &self.servers[id]) {
             let tried = avoid.contains(&server.id);
             let unfit = Self::unfit(now, server, entry, class);
+            let unfit = unfit.or(without.contains(&server.id).then_some("version not loaded"));
             if let Some(reason) = unfit.or(tried.then_some("tried before")) {
                 passed_over.push(PassedOver {
                     candidate: server.id.as_str().into(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -141,6 +141,10 @@
     /// The fencing number of an order to an engine.
     Fence
 );
+number_id!(
+    /// An order to an engine that waits for its answer.
+    OrderId
+);
 
 number_id!(
     /// One claim of a key, unique within an incarnation of its claimant.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod health;
 pub mod ids;
 pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod routing;
 pub mod session;
@@ -55,8 +56,8 @@
 
 use {
     admission::*, billing::*, claim::*, configuration::*, control::*, document::*, driver::*,
-    health::*, ids::*, peer::*, platform::*, routing::*, session::*, settings::*, traffic::*,
-    units::*,
+    health::*, ids::*, peer::*, placement::*, platform::*, routing::*, session::*, settings::*,
+    traffic::*, units::*,
 };
 
 /// Runs the program with its arguments and returns its exit code.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -46,6 +46,8 @@
     Bill(BillMessage),
     /// About requests that were in flight at crashes.
     Suspects(Vec<SuspectNotice>),
+    /// About the placement of versions on servers.
+    Placement(PlacementMessage),
 }
 
 impl PeerMessage {
@@ -67,6 +69,7 @@
             Self::Claim(_) => "claim",
             Self::Bill(_) => "bill",
             Self::Suspects(_) => "suspects",
+            Self::Placement(_) => "placement",
         }
     }
 }
--- a/src/peer/share_parts.rs
+++ b/src/peer/share_parts.rs
@@ -43,9 +43,9 @@
         }
         for load in &other.loads {
             match self.loads.iter_mut().find(|known| known.server == load.server) {
-                Some(known) if known.as_of < load.as_of => *known = *load,
+                Some(known) if known.as_of < load.as_of => known.clone_from(load),
                 Some(_) => {}
-                None => self.loads.push(*load),
+                None => self.loads.push(load.clone()),
             }
         }
     }
@@ -57,13 +57,13 @@
             return self.clone();
         }
         let first = (round as usize).wrapping_mul(limit) % self.loads.len();
-        let loads = self.loads.iter().cycle().skip(first).take(limit).copied().collect();
+        let loads = self.loads.iter().cycle().skip(first).take(limit).cloned().collect();
         Self { loads, revisions: self.revisions.clone() }
     }
 }
 
 /// A backend server's load report, packed for the way between entry VMs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "PackedLoad", from = "PackedLoad")]
 pub struct ServerLoad {
     /// The hash of the server's name.
@@ -78,19 +78,29 @@
     pub leaving: bool,
     /// The time of the report by the server's clock, in milliseconds, modulo 2^32.
     pub as_of: u32,
+    /// The hashes of the names of the loaded versions, if the server says so.
+    pub versions: Option<Vec<u32>>,
 }
 
-type PackedLoad = (u32, u16, u16, u8, bool, u32);
+type PackedLoad = (u32, u16, u16, u8, bool, u32, Option<Vec<u32>>);
 
 impl From<PackedLoad> for ServerLoad {
-    fn from((server, running, waiting, kv_free, leaving, as_of): PackedLoad) -> Self {
-        Self { server, running, waiting, kv_free, leaving, as_of }
+    fn from((server, running, waiting, kv_free, leaving, as_of, versions): PackedLoad) -> Self {
+        Self { server, running, waiting, kv_free, leaving, as_of, versions }
     }
 }
 
 impl From<ServerLoad> for PackedLoad {
     fn from(load: ServerLoad) -> Self {
-        (load.server, load.running, load.waiting, load.kv_free, load.leaving, load.as_of)
+        (
+            load.server,
+            load.running,
+            load.waiting,
+            load.kv_free,
+            load.leaving,
+            load.as_of,
+            load.versions,
+        )
     }
 }
 
@@ -106,22 +116,35 @@
             kv_free: (report.kv_free.clamp(0.0, 1.0) * 100.0) as u8,
             leaving: report.leaving,
             as_of: report.as_of_ms.0 as u32,
+            versions: report
+                .versions
+                .as_ref()
+                .map(|ids| ids.iter().map(Self::hash_version).collect()),
         }
     }
 
-    /// Unpacks the report; the loaded versions do not travel.
+    /// Unpacks the report, with the names of versions by their hashes.
     #[must_use]
-    pub fn unpack(&self) -> LoadReport {
+    pub fn unpack(&self, names: &FxHashMap<u32, VersionId>) -> LoadReport {
+        let versions = self.versions.as_ref();
+        let names =
+            |hashes: &Vec<u32>| hashes.iter().filter_map(|hash| names.get(hash)).cloned().collect();
         LoadReport {
             running: u32::from(self.running),
             waiting: u32::from(self.waiting),
             kv_free: f64::from(self.kv_free) / 100.0,
             as_of_ms: Millis(u64::from(self.as_of)),
-            versions: None,
+            versions: versions.map(names),
             leaving: self.leaving,
         }
     }
 
+    /// Returns the hash of a version's name.
+    #[must_use]
+    pub fn hash_version(version: &VersionId) -> u32 {
+        xxhash_rust::xxh3::xxh3_64(version.to_string().as_bytes()) as u32
+    }
+
     /// Returns the hash of a server's name.
     #[must_use]
     pub fn hash(server: &ServerId) -> u32 {
--- /dev/null
+++ b/src/placement/order_step.rs
@@ -0,0 +1,260 @@
+use super::*;
+
+impl PoolPlacement {
+    const FENCE_AGAIN_MS: u64 = 6_000;
+
+    /// Gives the orders that are due.
+    pub(super) fn order(
+        &mut self,
+        now: Millis,
+        scene: &PoolScene<'_>,
+        view: &PlacementView,
+        right: OrderRight,
+        orders: &mut u64,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        let fences = scene.entry().fence_rule == FenceRule::Refuses;
+        if fences {
+            self.send_fences(now, scene, view, right, orders, actions);
+        }
+        let settled = !fences || self.is_settled(now, view);
+        let limit = Self::change_limit(scene);
+        self.choose_drains(now, view, settled, limit);
+        self.notify_drains(now, scene, right, actions);
+        let targets = self.targets(now, scene, view, limit);
+        for (server, versions) in targets {
+            if let Some(order) = self.send(now, scene, &server, versions, right, orders) {
+                actions.push(PlacementAction::Order(order));
+            }
+        }
+    }
+
+    fn change_limit(scene: &PoolScene<'_>) -> usize {
+        let share = scene.entry().change_share.get();
+        ((share * scene.servers.len() as f64).floor() as usize).max(1)
+    }
+
+    fn send_fences(
+        &mut self,
+        now: Millis,
+        scene: &PoolScene<'_>,
+        view: &PlacementView,
+        right: OrderRight,
+        orders: &mut u64,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        for server in view.servers.iter().filter(|server| server.reach == ServerReach::Fresh) {
+            let Some(entry) = self.servers.get_mut(&server.id) else { continue };
+            let asked = entry.fencing.is_some_and(|(_, at)| now.since(at).0 < Self::FENCE_AGAIN_MS);
+            if entry.fenced.is_some() || asked {
+                continue;
+            }
+            let Some(state) = scene.server(&server.id) else { continue };
+            let id = next_order(orders);
+            entry.fencing = Some((id, now));
+            actions.push(PlacementAction::Order(EngineOrder {
+                id,
+                server: server.id.clone(),
+                address: state.address,
+                fence: right.fence,
+                expires: right.until,
+                kind: OrderKind::Fence,
+            }));
+        }
+    }
+
+    /// Returns whether no order of an earlier holder can still take effect, and reports show the
+    /// effect of those that did.
+    fn is_settled(&self, now: Millis, view: &PlacementView) -> bool {
+        view.servers.iter().filter(|server| server.reach == ServerReach::Fresh).all(|server| {
+            let fenced = self.servers[&server.id].fenced;
+            fenced.is_some_and(|at| now.since(at).0 >= OrderProgress::REPORT_LAG_MS)
+        })
+    }
+
+    fn choose_drains(&mut self, now: Millis, view: &PlacementView, settled: bool, limit: usize) {
+        let mut places = BTreeSet::new();
+        let mut changing = self.changing();
+        for server in view.servers.iter().filter(|server| server.reach == ServerReach::Fresh) {
+            let surplus: Vec<_> =
+                server.loaded.difference(&self.plan.desired[&server.id]).collect();
+            if !settled || surplus.is_empty() {
+                continue;
+            }
+            if !changing.contains(&server.id) && changing.len() >= limit {
+                continue;
+            }
+            changing.insert(server.id.clone());
+            places.extend(surplus.into_iter().map(|version| ServerVersion {
+                server: server.id.clone(),
+                version: version.clone(),
+            }));
+        }
+        self.drains.set(now, &places);
+    }
+
+    fn changing(&self) -> BTreeSet<ServerId> {
+        let pending = self.servers.iter().filter(|(_, server)| server.progress.is_some());
+        let mut changing: BTreeSet<ServerId> = pending.map(|(id, _)| id.clone()).collect();
+        changing.extend(self.drains.places().map(|place| place.server.clone()));
+        changing
+    }
+
+    fn notify_drains(
+        &mut self,
+        now: Millis,
+        scene: &PoolScene<'_>,
+        right: OrderRight,
+        actions: &mut Vec<PlacementAction>,
+    ) {
+        let peers = self.drains.notices(now, scene.peers);
+        let message = PlacementMessage::Drain {
+            pool: self.pool.clone(),
+            fence: right.fence,
+            drains: self.drains.places().cloned().collect(),
+        };
+        actions.push(PlacementAction::Notify(peers, message));
+    }
+
+    /// Returns the versions that each server is to be ordered to have now.
+    fn targets(
+        &mut self,
+        now: Millis,
+        scene: &PoolScene<'_>,
+        view: &PlacementView,
+        limit: usize,
+    ) -> BTreeMap<ServerId, BTreeSet<VersionId>> {
+        let mut targets = BTreeMap::new();
+        for server in view.servers.iter().filter(|server| server.reach == ServerReach::Fresh) {
+            targets.insert(server.id.clone(), self.reduced(now, scene, server));
+        }
+        let mut changing = self.changing();
+        for (id, version) in self.loads(view) {
+            let Some(target) = targets.get_mut(&id) else { continue };
+            let counted = changing.contains(&id);
+            if !counted && changing.len() >= limit {
+                continue;
+            }
+            if !self.fits(view, &id, target, &version) {
+                continue;
+            }
+            if !self.budget.take(now, scene.entry().loads_per_minute) {
+                break;
+            }
+            changing.insert(id);
+            target.insert(version);
+        }
+        targets
+    }
+
+    /// Returns what a server has or is loading, without what it may lose now.
+    fn reduced(
+        &self,
+        now: Millis,
+        scene: &PoolScene<'_>,
+        server: &ServerView,
+    ) -> BTreeSet<VersionId> {
+        let desired = &self.plan.desired[&server.id];
+        let loading = server.loading.iter().filter(|version| desired.contains(*version));
+        let loaded = server.loaded.iter().filter(|version| {
+            let version = (*version).clone();
+            let place = ServerVersion { server: server.id.clone(), version };
+            desired.contains(&place.version) || !self.drains.is_idle(now, &place, scene)
+        });
+        loading.chain(loaded).cloned().collect()
+    }
+
+    /// Returns the loads that are due, the most urgent first.
+    fn loads(&self, view: &PlacementView) -> Vec<(ServerId, VersionId)> {
+        let mut loads = Vec::new();
+        for server in &view.servers {
+            for version in &self.plan.desired[&server.id] {
+                if !server.has(version) {
+                    let copies = view.servers.iter().filter(|other| other.has(version)).count();
+                    let wanted = self.plan.wanted.get(version).copied().unwrap_or(1).max(1);
+                    loads.push((copies * 1_000 / wanted, server.id.clone(), version.clone()));
+                }
+            }
+        }
+        loads.sort();
+        loads.into_iter().map(|(_, server, version)| (server, version)).collect()
+    }
+
+    fn fits(
+        &self,
+        view: &PlacementView,
+        server: &ServerId,
+        target: &BTreeSet<VersionId>,
+        version: &VersionId,
+    ) -> bool {
+        if view.memory.0 == 0 {
+            return true;
+        }
+        let mut held = target.clone();
+        held.extend(self.servers[server].loaded.iter().flatten().cloned());
+        held.insert(version.clone());
+        let size = |id: &VersionId| view.versions.get(id).map_or(0, |need| need.memory.0);
+        held.iter().map(size).sum::<u64>() <= view.memory.0
+    }
+
+    fn send(
+        &mut self,
+        now: Millis,
+        scene: &PoolScene<'_>,
+        server: &ServerId,
+        versions: BTreeSet<VersionId>,
+        right: OrderRight,
+        orders: &mut u64,
+    ) -> Option<EngineOrder> {
+        let state = scene.server(server)?;
+        let entry = self.servers.get_mut(server)?;
+        let loaded = entry.loaded.clone()?;
+        let last = entry.progress.as_ref();
+        let known = last.map_or(&loaded, |progress| &progress.versions);
+        let again = last.is_some_and(|progress| progress.is_due(now, &loaded));
+        let waits = last.is_some_and(|progress| match progress.state {
+            OrderState::Sent | OrderState::Unconfirmed { .. } => !again,
+            OrderState::Accepted => false,
+        });
+        if waits || (*known == versions && !again) {
+            return None;
+        }
+        let same = last.filter(|progress| progress.versions == versions);
+        let asked = same.map_or(now, |progress| progress.asked);
+        let id = next_order(orders);
+        tracing::info!(
+            pool = %self.pool,
+            %server,
+            fence = %right.fence,
+            order = %id,
+            load = ?names(versions.difference(&loaded)),
+            unload = ?names(loaded.difference(&versions)),
+            reason = if again && *known == versions { "repeated" } else { "planned" },
+            "placement"
+        );
+        entry.progress = Some(OrderProgress {
+            id,
+            asked,
+            versions: versions.clone(),
+            sent: now,
+            state: OrderState::Sent,
+        });
+        Some(EngineOrder {
+            id,
+            server: server.clone(),
+            address: state.address,
+            fence: right.fence,
+            expires: right.until,
+            kind: OrderKind::Desired { versions },
+        })
+    }
+}
+
+fn next_order(orders: &mut u64) -> OrderId {
+    *orders += 1;
+    OrderId(*orders)
+}
+
+fn names<'a>(versions: impl Iterator<Item = &'a VersionId>) -> Vec<String> {
+    versions.map(ToString::to_string).collect()
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,16 +7,22 @@
 use super::*;
 
 mod error;
+mod http_orders;
 mod http_platform;
 mod log;
 mod members;
+mod order_error;
 mod services;
 mod wire;
 
 pub use {
     error::PlatformError,
+    http_orders::HttpOrders,
     http_platform::HttpPlatform,
     log::{LogPage, LogRecord},
     members::{LoadReport, MemberState, MembershipList, ServerMember, VmMember},
-    services::{BoxFuture, LoadReports, LogService, MembershipService, RatingService},
+    order_error::OrderError,
+    services::{
+        BoxFuture, EngineOrders, LoadReports, LogService, MembershipService, RatingService,
+    },
 };
--- a/src/platform/services.rs
+++ b/src/platform/services.rs
@@ -54,6 +54,16 @@
     ) -> BoxFuture<'a, Result<Share, PlatformError>>;
 }
 
+/// The engines' side of orders.
+pub trait EngineOrders: Send + Sync {
+    /// Sends an order to its engine.
+    ///
+    /// # Errors
+    ///
+    /// [`OrderError::Lost`] means that the engine may have taken the order.
+    fn order<'a>(&'a self, order: &'a EngineOrder) -> BoxFuture<'a, Result<(), OrderError>>;
+}
+
 /// The load reports of backend servers.
 pub trait LoadReports: Send + Sync {
     /// Reads the report of one server.
--- a/src/stand_in/engine_stand_in.rs
+++ b/src/stand_in/engine_stand_in.rs
@@ -177,18 +177,25 @@
         self.orders.start(&order.version);
         match order.order {
             OrderKind::Unload => drop(state.versions.remove(&order.version)),
-            OrderKind::Role => {}
-            OrderKind::Load => {
-                if !state.versions.contains(&order.version)
-                    && state.loading.insert(order.version.clone())
-                {
-                    tokio::spawn(Arc::clone(&self).load_version(order.version));
+            OrderKind::Role | OrderKind::Fence => {}
+            OrderKind::Load => self.start_load(&mut state, order.version),
+            OrderKind::Desired => {
+                state.versions.retain(|version| order.versions.contains(version));
+                state.loading.retain(|version| order.versions.contains(version));
+                for version in order.versions {
+                    self.start_load(&mut state, version);
                 }
             }
         }
         json_reply(StatusCode::OK, &serde_json::json!({"fence": state.fence}))
     }
 
+    fn start_load(self: &Arc<Self>, state: &mut EngineState, version: SmolStr) {
+        if !state.versions.contains(&version) && state.loading.insert(version.clone()) {
+            tokio::spawn(Arc::clone(self).load_version(version));
+        }
+    }
+
     async fn load_version(self: Arc<Self>, version: SmolStr) {
         if let Some(address) = self.setup.weight_store {
             download_weights(address, &version).await;
--- a/src/stand_in/engine_state.rs
+++ b/src/stand_in/engine_state.rs
@@ -60,6 +60,8 @@
     pub(super) order: OrderKind,
     #[serde(default)]
     pub(super) version: SmolStr,
+    #[serde(default)]
+    pub(super) versions: BTreeSet<SmolStr>,
 }
 
 /// What an order asks for.
@@ -70,6 +72,10 @@
     Load,
     /// To unload a version.
     Unload,
+    /// Nothing but that it refuses older fencing numbers.
+    Fence,
+    /// To have just some versions loaded.
+    Desired,
     /// To change its role, which the stand-in only counts.
     Role,
 }
