--- a/benches/policy/decision.rs
+++ b/benches/policy/decision.rs
@@ -4,8 +4,8 @@
 use guavapass::{
     configuration::{ConfigurationDocument, hash_key},
     control::{
-        AnswerMode, Arrival, ArrivalTarget, AttemptOutcome, AttemptReport, Command, Control, Event,
-        TokenUsage,
+        AnswerMode, Arrival, ArrivalHop, ArrivalTarget, AttemptOutcome, AttemptReport, Command,
+        Control, Event, TokenUsage,
     },
     ids::{AttemptId, PoolId, RequestNumber},
     units::{Millis, Tokens},
@@ -128,6 +128,7 @@
             session: None,
             idempotency_key: None,
             deadline: None,
+            hop: ArrivalHop::Caller,
         };
         self.handle(Event::Arrived(arrival))
     }
--- a/benches/policy/exposure.rs
+++ b/benches/policy/exposure.rs
@@ -68,8 +68,8 @@
     let control = router::shipping(&document);
     let pool = deployment.pool();
     let mut world = World::new(control, &document, &pool, 10, demand.jobs(seed), quality);
-    world.run_while(RUN_MS, |world| !world.router.is_withdrawn(&new, 0));
-    let withdrawn = world.router.is_withdrawn(&new, 0);
+    world.run_while(RUN_MS, |world| !world.router.is_withdrawn(&new));
+    let withdrawn = world.router.is_withdrawn(&new);
     let ratings = world.ratings.iter().filter(|rating| rating.0 >= FALL_MS && rating.1 == new);
     let (count, last) = ratings.fold((0, FALL_MS), |(count, _), rating| (count + 1, rating.0));
     let answers = world.results.iter().filter(|result| {
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -8,8 +8,8 @@
 use guavapass::{
     configuration::{ConfigurationDocument, hash_key},
     control::{
-        AnswerMode, Arrival, ArrivalTarget, AttemptFault, AttemptOutcome, AttemptReport,
-        AttemptStart, Command, Event, ReleaseRule, TokenUsage, WorkTarget,
+        AnswerMode, Arrival, ArrivalHop, ArrivalTarget, AttemptFault, AttemptOutcome,
+        AttemptReport, AttemptStart, Command, Event, ReleaseRule, TokenUsage, WorkTarget,
     },
     ids::{AttemptId, PoolId, RequestNumber, ServerId, VersionId},
     platform::{LoadReport, PlatformError},
@@ -176,6 +176,7 @@
             session: None,
             idempotency_key: None,
             deadline: None,
+            hop: ArrivalHop::Caller,
         }
     }
 
--- a/src/command.rs
+++ b/src/command.rs
@@ -7,12 +7,14 @@
 use super::*;
 use clap::{Arg, ArgMatches, Command as CommandLine};
 
+mod bills;
 mod check;
 mod command_error;
+mod demo;
 mod logs;
 mod serve;
 
-pub use command_error::CommandError;
+pub use {check::read_configuration, command_error::CommandError};
 
 /// Parses the arguments and runs the command they name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -26,6 +28,8 @@
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("bills", matches)) => bills::run(matches),
+        Some(("demo", matches)) => demo::run(matches),
         _ => Ok(ExitCode::SUCCESS),
     };
     result.unwrap_or_else(|error| {
@@ -42,4 +46,6 @@
         .arg_required_else_help(true)
         .subcommand(serve::command())
         .subcommand(check::command())
+        .subcommand(bills::command())
+        .subcommand(demo::command())
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,38 +12,65 @@
 
 mod arrive;
 mod attempt;
+mod bills;
 mod cascade;
+mod claims;
+mod cluster;
 mod command;
 mod core;
 mod decision;
 mod dispatch;
 mod event;
+mod gate;
 mod hedge;
 mod learn;
 mod load_state;
+mod members;
 mod operate;
 mod output_history;
 mod peers;
+mod placement;
 mod policy_digest;
+mod publish;
 mod rating_desk;
 mod refusal;
 mod request;
+mod sessions;
+mod shares;
 mod shed;
+mod shutdown;
+mod spread;
+mod suspects;
+mod tickets;
 mod timers;
 mod withdraw;
 
+use {
+    bills::BillingState,
+    claims::ClaimState,
+    gate::{GateStage, GatedArrival},
+};
+
 pub use {
+    cluster::ClusterSettings,
     command::{AttemptStart, Command, ReleaseRule, RepeatRule},
     core::{Control, VmIdentity},
     decision::{PassedOver, RouteDecision},
     event::{
-        AnswerMode, Arrival, ArrivalTarget, AttemptFault, AttemptOutcome, AttemptReport, Event,
-        TokenUsage,
+        AnswerMode, Arrival, ArrivalHop, ArrivalTarget, AttemptFault, AttemptOutcome,
+        AttemptReport, Event, TokenUsage,
     },
-    operate::{OperatorAnswer, OperatorRequest, ServerStatus, VmStatus},
+    operate::{OperatorAnswer, OperatorRequest, PeerStatus, ServerStatus, VmStatus},
     policy_digest::PolicyDigest,
     refusal::{Refusal, RefusalCode},
     request::{AttemptRun, AttemptState, RequestPhase, RequestState, RunState, WorkTarget},
+    shutdown::ShutdownStage,
+};
+
+use {
+    cluster::{ClusterState, WantedConfiguration},
+    publish::PendingPublication,
+    sessions::SessionWaits,
 };
 use {
     load_state::LoadState,
--- a/src/control/arrive.rs
+++ b/src/control/arrive.rs
@@ -6,7 +6,10 @@
 
     pub(super) fn on_arrival(&mut self, now: Millis, arrival: Arrival) {
         let request = arrival.request;
+        let earlier = self.earlier_run(&arrival);
         if let Err(refusal) = self.admit(now, arrival) {
+            let run = refusal.run.max(earlier);
+            let refusal = refusal.with_run(run);
             tracing::info!(
                 request = %self.request_id(request),
                 code = refusal.code.as_str(),
@@ -21,28 +24,47 @@
         let document = self.serving_document()?;
         let (team, subscriber) = self.identify(&arrival)?;
         if arrival.target == ArrivalTarget::ModelList {
-            let models = Self::allowed_models(&document, &team);
+            let models = self.allowed_models(&document, &team);
             self.emit(Command::ListModels { request: arrival.request, models });
             return Ok(());
         }
+        if arrival.target == ArrivalTarget::Ticket {
+            return self.issue_ticket(now, arrival.request, &team);
+        }
+        let session = self.session_choice(now, &document, &team, &arrival)?;
         let profile = self.profile(now, &document, &arrival, team, subscriber);
-        let plan = self.plan(now, &document, &arrival, &profile)?;
-        let state = RequestState {
-            arrival,
-            profile,
-            plan,
-            step: 0,
-            phase: RequestPhase::Queued,
-            attempts: Vec::new(),
-            released: None,
-            held: None,
-        };
-        self.check_limits(now, &document, &state)?;
-        self.enqueue(now, &document, state)
+        let plan = self.plan(now, &document, &arrival, &profile, session.as_ref())?;
+        if let (Some(choice), WorkTarget::Version(planned)) = (&session, &plan.steps[0].target)
+            && self.hold_for_pin(now, &arrival, choice, planned)
+        {
+            return Ok(());
+        }
+        self.gate(now, &document, arrival, profile, plan, session)
+    }
+
+    /// Goes on with a request whose session has got its version.
+    pub(super) fn resume_arrival(&mut self, now: Millis, arrival: Arrival, session: SessionChoice) {
+        let request = arrival.request;
+        if let Err(refusal) = self.admit_session(now, arrival, session) {
+            self.emit(Command::Refuse { request, refusal });
+        }
+    }
+
+    fn admit_session(
+        &mut self,
+        now: Millis,
+        arrival: Arrival,
+        session: SessionChoice,
+    ) -> Result<(), Refusal> {
+        let document = self.serving_document()?;
+        let (team, subscriber) = self.identify(&arrival)?;
+        let profile = self.profile(now, &document, &arrival, team, subscriber);
+        let plan = self.plan(now, &document, &arrival, &profile, Some(&session))?;
+        self.gate(now, &document, arrival, profile, plan, Some(session))
     }
 
     fn serving_document(&self) -> Result<Arc<ConfigurationDocument>, Refusal> {
-        if self.stopping {
+        if !self.shutdown.takes_work() {
             let message = "This entry VM is shutting down; send the request again.";
             return Err(Refusal::not_run(RefusalCode::Unavailable, message));
         }
@@ -60,11 +82,11 @@
         })
     }
 
-    fn allowed_models(document: &ConfigurationDocument, team: &TeamId) -> Vec<SmolStr> {
+    fn allowed_models(&self, document: &ConfigurationDocument, team: &TeamId) -> Vec<SmolStr> {
         let entry = &document.teams[team];
         let mut models = BTreeSet::new();
-        for (id, version) in document.versions() {
-            if entry.allows(&id) && version.state == VersionState::Live {
+        for (id, _) in document.versions() {
+            if entry.allows(&id) && !self.is_withdrawn(&id) {
                 models.insert(SmolStr::new(id.model.as_str()));
                 models.insert(SmolStr::new(id.to_string()));
             }
@@ -92,7 +114,7 @@
                 let output = outputs.expect(&team, name, arrival.prompt_tokens, most);
                 (output, SizeClass::of(arrival.prompt_tokens, output))
             }
-            ArrivalTarget::ModelList => (Tokens(0), SizeClass::Short),
+            ArrivalTarget::ModelList | ArrivalTarget::Ticket => (Tokens(0), SizeClass::Short),
         };
         let own = self.request_id(arrival.request).to_string();
         let share_key = arrival.session.as_deref().unwrap_or(&own);
@@ -140,11 +162,15 @@
         document: &ConfigurationDocument,
         arrival: &Arrival,
         profile: &RequestProfile,
+        session: Option<&SessionChoice>,
     ) -> Result<RoutePlan, Refusal> {
+        let kept = session.and_then(|session| session.version.as_ref());
         match &arrival.target {
-            ArrivalTarget::Model(selector) => self.plan_model(now, document, selector, profile),
+            ArrivalTarget::Model(selector) => {
+                self.plan_model(now, document, selector, profile, kept)
+            }
             ArrivalTarget::Service(name) => Self::plan_service(document, name, profile),
-            ArrivalTarget::ModelList => unreachable!("a list of models needs no plan"),
+            ArrivalTarget::ModelList | ArrivalTarget::Ticket => unreachable!("it needs no plan"),
         }
     }
 
@@ -178,13 +204,14 @@
         document: &ConfigurationDocument,
         selector: &str,
         profile: &RequestProfile,
+        kept: Option<&VersionId>,
     ) -> Result<RoutePlan, Refusal> {
         let team = &document.teams[&profile.team];
         let mut known = false;
         let mut allowed = false;
         let mut candidates = Vec::new();
         let mut ruled_out = Vec::new();
-        for (id, entry) in document.versions() {
+        for (id, _) in document.versions() {
             if !Self::selects(selector, &id) {
                 continue;
             }
@@ -194,12 +221,14 @@
                 continue;
             }
             allowed = true;
-            let withdrawn =
-                entry.state == VersionState::Withdrawn || self.is_withdrawn(&id, entry.generation);
-            if withdrawn {
+            if self.is_withdrawn(&id) {
                 ruled_out.push(Self::passed(&id, "withdrawn"));
                 continue;
             }
+            if kept.is_some_and(|kept| *kept != id) {
+                ruled_out.push(Self::passed(&id, "the session keeps its version"));
+                continue;
+            }
             candidates.push(id);
         }
         if !known {
@@ -214,13 +243,13 @@
             document,
             candidates: &candidates,
             ruled_out: &ruled_out,
-            is_named: selector.contains('@'),
+            is_named: kept.is_some() || selector.contains('@'),
             waits: &self.load.waits,
         };
         self.policy.plan(now, &view, profile)
     }
 
-    fn selects(selector: &str, id: &VersionId) -> bool {
+    pub(super) fn selects(selector: &str, id: &VersionId) -> bool {
         match selector.split_once('@') {
             None => selector == "auto" || selector == id.model.as_str(),
             Some((model, version)) => model == id.model.as_str() && version == id.version.as_str(),
@@ -231,13 +260,28 @@
         PassedOver { candidate: candidate.to_string().into(), reason: reason.into() }
     }
 
-    fn enqueue(
+    pub(super) fn enqueue(
         &mut self,
         now: Millis,
         document: &ConfigurationDocument,
-        state: RequestState,
+        arrival: Arrival,
+        profile: RequestProfile,
+        plan: RoutePlan,
+        session: Option<SessionChoice>,
     ) -> Result<(), Refusal> {
-        let request = state.arrival.request;
+        let request = arrival.request;
+        let state = RequestState {
+            arrival,
+            profile,
+            plan,
+            session,
+            step: 0,
+            phase: RequestPhase::Queued,
+            attempts: Vec::new(),
+            released: None,
+            held: None,
+        };
+        self.check_limits(now, document, &state)?;
         if let Err(refusal) = self.check_queue(now, document, request, &state) {
             self.load.limits.ended(&state.profile.team, -Self::charged_tokens(&state));
             return Err(refusal);
--- a/src/control/attempt.rs
+++ b/src/control/attempt.rs
@@ -73,6 +73,7 @@
         };
         let entry = entry.clone();
         let pool = state.plan.steps[entry.step].pool.clone();
+        self.note_attempt_end(now, request, attempt);
         self.note_end(now, request, &pool, &entry, fault);
         match fault {
             None => self.on_whole(now, request, &entry),
@@ -206,7 +207,8 @@
     ) -> bool {
         let Some(entry) = state.attempt(attempt) else { return false };
         let repeatable = Self::repeat_rule(document, &entry.target) == RepeatRule::Repeatable;
-        let sent_on = entry.head.is_some() && state.released == Some(attempt);
+        let streams = state.profile.mode == AnswerMode::Stream;
+        let sent_on = streams && entry.head.is_some() && state.released == Some(attempt);
         let safe = entry.run.run() == RunState::NotRun || (repeatable && !sent_on);
         let tried = state.attempts.iter().filter(|other| other.step == entry.step).count();
         safe && tried < Self::MAX_ATTEMPTS && !state.is_running()
@@ -274,6 +276,7 @@
             self.release_held(request);
             return;
         }
+        let refusal = self.with_earlier_run(request, refusal);
         let id = self.request_id(request);
         tracing::info!(
             request = %id,
@@ -287,6 +290,13 @@
     }
 
     pub(super) fn on_caller_gone(&mut self, _now: Millis, request: RequestNumber) {
+        self.session_waits.remove(request);
+        self.claims.forwards.remove(&request);
+        self.forget_gated(request);
+        let running = self.requests.get(&request).is_some_and(RequestState::is_running);
+        if running && self.claims.table.key_of(request).is_some() {
+            return;
+        }
         self.unqueue(request);
         self.cancel_attempts(request);
     }
@@ -314,10 +324,10 @@
         if running {
             return;
         }
-        if let Some(state) = self.requests.remove(&request) {
-            self.settle_use(&state);
-        }
-        self.stop_if_idle();
+        let Some(state) = self.requests.remove(&request) else { return };
+        self.settle_use(&state);
+        self.close_bill(&state);
+        self.end_once(request, state.run());
     }
 
     /// Corrects what the team was charged, now that the request is over.
--- a/src/control/cascade.rs
+++ b/src/control/cascade.rs
@@ -103,7 +103,7 @@
         let Some(step) = state.plan.steps.get(state.step + 1) else { return false };
         let WorkTarget::Version(id) = &step.target else { return false };
         let Some(entry) = document.version(id) else { return false };
-        let live = entry.state == VersionState::Live && !self.is_withdrawn(id, entry.generation);
+        let live = !self.is_withdrawn(id);
         let wait = self.load.waits.get(&step.pool).copied().unwrap_or_default();
         let end = now + wait + state.profile.expected_run(entry);
         live && end <= state.profile.deadline
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -33,6 +33,31 @@
         /// The models and versions that the team may use.
         models: Vec<SmolStr>,
     },
+    /// Answer with a ticket.
+    IssueTicket {
+        /// The request.
+        request: RequestNumber,
+        /// The ticket.
+        ticket: SmolStr,
+    },
+    /// Answer with the kept answer of an earlier request.
+    Replay {
+        /// The request.
+        request: RequestNumber,
+        /// The earlier request.
+        first: RequestNumber,
+        /// The answer if that one is no longer kept.
+        otherwise: Refusal,
+    },
+    /// Have another entry VM answer the request.
+    Forward {
+        /// The request.
+        request: RequestNumber,
+        /// The address of that VM's listener for peers.
+        address: SocketAddr,
+        /// The answer if that VM cannot be asked.
+        otherwise: Refusal,
+    },
     /// Append records to a stream of the log.
     Append {
         /// The append, repeated in its answer.
@@ -60,6 +85,8 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Send an order to an engine, unless it has expired by then.
+    Order(EngineOrder),
     /// Have a held or finished answer rated.
     Rate {
         /// The request.
@@ -114,6 +141,8 @@
     pub priority: u8,
     /// The session token for the caller to keep, if there is a session.
     pub session: Option<SmolStr>,
+    /// Why the session that the caller named did not go on, for the caller.
+    pub session_moved: Option<SessionEnd>,
 }
 
 /// Whether an attempt's answer goes to the caller at once.
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct StreamNames {
     pub(super) configuration: StreamId,
+    pub(super) bills: StreamId,
+    pub(super) placement: StreamId,
 }
 
 /// Owns all control state of an entry VM.
@@ -26,61 +28,77 @@
     pub(super) policy: Box<dyn RoutingPolicy>,
     pub(super) servers: ServerTable,
     pub(super) peers: PeerTable,
+    pub(super) placement: PlacementState,
     pub(super) queues: BTreeMap<PoolId, FairQueue>,
     pub(super) load: LoadState,
-    pub(super) withdrawn: BTreeMap<VersionId, u32>,
     pub(super) requests: FxHashMap<RequestNumber, RequestState>,
-    pub(super) publications: BTreeMap<SmolStr, (CallId, AppendId)>,
+    pub(super) cluster: ClusterState,
+    pub(super) sessions: SessionTable,
+    pub(super) session_waits: SessionWaits,
+    pub(super) publications: BTreeMap<SmolStr, PendingPublication>,
     pub(super) log_read: Option<Millis>,
     pub(super) members_read: Option<Millis>,
     pub(super) read_again: Option<Millis>,
     pub(super) list_again: Option<Millis>,
     pub(super) load_again: Millis,
-    pub(super) stopping: bool,
+    pub(super) claims: ClaimState,
+    pub(super) bills: BillingState,
+    pub(super) suspects: SuspectTable,
+    pub(super) shutdown: ShutdownStage,
+    pub(super) balancer_lag: Millis,
     appends: u64,
     commands: Vec<Command>,
 }
 
 impl Control {
-    const LIST_INTERVAL_MS: u64 = 500;
     const LOAD_INTERVAL_MS: u64 = 1_000;
-    const AGE_INTERVAL_MS: u64 = 1_000;
-    const READ_WAIT_MS: u64 = 10_000;
 
     /// Returns a core that knows nothing yet.
-    ///
-    /// # Panics
-    ///
-    /// Never: the built-in stream name is valid.
     #[must_use]
     pub fn new(identity: VmIdentity, policy: Box<dyn RoutingPolicy>) -> Self {
-        let configuration = "configuration".parse().expect("the stream name is valid");
+        let own = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
         let mut servers = ServerTable::default();
         servers.set_seed(xxh3_64(identity.vm.as_str().as_bytes()));
         Self {
             identity,
-            streams: StreamNames { configuration },
+            streams: StreamNames {
+                configuration: ConfigurationFold::stream(),
+                bills: BillLedger::stream(),
+                placement: PlacementState::stream(),
+            },
             configuration: ConfigurationFold::default(),
             keys: KeyIndex::default(),
             policy,
             servers,
             peers: PeerTable::default(),
+            placement: PlacementState::new(own),
             queues: BTreeMap::new(),
             load: LoadState::default(),
-            withdrawn: BTreeMap::new(),
             requests: FxHashMap::default(),
+            cluster: ClusterState::default(),
+            sessions: SessionTable::default(),
+            session_waits: SessionWaits::default(),
             publications: BTreeMap::new(),
             log_read: None,
             members_read: None,
             read_again: Some(Millis(0)),
             list_again: Some(Millis(0)),
             load_again: Millis(0),
-            stopping: false,
+            claims: ClaimState::default(),
+            bills: BillingState::default(),
+            suspects: SuspectTable::default(),
+            shutdown: ShutdownStage::default(),
+            balancer_lag: Millis(0),
             appends: 0,
             commands: Vec::new(),
         }
     }
 
+    /// Sets how long work is still taken after the order to end.
+    pub const fn set_balancer_lag(&mut self, lag: Millis) {
+        self.balancer_lag = lag;
+    }
+
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Command> {
         self.fire_timers(now);
@@ -92,15 +110,21 @@
                 self.on_attempt(now, request, attempt, report);
             }
             Event::Read { stream, result } => self.on_read(now, &stream, result),
-            Event::Appended { append, result } => self.on_appended(append, &result),
+            Event::Appended { append, result } => self.on_appended(now, append, &result),
             Event::Listed(result) => self.on_listed(now, result),
             Event::Loaded { server, result } => self.on_loaded(now, &server, result),
             Event::Rated { request, attempt, result } => {
                 self.on_rated(now, request, attempt, &result);
             }
+            Event::Ordered { order, result } => self.on_ordered(now, order, &result),
             Event::Operator { call, request } => self.on_operator(now, call, request),
-            Event::FromPeer { from, message } => self.on_peer(now, &from, &message),
-            Event::Shutdown => self.on_shutdown(),
+            Event::FromPeer { from, message } => self.on_peer(now, &from, message),
+            Event::Unsent { to } => self.on_unsent(now, &to),
+            Event::WallClock { unix } => self.set_wall_clock(now, unix),
+            Event::Forwarded { request } => {
+                self.claims.forwards.remove(&request);
+            }
+            Event::Shutdown => self.on_shutdown(now),
         }
         std::mem::take(&mut self.commands)
     }
@@ -108,7 +132,7 @@
     /// Returns whether the VM takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.stopping && self.configuration.document().is_some()
+        self.shutdown.is_serving() && self.configuration.document().is_some()
     }
 
     pub(super) fn emit(&mut self, command: Command) {
@@ -125,57 +149,24 @@
     }
 
     fn on_tick(&mut self, now: Millis) {
-        if self.read_again.is_some_and(|at| at <= now) {
-            self.read_again = None;
-            self.emit(Command::Read {
-                stream: self.streams.configuration.clone(),
-                from: self.configuration.next(),
-                wait: Millis(Self::READ_WAIT_MS),
-            });
-        }
+        self.tick_cluster(now);
+        self.read_configuration(now);
         if self.list_again.is_some_and(|at| at <= now) {
             self.list_again = None;
             self.emit(Command::ListMembers);
         }
         if self.load_again <= now {
             self.load_again = now + Millis(Self::LOAD_INTERVAL_MS);
-            self.read_loads();
-            self.send_heartbeats();
+            self.read_loads(now);
         }
+        self.run_placement(now);
         self.shed_expired(now);
-        self.age_load(now);
+        self.shed_gated(now);
+        self.pump_claims(now);
+        self.pump_bills(now);
+        self.send_suspects(now);
+        self.tick_load(now);
         self.dispatch_all(now);
-    }
-
-    /// Ages load reports and what peers have told, once a second.
-    fn age_load(&mut self, now: Millis) {
-        if self.load.age_again <= now {
-            self.load.age_again = now + Millis(Self::AGE_INTERVAL_MS);
-            self.servers.age(now);
-        }
-    }
-
-    fn read_loads(&mut self) {
-        let reads: Vec<Command> = self
-            .servers
-            .iter()
-            .map(|server| Command::ReadLoad { server: server.id.clone(), address: server.address })
-            .collect();
-        self.commands.extend(reads);
-    }
-
-    pub(super) fn schedule_list(&mut self, now: Millis) {
-        self.list_again = Some(now + Millis(Self::LIST_INTERVAL_MS));
-    }
-
-    fn on_shutdown(&mut self) {
-        self.stopping = true;
-        self.stop_if_idle();
-    }
-
-    pub(super) fn stop_if_idle(&mut self) {
-        if self.stopping && self.requests.is_empty() {
-            self.emit(Command::Stop);
-        }
+        self.advance_shutdown(now);
     }
 }
--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -7,6 +7,8 @@
     May(Box<StartPlace>),
     /// Not now: no server has room.
     NotNow,
+    /// Not now: it has to run alone or its version is loaded nowhere, and others go first.
+    Aside,
     /// Never: it is refused.
     Never(Refusal),
 }
@@ -21,6 +23,8 @@
 impl Control {
     /// The queued requests that are looked at when the first ones find no server.
     const MAX_SKIPPED: usize = 4;
+    /// The queued requests that are put aside at a time, for want of a server with their version.
+    const MAX_ASIDE: usize = 64;
     /// The wait after which long work goes first, up to its guaranteed part of the pool.
     const LONG_TURN_MS: u64 = 1_000;
     /// The prompt size from which sharing a cached prefix pays.
@@ -43,20 +47,22 @@
         let Some(entry) = document.pools.get(pool) else { return };
         self.servers.wake(now);
         let long_slots = Self::long_slots(&document, entry);
-        let mut skipped = Vec::new();
-        while skipped.len() < Self::MAX_SKIPPED {
+        let (mut skipped, mut aside) = (Vec::new(), Vec::new());
+        while skipped.len() < Self::MAX_SKIPPED && aside.len() < Self::MAX_ASIDE {
             let Some(class) = self.next_class(now, pool, entry, long_slots) else { break };
             let Some(queued) = self.queues.get_mut(pool).and_then(|queue| queue.pop(class)) else {
                 break;
             };
+            self.reserve_for_suspect(now, &document, queued.request);
             match self.may_start(now, &document, queued.request) {
                 StartCheck::May(place) => self.start(now, &document, queued.request, *place),
                 StartCheck::Never(refusal) => self.refuse(now, queued.request, refusal),
+                StartCheck::Aside => aside.push(queued),
                 StartCheck::NotNow => skipped.push(queued),
             }
         }
         let Some(queue) = self.queues.get_mut(pool) else { return };
-        for queued in skipped.into_iter().rev() {
+        for queued in skipped.into_iter().rev().chain(aside.into_iter().rev()) {
             queue.push_front(queued);
         }
     }
@@ -112,38 +118,48 @@
         }
         let step = &state.plan.steps[state.step];
         let Some(pool) = document.pools.get(&step.pool) else { return StartCheck::NotNow };
-        let avoid = self.servers_to_avoid(state, &step.pool);
+        let standing = self.suspects.standing(now, state.arrival.fingerprint);
+        if standing == SuspectStanding::Refused {
+            return StartCheck::Never(Self::suspect_refusal(request).with_run(state.run()));
+        }
+        let avoid = self.servers_to_avoid(request, state);
+        let wish = Self::wish(document, state, step, pool, &avoid);
+        let (placement, target) = (&self.placement, &step.target);
+        let has = |server: &ServerState| match target {
+            WorkTarget::Version(version) => placement.may_start(now, server, version),
+            WorkTarget::Service(_) => true,
+        };
+        let (server, passed_over) = self.servers.choose(now, &step.pool, pool, &wish, &has);
+        let busy = server.is_none_or(|server| server.in_flight() > 0);
+        if standing == SuspectStanding::Alone && busy {
+            return StartCheck::Aside;
+        }
+        if let Some(server) = server {
+            let (server, address) = (server.id.clone(), server.address);
+            return StartCheck::May(Box::new(StartPlace { server, address, passed_over }));
+        }
+        if self.servers.any_in(&step.pool, has) { StartCheck::NotNow } else { StartCheck::Aside }
+    }
+
+    /// Returns what a request wants of a server.
+    pub(super) fn wish<'a>(
+        document: &ConfigurationDocument,
+        state: &'a RequestState,
+        step: &'a PlanStep,
+        pool: &PoolEntry,
+        avoid: &'a [ServerId],
+    ) -> StartWish<'a> {
         let is_large = state.profile.prompt_tokens.0 >= Self::AFFINITY_PROMPT_TOKENS;
         let repeatable = Self::repeat_rule(document, &step.target) == RepeatRule::Repeatable;
-        let wish = StartWish {
-            target: &step.target,
+        let running = state.attempts.iter().filter(|attempt| attempt.outcome.is_none());
+        StartWish {
             class: state.profile.class,
             prefix: Some(state.arrival.prefix).filter(|prefix| is_large && *prefix != 0),
             may_probe: repeatable && state.profile.class == SizeClass::Short,
-            avoid: &avoid,
+            avoid,
+            never: running.map(|attempt| attempt.server.clone()).collect(),
             long_slots: Self::long_slots(document, pool),
-        };
-        let (server, passed_over) = self.servers.choose(now, &step.pool, pool, &wish);
-        match server {
-            Some(server) => StartCheck::May(Box::new(StartPlace {
-                server: server.id.clone(),
-                address: server.address,
-                passed_over,
-            })),
-            None => StartCheck::NotNow,
-        }
-    }
-
-    /// Returns the servers that a request runs on, and those it failed on if the pool has others.
-    fn servers_to_avoid(&self, state: &RequestState, pool: &PoolId) -> Vec<ServerId> {
-        let all: BTreeSet<&ServerId> =
-            state.attempts.iter().map(|attempt| &attempt.server).collect();
-        let has_others = self.servers.pool_size(pool) > all.len();
-        let running = |attempt: &&AttemptState| attempt.outcome.is_none();
-        if has_others {
-            return all.into_iter().cloned().collect();
         }
-        state.attempts.iter().filter(running).map(|attempt| attempt.server.clone()).collect()
     }
 
     /// Returns the least time that a request takes on its target.
@@ -171,10 +187,7 @@
                 if !team.allows(id) {
                     return refuse(RefusalCode::Forbidden, format!("The team may not use {id}."));
                 }
-                let live = document.version(id).is_some_and(|entry| {
-                    entry.state == VersionState::Live && !self.is_withdrawn(id, entry.generation)
-                });
-                if !live {
+                if self.is_withdrawn(id) {
                     return refuse(RefusalCode::Unavailable, format!("{id} has been withdrawn."));
                 }
             }
@@ -205,6 +218,8 @@
         let Some(state) = self.requests.get(&request) else { return };
         let step = &state.plan.steps[state.step];
         let release = self.release_rule(document, state, step);
+        let session_moved = state.session.as_ref().and_then(|session| session.end);
+        let fingerprint = state.arrival.fingerprint;
         let entry = AttemptState {
             id: AttemptId(state.attempts.len() as u64 + 1),
             target: step.target.clone(),
@@ -218,7 +233,7 @@
             outcome: None,
             output_tokens: Tokens(0),
         };
-        let start = AttemptStart {
+        let mut start = AttemptStart {
             request,
             attempt: entry.id,
             repeat: Self::repeat_rule(document, &step.target),
@@ -229,6 +244,7 @@
             release,
             priority: u8::from(entry.class == SizeClass::Long),
             session: None,
+            session_moved,
         };
         let mut passed_over = state.plan.passed_over.clone();
         passed_over.extend(place.passed_over);
@@ -242,6 +258,10 @@
             waited: now.since(state.profile.arrived),
             passed_over,
         };
+        if self.suspects.standing(now, fingerprint) == SuspectStanding::Alone {
+            self.suspects.start_alone(now, fingerprint);
+        }
+        start.session = self.session_token(now, request, &entry.target);
         self.emit(Command::LogRoute(decision));
         self.emit(Command::Start(start));
         self.note_start(now, document, request, &entry);
@@ -327,7 +347,7 @@
                 self.charge_beside(&document, request);
                 true
             }
-            StartCheck::NotNow | StartCheck::Never(_) => false,
+            StartCheck::NotNow | StartCheck::Aside | StartCheck::Never(_) => false,
         }
     }
 
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -60,6 +60,13 @@
         /// What is asked.
         request: OperatorRequest,
     },
+    /// An engine answered an order.
+    Ordered {
+        /// The order.
+        order: OrderId,
+        /// Whether the engine took it.
+        result: Result<(), OrderError>,
+    },
     /// A message of another entry VM has arrived and been authenticated.
     FromPeer {
         /// The sender.
@@ -67,6 +74,21 @@
         /// The message.
         message: PeerMessage,
     },
+    /// A message to another entry VM could certainly not be delivered.
+    Unsent {
+        /// The receiver.
+        to: VmId,
+    },
+    /// The exchange that had been passed on to another entry VM is over.
+    Forwarded {
+        /// The request.
+        request: RequestNumber,
+    },
+    /// The wall clock's time; it may step.
+    WallClock {
+        /// The time since 1970.
+        unix: Millis,
+    },
     /// The process was told to end after its work.
     Shutdown,
 }
@@ -96,6 +118,18 @@
     pub idempotency_key: Option<SmolStr>,
     /// How long the caller waits; the team's default if none.
     pub deadline: Option<Millis>,
+    /// Where the request comes from.
+    pub hop: ArrivalHop,
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ArrivalHop {
+    /// Its caller.
+    #[default]
+    Caller,
+    /// Another entry VM, which passed it on; it is not passed on again.
+    Peer,
 }
 
 /// What a request asks for.
@@ -107,6 +141,8 @@
     Service(SmolStr),
     /// The list of models that the team may use.
     ModelList,
+    /// A ticket for a request that may not be repeated.
+    Ticket,
 }
 
 /// Whether an answer is streamed.
--- a/src/control/policy_digest.rs
+++ b/src/control/policy_digest.rs
@@ -15,6 +15,29 @@
 
 impl Control {
     const DIGEST_ENTRIES: usize = 64;
+    const DIGEST_INTERVAL_MS: u64 = 1_000;
+    /// The peers that hear of this VM's load and evidence each time.
+    const DIGEST_PEERS: usize = 12;
+
+    /// Ages load reports and what peers have told, and tells peers what is known here.
+    pub(super) fn tick_load(&mut self, now: Millis) {
+        if self.load.age_again > now {
+            return;
+        }
+        self.load.age_again = now + Millis(Self::DIGEST_INTERVAL_MS);
+        self.servers.age(now);
+        let mut peers: Vec<VmId> =
+            self.peers.iter().filter(|peer| peer.may_serve()).map(|peer| peer.vm.clone()).collect();
+        if peers.is_empty() {
+            return;
+        }
+        let digest = Box::new(self.policy_digest(now));
+        let turn = (digest.sequence as usize).wrapping_mul(Self::DIGEST_PEERS) % peers.len();
+        peers.rotate_left(turn);
+        for peer in peers.into_iter().take(Self::DIGEST_PEERS) {
+            self.send(&peer, PeerMessage::Policy(digest.clone()));
+        }
+    }
 
     /// Returns what the other entry VMs should know now.
     pub fn policy_digest(&mut self, now: Millis) -> PolicyDigest {
@@ -38,12 +61,6 @@
     /// Withdraws the versions that the evidence speaks against.
     pub(super) fn apply_verdicts(&mut self, now: Millis) {
         for verdict in self.policy.verdicts() {
-            tracing::warn!(
-                version = %verdict.version,
-                generation = verdict.generation,
-                reason = %verdict.reason,
-                "version withdrawn by its evidence"
-            );
             self.withdraw(now, verdict.version, verdict.generation, verdict.reason);
         }
     }
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -120,6 +120,8 @@
     pub profile: RequestProfile,
     /// What it may run on, in order.
     pub plan: RoutePlan,
+    /// What holds for its session, if it names one.
+    pub session: Option<SessionChoice>,
     /// The index of the plan's step in use.
     pub step: usize,
     /// Where it stands.
@@ -151,7 +153,7 @@
     pub fn selector(&self) -> &str {
         match &self.arrival.target {
             ArrivalTarget::Model(name) | ArrivalTarget::Service(name) => name,
-            ArrivalTarget::ModelList => "",
+            ArrivalTarget::ModelList | ArrivalTarget::Ticket => "",
         }
     }
 
--- a/src/control/shed.rs
+++ b/src/control/shed.rs
@@ -150,11 +150,12 @@
         request: RequestNumber,
     ) -> Result<(), Refusal> {
         let Some(state) = self.requests.get(&request) else { return Ok(()) };
-        if !document.teams.contains_key(&state.profile.team) || !state.attempts.is_empty() {
+        let is_kept = state.session.is_some() || !state.attempts.is_empty();
+        if is_kept || !document.teams.contains_key(&state.profile.team) {
             return self.check_target(document, state);
         }
         let (arrival, profile) = (state.arrival.clone(), state.profile.clone());
-        let plan = self.plan(now, document, &arrival, &profile)?;
+        let plan = self.plan(now, document, &arrival, &profile, None)?;
         self.unqueue(request);
         let Some(state) = self.requests.get_mut(&request) else { return Ok(()) };
         state.plan = plan;
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -1,5 +1,6 @@
 use super::*;
 use std::{io, net::TcpListener, thread::JoinHandle};
+use xitca_server::ServerHandle;
 use xitca_web::HttpServer;
 
 /// A running entry VM.
@@ -12,7 +13,9 @@
     pub peers: SocketAddr,
     handle: ControlHandle,
     control: Option<JoinHandle<()>>,
-    servers: Vec<Box<dyn Fn() + Send + Sync>>,
+    servers: Vec<ServerThread>,
+    connections: Arc<ConnectionTable>,
+    exchanges: ExchangeCount,
     _runtime: tokio::runtime::Runtime,
 }
 
@@ -33,6 +36,7 @@
 }
 
 impl EntryVm {
+    const EXCHANGE_POLL: Duration = Duration::from_millis(10);
     const OPERATOR_THREADS: usize = 1;
     const ERRAND_THREADS: usize = 2;
 
@@ -61,14 +65,25 @@
             .enable_all()
             .build()?;
         let (handle, inbox) = ControlHandle::new();
+        let keys = KeyRing::from(peer_secrets);
+        let name = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
+        let seal = Arc::new(Mutex::new(PeerSeal::new(name, keys.clone())));
         let shelf = Arc::new(AnswerShelf::default());
         let ready = Arc::new(AtomicBool::new(false));
         let errands = {
             let _guard = runtime.enter();
-            errand_runner(settings, &identity, &peer_secrets, &runtime, &handle, &shelf)
+            errand_runner(settings, &seal, &runtime, &handle, &shelf, &clock)
         };
+        let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
+        let mut control = Control::new(identity.clone(), Box::<QualityPolicy>::default());
+        control.set_cluster(ClusterSettings {
+            address: Some(addresses.2).filter(|address| !address.ip().is_unspecified()),
+            seeds: settings.seeds.clone(),
+            session_keys: keys.clone(),
+        });
+        control.set_balancer_lag(settings.shutdown.balancer_lag_ms);
         let thread = ControlThread {
-            control: Control::new(identity.clone(), Box::new(QualityPolicy::default())),
+            control,
             clock,
             inbox,
             errands,
@@ -80,14 +95,23 @@
         };
         let control =
             std::thread::Builder::new().name("control".into()).spawn(move || thread.run())?;
-        let caller_desk =
-            CallerDesk::new(settings.callers.clone(), identity, &handle, shelf, &ready);
+        let connections = Arc::new(ConnectionTable::default());
+        let caller_desk = CallerDesk::new(
+            settings.callers.clone(),
+            identity,
+            &handle,
+            shelf,
+            &ready,
+            &connections,
+            &keys,
+        );
+        let exchanges = caller_desk.exchanges();
         let operator_desk = OperatorDesk::new(operator_secrets, handle.clone(), Arc::clone(&ready));
-        let peer_desk = PeerDesk::new(peer_secrets, handle.clone());
+        let peer_desk = PeerDesk::new(seal, handle.clone(), caller_desk.clone());
         let threads = settings.callers.threads;
-        let addresses = (address(&callers)?, address(&operators)?, address(&peers)?);
+        let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
         let servers = vec![
-            serve_callers(callers, threads, caller_desk)?,
+            serve_callers(listener, threads, caller_desk)?,
             serve_operators(operators, Self::OPERATOR_THREADS, operator_desk)?,
             serve_peers(peers, Self::OPERATOR_THREADS, peer_desk)?,
         ];
@@ -98,6 +122,8 @@
             handle,
             control: Some(control),
             servers,
+            connections,
+            exchanges,
             _runtime: runtime,
         })
     }
@@ -113,22 +139,44 @@
         self.handle.send(Event::Shutdown);
     }
 
-    /// Waits until the control thread has ended, then stops the listeners.
+    /// Waits until the control thread has ended and every caller has its answer, then stops the
+    /// listeners.
     pub fn wait(mut self) {
         if let Some(control) = self.control.take() {
             let _ = control.join();
         }
+        while self.exchanges.get() > 0 {
+            std::thread::sleep(Self::EXCHANGE_POLL);
+        }
+        self.connections.hang_up();
+        let others = self.servers.split_off(1);
+        for callers in self.servers.drain(..) {
+            callers.handle.stop(true);
+            let _ = callers.thread.join();
+        }
+        self.servers = others;
     }
 }
 
 impl Drop for EntryVm {
+    /// Ends at once, as a crash would.
     fn drop(&mut self) {
-        for stop in &self.servers {
-            stop();
+        self.handle.halt();
+        for server in &self.servers {
+            server.handle.stop(false);
+        }
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
         }
     }
 }
 
+/// A listener's thread, and what stops it.
+struct ServerThread {
+    handle: ServerHandle,
+    thread: JoinHandle<()>,
+}
+
 fn address(listener: &TcpListener) -> io::Result<SocketAddr> {
     listener.local_addr()
 }
@@ -150,14 +198,13 @@
 
 fn errand_runner(
     settings: &EntrySettings,
-    identity: &VmIdentity,
-    peer_secrets: &[Secret],
+    seal: &Arc<Mutex<PeerSeal>>,
     runtime: &tokio::runtime::Runtime,
     handle: &ControlHandle,
     shelf: &Arc<AnswerShelf>,
+    clock: &Clock,
 ) -> ErrandRunner {
     let platform = Arc::new(HttpPlatform::new(settings.platform.address));
-    let name = PeerName { vm: identity.vm.clone(), incarnation: identity.incarnation };
     ErrandRunner {
         runtime: runtime.handle().clone(),
         handle: handle.clone(),
@@ -165,18 +212,20 @@
         members: platform.clone(),
         loads: platform.clone(),
         ratings: platform,
+        orders: Arc::new(HttpOrders::new()),
+        clock: clock.clone(),
         shelf: Arc::clone(shelf),
-        peers: Arc::new(PeerClient::new(name, peer_secrets[0].clone())),
+        peers: Arc::new(PeerClient::new(Arc::clone(seal), handle.clone())),
     }
 }
 
 macro_rules! serve_with {
-    ($name:ident, $desk:ty) => {
+    ($name:ident, $listener:ty, $desk:ty) => {
         fn $name(
-            listener: TcpListener,
+            listener: $listener,
             threads: usize,
             desk: $desk,
-        ) -> io::Result<Box<dyn Fn() + Send + Sync>> {
+        ) -> io::Result<ServerThread> {
             let desk = Arc::new(desk);
             let service = xitca_web::service::fn_service(move |request: WebRequest| {
                 let desk = Arc::clone(&desk);
@@ -189,18 +238,19 @@
                 .listen(listener)?
                 .run();
             let handle = server.handle()?;
-            std::thread::Builder::new().name(stringify!($name).into()).spawn(move || {
-                if let Err(error) = server.wait() {
-                    tracing::error!(%error, "listener ended");
-                }
-            })?;
-            Ok(Box::new(move || handle.stop(false)))
+            let thread =
+                std::thread::Builder::new().name(stringify!($name).into()).spawn(move || {
+                    if let Err(error) = server.wait() {
+                        tracing::error!(%error, "listener ended");
+                    }
+                })?;
+            Ok(ServerThread { handle, thread })
         }
     };
 }
 
 const KEEP_ALIVE_SECONDS: u64 = 60;
 
-serve_with!(serve_callers, CallerDesk);
-serve_with!(serve_operators, OperatorDesk);
-serve_with!(serve_peers, PeerDesk);
+serve_with!(serve_callers, CallerListener, CallerDesk);
+serve_with!(serve_operators, TcpListener, OperatorDesk);
+serve_with!(serve_peers, TcpListener, PeerDesk);
--- a/src/health.rs
+++ b/src/health.rs
@@ -14,6 +14,7 @@
 mod server_choice;
 mod server_state;
 mod server_table;
+mod suspect_table;
 
 pub use {
     attempt_budget::AttemptBudget,
@@ -22,5 +23,6 @@
     server_choice::StartWish,
     server_state::{ServerState, ServerTrouble},
     server_table::ServerTable,
+    suspect_table::{CrashId, SuspectNotice, SuspectStanding, SuspectTable},
 };
 use {peer_share::PeerShare, pool_servers::PoolServers};
--- a/src/health/server_choice.rs
+++ b/src/health/server_choice.rs
@@ -3,16 +3,16 @@
 /// What a request wants of a server.
 #[derive(Clone, Debug)]
 pub struct StartWish<'a> {
-    /// The version or service.
-    pub target: &'a WorkTarget,
     /// The size.
     pub class: SizeClass,
     /// The hash of a prompt prefix worth sharing, if any.
     pub prefix: Option<u64>,
     /// Whether the request may serve as a probe of a slow server.
     pub may_probe: bool,
-    /// The servers that it ran on before.
+    /// The servers to take only if no other is fit.
     pub avoid: &'a [ServerId],
+    /// The servers that it runs on now.
+    pub never: Vec<ServerId>,
     /// The slots of a server that long work may take now.
     pub long_slots: u32,
 }
@@ -28,21 +28,45 @@
     const LOGGED_CANDIDATES: usize = 8;
     const MEDIAN_INTERVAL_MS: u64 = 100;
 
-    /// Returns the server of a pool on which a request should start, and why others were not taken.
+    /// Returns the server of a pool on which a request should start, and why others were not
+    /// taken, where `has` tells whether a server has what the request needs.
     pub fn choose(
         &mut self,
         now: Millis,
         pool: &PoolId,
         entry: &PoolEntry,
         wish: &StartWish<'_>,
+        has: &dyn Fn(&ServerState) -> bool,
     ) -> (Option<&ServerState>, Vec<PassedOver>) {
         self.wake(now);
+        if let Some(id) = self.probe(now, pool, entry, wish, has) {
+            return (self.servers.get(&id), Vec::new());
+        }
+        self.find(now, pool, entry, wish, has)
+    }
+
+    /// Like [`Self::choose`], without a probe of a slow server.
+    #[must_use]
+    pub fn find(
+        &self,
+        now: Millis,
+        pool: &PoolId,
+        entry: &PoolEntry,
+        wish: &StartWish<'_>,
+        has: &dyn Fn(&ServerState) -> bool,
+    ) -> (Option<&ServerState>, Vec<PassedOver>) {
         let mut passed_over = Vec::new();
         let chosen = self
-            .probe(now, pool, entry, wish)
-            .or_else(|| self.home(now, pool, entry, wish))
-            .or_else(|| self.least_loaded(now, pool, entry, wish, &mut passed_over));
-        (chosen.and_then(|id| self.servers.get(&id)), passed_over)
+            .home(now, pool, entry, wish, has)
+            .or_else(|| self.least_loaded(now, pool, entry, wish, has, &mut passed_over))
+            .or_else(|| self.avoided(now, pool, entry, wish, has));
+        (chosen, passed_over)
+    }
+
+    /// Returns whether any server of a pool has what a request needs.
+    pub fn any_in(&self, pool: &PoolId, has: impl Fn(&ServerState) -> bool) -> bool {
+        let Some(servers) = self.pools.get(pool) else { return false };
+        servers.members.iter().filter_map(|id| self.servers.get(id)).any(has)
     }
 
     fn probe(
@@ -51,6 +75,7 @@
         pool: &PoolId,
         entry: &PoolEntry,
         wish: &StartWish<'_>,
+        has: &dyn Fn(&ServerState) -> bool,
     ) -> Option<ServerId> {
         if !wish.may_probe {
             return None;
@@ -60,7 +85,8 @@
             self.servers.get(*id).is_some_and(|server| {
                 server.next_probe.is_some_and(|at| at <= now)
                     && server.in_flight() == 0
-                    && Self::unfit(now, server, entry, wish).is_none()
+                    && !wish.avoid.contains(id)
+                    && Self::unfit(now, server, entry, wish, has).is_none()
             })
         });
         let id = due?.clone();
@@ -75,14 +101,15 @@
         pool: &PoolId,
         entry: &PoolEntry,
         wish: &StartWish<'_>,
-    ) -> Option<ServerId> {
+        has: &dyn Fn(&ServerState) -> bool,
+    ) -> Option<&ServerState> {
         let servers = self.pools.get(pool)?;
         let id = servers.home(wish.prefix?)?;
         let server = self.servers.get(id)?;
         let (load, _) = server.ranked?;
         let is_near = load <= servers.least_load()? + Self::AFFINITY_SLACK;
-        let is_fit = Self::unfit(now, server, entry, wish).is_none();
-        (is_near && is_fit).then(|| id.clone())
+        let is_fit = Self::unfit(now, server, entry, wish, has).is_none();
+        (is_near && is_fit && !wish.avoid.contains(id)).then_some(server)
     }
 
     fn least_loaded(
@@ -91,27 +118,48 @@
         pool: &PoolId,
         entry: &PoolEntry,
         wish: &StartWish<'_>,
+        has: &dyn Fn(&ServerState) -> bool,
         passed_over: &mut Vec<PassedOver>,
-    ) -> Option<ServerId> {
+    ) -> Option<&ServerState> {
         let servers = self.pools.get(pool)?;
         for id in servers.in_order(wish.class) {
             let Some(server) = self.servers.get(id) else { continue };
-            let Some(reason) = Self::unfit(now, server, entry, wish) else {
-                return Some(id.clone());
-            };
+            let unfit = Self::unfit(now, server, entry, wish, has);
+            let tried = wish.avoid.contains(id).then_some("tried before");
+            let Some(reason) = unfit.or(tried) else { return Some(server) };
             if passed_over.len() < Self::LOGGED_CANDIDATES {
                 let candidate = id.as_str().into();
                 passed_over.push(PassedOver { candidate, reason: reason.into() });
             }
-            if wish.class == SizeClass::Short && reason == Self::NO_SLOT
-                || wish.class == SizeClass::Long && reason == Self::NO_LONG_SLOT
-            {
+            let is_full = match wish.class {
+                SizeClass::Short => reason == Self::NO_SLOT,
+                SizeClass::Long => reason == Self::NO_LONG_SLOT,
+            };
+            if is_full {
                 return None;
             }
         }
         None
     }
 
+    /// Returns the least loaded server among those to avoid.
+    fn avoided(
+        &self,
+        now: Millis,
+        pool: &PoolId,
+        entry: &PoolEntry,
+        wish: &StartWish<'_>,
+        has: &dyn Fn(&ServerState) -> bool,
+    ) -> Option<&ServerState> {
+        let avoided = wish.avoid.iter().filter_map(|id| self.servers.get(id));
+        let fit = avoided.filter(|server| {
+            server.pool == *pool
+                && server.ranked.is_some()
+                && Self::unfit(now, server, entry, wish, has).is_none()
+        });
+        fit.min_by_key(|server| server.in_flight())
+    }
+
     const NO_SLOT: &str = "no free slot";
     const NO_LONG_SLOT: &str = "no free slot for long work";
 
@@ -121,19 +169,18 @@
         server: &ServerState,
         entry: &PoolEntry,
         wish: &StartWish<'_>,
+        has: &dyn Fn(&ServerState) -> bool,
     ) -> Option<&'static str> {
         if server.member == MemberState::Leaving {
             return Some("leaving");
         }
-        if wish.avoid.contains(&server.id) {
-            return Some("tried before");
+        if wish.never.contains(&server.id) {
+            return Some("runs there");
         }
         if server.trouble.is_some_and(|trouble| now < trouble.until || server.in_flight() > 0) {
             return Some("in trouble");
         }
-        if let (WorkTarget::Version(version), Some(load)) = (wish.target, &server.load)
-            && load.versions.as_ref().is_some_and(|versions| !versions.contains(version))
-        {
+        if !has(server) {
             return Some("version not loaded");
         }
         if server.ranked.map_or(server.in_flight(), |(load, _)| load) >= entry.slots {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -141,6 +141,19 @@
     /// The fencing number of an order to an engine.
     Fence
 );
+number_id!(
+    /// An order to an engine that waits for its answer.
+    OrderId
+);
+
+number_id!(
+    /// One claim of a key, unique within an incarnation of its claimant.
+    ClaimAttempt
+);
+number_id!(
+    /// The count of a ticket within one incarnation of an entry VM.
+    TicketNumber
+);
 
 /// A version of a model, written `model@version`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,7 @@
         process::ExitCode,
         str::FromStr,
         sync::{
-            Arc, Mutex,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -35,6 +35,8 @@
 };
 
 pub mod admission;
+pub mod billing;
+pub mod claim;
 pub mod command;
 pub mod configuration;
 pub mod control;
@@ -43,16 +45,19 @@
 pub mod health;
 pub mod ids;
 pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod routing;
+pub mod session;
 pub mod settings;
 pub mod stand_in;
 pub mod traffic;
 pub mod units;
 
 use {
-    admission::*, configuration::*, control::*, document::*, driver::*, health::*, ids::*, peer::*,
-    platform::*, routing::*, settings::*, traffic::*, units::*,
+    admission::*, billing::*, claim::*, configuration::*, control::*, document::*, driver::*,
+    health::*, ids::*, peer::*, placement::*, platform::*, routing::*, session::*, settings::*,
+    traffic::*, units::*,
 };
 
 /// Runs the program with its arguments and returns its exit code.
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -7,6 +7,7 @@
     request: Arc<CallerRequest>,
     number: RequestNumber,
     directives: UnboundedReceiver<Directive>,
+    connection: Option<Arc<CallerConnection>>,
     attempts: Vec<ExchangeAttempt>,
     released: Option<AttemptId>,
     answered: bool,
@@ -16,6 +17,7 @@
     id: AttemptId,
     target: WorkTarget,
     session: Option<SmolStr>,
+    session_moved: Option<SessionEnd>,
     events: Option<Receiver<AttemptEvent>>,
 }
 
@@ -23,6 +25,7 @@
 enum Step {
     Directive(Option<Directive>),
     Event(AttemptEvent),
+    CallerGone,
 }
 
 impl CallerExchange {
@@ -34,12 +37,17 @@
         request: Arc<CallerRequest>,
         number: RequestNumber,
         directives: UnboundedReceiver<Directive>,
+        connection: Option<Arc<CallerConnection>>,
     ) -> Self {
+        if let Some(connection) = &connection {
+            connection.begin();
+        }
         Self {
             desk,
             request,
             number,
             directives,
+            connection,
             attempts: Vec::new(),
             released: None,
             answered: false,
@@ -61,6 +69,16 @@
                     self.answered = true;
                     return Self::list(&models);
                 }
+                Step::Directive(Some(Directive::Ticket(ticket))) => {
+                    self.answered = true;
+                    return self.ticket(&ticket);
+                }
+                Step::Directive(Some(Directive::Replay { first, otherwise })) => {
+                    return self.replay(first, &otherwise);
+                }
+                Step::Directive(Some(Directive::Forward { address, otherwise })) => {
+                    return self.forward(address, &otherwise).await;
+                }
                 Step::Directive(Some(directive)) => self.obey(directive),
                 Step::Event(AttemptEvent::Whole { head, body }) => {
                     self.answered = true;
@@ -68,11 +86,32 @@
                 }
                 Step::Event(AttemptEvent::Head(head)) => return self.stream(*head),
                 Step::Event(AttemptEvent::Chunk(_) | AttemptEvent::End) => {}
+                Step::CallerGone => {
+                    let mut response = reply::plain(499, "");
+                    let run = RunState::Unknown.as_str();
+                    reply::insert_text(response.headers_mut(), "guavapass-run", run);
+                    return response;
+                }
             }
         }
     }
 
     async fn step(&mut self) -> Step {
+        let connection = self.connection.clone();
+        let gone = async {
+            match connection {
+                Some(connection) => connection.closed().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            step = self.next_step() => step,
+            () = gone => Step::CallerGone,
+        }
+    }
+
+    async fn next_step(&mut self) -> Step {
         let released = self.released;
         let events = self
             .attempts
@@ -108,7 +147,11 @@
             Directive::Start(start) => self.start(*start),
             Directive::Release(attempt) => self.released = Some(attempt),
             Directive::Cancel(attempt) => self.drop_attempt(Some(attempt)),
-            Directive::Refuse(_) | Directive::ListModels(_) => {}
+            Directive::Refuse(_)
+            | Directive::ListModels(_)
+            | Directive::Ticket(_)
+            | Directive::Replay { .. }
+            | Directive::Forward { .. } => {}
         }
     }
 
@@ -121,14 +164,14 @@
             id: start.attempt,
             target: start.target.clone(),
             session: start.session.clone(),
+            session_moved: start.session_moved,
             events: Some(receiver),
         });
         let attempt = UpstreamAttempt {
             start,
             request: Arc::clone(&self.request),
             client: DeskShared::client(),
-            handle: self.desk.handle.clone(),
-            shelf: Arc::clone(&self.desk.shelf),
+            desk: Arc::clone(&self.desk),
             answer_limit: self.desk.settings.answer_limit_bytes,
             events: sender,
         };
@@ -140,6 +183,37 @@
         reply::refusal(refusal, &self.desk.request_id(self.number))
     }
 
+    fn ticket(&self, ticket: &SmolStr) -> WebResponse {
+        let body = serde_json::json!({ "ticket": ticket, "valid_ms": Ticket::VALID_MS });
+        let mut response = reply::json(201, &body);
+        let id = self.desk.request_id(self.number);
+        reply::insert_text(response.headers_mut(), "guavapass-request", &id.to_string());
+        response
+    }
+
+    /// Returns the kept answer to an earlier request with the same key.
+    fn replay(&mut self, first: RequestNumber, otherwise: &Refusal) -> WebResponse {
+        let Some(answer) = self.desk.store.get(first) else { return self.refuse(otherwise) };
+        self.answered = true;
+        let mut response = reply::plain(answer.status.as_u16(), answer.body);
+        *response.headers_mut() = answer.headers;
+        let headers = response.headers_mut();
+        reply::strip_hop_headers(headers);
+        let id = self.desk.request_id(first);
+        reply::insert_text(headers, "guavapass-request", &id.to_string());
+        response
+    }
+
+    /// Returns the answer of the entry VM that the request's key belongs to.
+    async fn forward(&mut self, address: SocketAddr, otherwise: &Refusal) -> WebResponse {
+        let (client, limit) = (DeskShared::client(), self.desk.settings.answer_limit_bytes);
+        let keys = &self.desk.peer_keys;
+        let answer = forward::forward(&client, keys, address, &self.request, limit).await;
+        self.desk.handle.send(Event::Forwarded { request: self.number });
+        self.answered = true;
+        answer.unwrap_or_else(|| self.refuse(otherwise))
+    }
+
     fn list(models: &[SmolStr]) -> WebResponse {
         let data: Vec<_> = models
             .iter()
@@ -164,6 +238,9 @@
             if let Some(session) = &attempt.session {
                 reply::insert_text(headers, "guavapass-session", session);
             }
+            if let Some(end) = attempt.session_moved {
+                reply::insert_text(headers, "guavapass-session-moved", end.as_str());
+            }
         }
         response
     }
@@ -191,6 +268,7 @@
                     return (None, true);
                 }
                 Step::Event(_) => {}
+                Step::CallerGone => return (None, true),
                 Step::Directive(Some(Directive::Refuse(refusal))) => {
                     self.answered = true;
                     return (Some(Self::error_event(&refusal)), true);
@@ -217,6 +295,9 @@
 
 impl Drop for CallerExchange {
     fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.end();
+        }
         if !self.answered {
             self.desk.handle.send(Event::CallerGone { request: self.number });
         }
