Name the hop in the placement tests

Cause: arrivals got a hop field while placement was under way. Change: the test's arrivals come from callers.

--- a/tests/support/placement_world.rs
+++ b/tests/support/placement_world.rs
@@ -226,6 +226,7 @@
             session: None,
             idempotency_key: None,
             deadline: None,
+            hop: ArrivalHop::Caller,
         };
         self.give(vm, Event::Arrived(arrival));
     }
