--- a/src/control/cluster.rs
+++ b/src/control/cluster.rs
@@ -28,6 +28,7 @@
     pub(super) sequence: u64,
     pub(super) exchange_at: Millis,
     pub(super) share_at: Millis,
+    pub(super) share_round: u64,
     pub(super) sweep_at: Millis,
     pub(super) ticked: Millis,
     pub(super) cursor: Option<VmId>,
@@ -41,6 +42,7 @@
     pub(super) snapshot_append: Option<AppendId>,
     pub(super) reading: Option<(Millis, Offset)>,
     pub(super) check_anchor: bool,
+    pub(super) anchor_checked: Millis,
     pub(super) polls: bool,
     pub(super) wall_clock: (Millis, Millis),
 }
--- a/src/control/learn.rs
+++ b/src/control/learn.rs
@@ -3,6 +3,8 @@
 impl Control {
     const READ_PAUSE_MS: u64 = 500;
     pub(super) const READ_WAIT_MS: u64 = 10_000;
+    /// The time after which the last record folded is compared with the log again.
+    const ANCHOR_INTERVAL_MS: u64 = 5 * 60 * 1_000;
     /// The time after which a read that has not returned is taken for lost.
     const READ_LOST_MS: u64 = 30_000;
 
@@ -18,6 +20,13 @@
         if !needed || !(due || lost) {
             return;
         }
+        let unchecked = now.since(self.cluster.anchor_checked);
+        if unchecked > Millis(Self::ANCHOR_INTERVAL_MS) {
+            self.cluster.check_anchor = true;
+        }
+        if self.cluster.check_anchor {
+            self.cluster.anchor_checked = now;
+        }
         let from = if self.cluster.check_anchor {
             self.configuration.anchor()
         } else {
@@ -53,7 +62,7 @@
             Ok(page) => {
                 self.log_read = Some(now);
                 self.read_again = Some(now);
-                self.cluster.check_anchor = page.records.is_empty();
+                self.cluster.check_anchor = false;
                 self.fold_configuration(now, from.unwrap_or(self.configuration.next()), &page);
             }
             Err(PlatformError::Trimmed { oldest }) => {
@@ -64,6 +73,7 @@
             }
             Err(error) => {
                 tracing::warn!(%error, "configuration not read");
+                self.cluster.check_anchor = true;
                 self.read_again = Some(now + Millis(Self::READ_PAUSE_MS));
             }
         }
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// The time between two readings of the membership list by the VMs of one data centre together.
-const LIST_INTERVAL_MS: u64 = 750;
+const LIST_INTERVAL_MS: u64 = 1_000;
 /// The longest time between two readings by one VM.
 const LIST_LONGEST_MS: u64 = 60_000;
 /// The time within which the whole list is not fetched again.
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -2,8 +2,10 @@
 
 /// The time between two reports of a VM to its parent.
 const SHARE_INTERVAL_MS: u64 = 1_000;
-/// The load reports of one data centre that travel in one message.
-const LOAD_LIMIT: usize = 64;
+/// The load reports of the own data centre that travel down in one message.
+const LOAD_LIMIT: usize = 32;
+/// The load reports of all other data centres that travel down in one message.
+const REMOTE_LOAD_LIMIT: usize = 16;
 /// The key of the ranks in the tree of a data centre.
 const SHARE_DUTY: &str = "shares";
 
@@ -20,6 +22,7 @@
         let children = Self::children(&ranked, rank);
         let parts = self.cluster.shares.subtree(now, &self.own_shares(), &children);
         self.cluster.sequence += 1;
+        self.cluster.share_round += 1;
         let sequence = self.cluster.sequence;
         match ShareTree::parent(rank) {
             Some(parent) => {
@@ -45,19 +48,21 @@
 
     fn report_centre(&mut self, now: Millis, sequence: u64, parts: ShareParts) {
         let centre = self.identity.data_centre.clone();
+        let round = self.cluster.share_round;
         let across = ShareMessage::Across {
             sequence,
             centre: centre.clone(),
-            parts: parts.with_some_loads(sequence, LOAD_LIMIT),
+            parts: parts.for_the_way(round, LOAD_LIMIT),
         };
         for root in self.other_roots() {
             self.send(&root, PeerMessage::Shares(across.clone()));
         }
         let mut centres = self.cluster.shares.across(now);
+        let limit = REMOTE_LOAD_LIMIT.div_ceil(centres.len().max(1));
         for remote in centres.values_mut() {
-            *remote = remote.with_some_loads(sequence, LOAD_LIMIT / ShareTree::FAN_OUT);
+            *remote = remote.for_the_way(round, limit);
         }
-        centres.insert(centre, parts);
+        centres.insert(centre, parts.for_the_way(round, LOAD_LIMIT));
         let root = self.name();
         self.on_down(now, &root, sequence, &centres);
     }
--- a/src/peer/share_parts.rs
+++ b/src/peer/share_parts.rs
@@ -50,15 +50,20 @@
         }
     }
 
-    /// Returns a copy with at most so many load reports, a different part of them each round.
+    /// Returns a copy with at most so many load reports, a different part of them each round, and
+    /// without the names of the VMs that do not lag.
     #[must_use]
-    pub fn with_some_loads(&self, round: u64, limit: usize) -> Self {
-        if self.loads.len() <= limit {
-            return self.clone();
+    pub fn for_the_way(&self, round: u64, limit: usize) -> Self {
+        let mut parts = self.clone();
+        if self.loads.len() > limit {
+            let first = (round as usize).wrapping_mul(limit) % self.loads.len();
+            let loads = self.loads.iter().cycle().skip(first).take(limit);
+            parts.loads = loads.cloned().collect();
         }
-        let first = (round as usize).wrapping_mul(limit) % self.loads.len();
-        let loads = self.loads.iter().cycle().skip(first).take(limit).cloned().collect();
-        Self { loads, revisions: self.revisions.clone() }
+        if let Some(mut newest) = parts.revisions.last_entry() {
+            newest.get_mut().some.clear();
+        }
+        parts
     }
 }
 
--- a/src/stand_in/core_cluster.rs
+++ b/src/stand_in/core_cluster.rs
@@ -17,6 +17,8 @@
     pub members: MembershipList,
     /// The faults.
     pub faults: CoreFaults,
+    /// The messages of each kind and their bytes.
+    pub kinds: BTreeMap<&'static str, (u64, u64)>,
     /// The time between two ticks of a core.
     pub tick: Millis,
     random: ChaCha8Rng,
@@ -162,6 +164,7 @@
             log: CoreLog::default(),
             members: MembershipList::default(),
             faults: CoreFaults::default(),
+            kinds: BTreeMap::new(),
             tick: Millis(20),
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: BTreeMap::new(),
@@ -450,6 +453,8 @@
             traffic.message_bytes += bytes;
         };
         count(&mut self.vms[vm].bytes);
+        let kind = self.kinds.entry(message.kind()).or_default();
+        *kind = (kind.0 + 1, kind.1 + bytes);
         let Some(target) = (0..self.vms.len()).find(|index| Self::address(*index) == address)
         else {
             return;
