Hold each VM's share of the exchange within its budget

Cause: at 400 VMs one VM in 30 s sent and received 25.5 KB/s: VMs started together turned to the same peer at the same time, and the root of a data centre's tree also spoke with all other roots.

--- a/benches/cluster.rs
+++ b/benches/cluster.rs
@@ -9,7 +9,7 @@
     control::OperatorRequest,
     ids::Revision,
     peer::{PeerMessage, PeerName, PeerSeal},
-    stand_in::CoreCluster,
+    stand_in::{CoreCluster, CoreTraffic},
     units::Millis,
 };
 use std::time::{Duration, Instant};
@@ -133,10 +133,9 @@
     let memory = (resident_bytes() - before.min(resident_bytes())) / vms as u64;
     cluster.kinds.clear();
     for vm in &mut cluster.vms {
-        vm.bytes = Default::default();
+        vm.bytes = CoreTraffic::default();
         vm.spent = Duration::ZERO;
     }
-    let start = cluster.vms.iter().map(|vm| vm.spent).sum::<Duration>();
     cluster.run(Millis(SECONDS * 1_000));
     let rates: Vec<(f64, f64)> = cluster
         .vms
@@ -145,8 +144,8 @@
             let heads = vm.bytes.messages * (envelope_bytes + HTTP_HEAD_BYTES)
                 + vm.bytes.calls * CALL_HEAD_BYTES;
             let bytes = vm.bytes.message_bytes + vm.bytes.call_bytes + heads;
-            let seconds = (vm.spent - start.min(vm.spent)).as_secs_f64()
-                + seal.as_secs_f64() * vm.bytes.messages as f64 / 2.0;
+            let seconds =
+                vm.spent.as_secs_f64() + seal.as_secs_f64() * vm.bytes.messages as f64 / 2.0;
             (bytes as f64 / SECONDS as f64, seconds / SECONDS as f64)
         })
         .collect();
--- a/src/control/cluster.rs
+++ b/src/control/cluster.rs
@@ -27,6 +27,7 @@
     pub(super) servers: FxHashMap<u32, ServerId>,
     pub(super) sequence: u64,
     pub(super) exchange_at: Millis,
+    pub(super) exchange_round: u64,
     pub(super) share_at: Millis,
     pub(super) share_round: u64,
     pub(super) sweep_at: Millis,
--- a/src/control/peers.rs
+++ b/src/control/peers.rs
@@ -2,6 +2,8 @@
 
 /// The time between two rounds of exchanges.
 const EXCHANGE_INTERVAL_MS: u64 = 1_000;
+/// The rounds between two that also go round the data centre, whose tree has messages of its own.
+const NEAR_ROUNDS: u64 = 3;
 /// The time after which an exchange counts as missed.
 const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
 /// The exchanges that go to peers suspected or back in reach, each round.
@@ -41,9 +43,13 @@
         {
             targets.insert(peer);
         }
-        let near = self.next_peer(self.cluster.near_cursor.as_ref(), true);
-        let far = self.next_peer(self.cluster.cursor.as_ref(), false);
-        targets.extend(near.clone());
+        self.cluster.exchange_round += 1;
+        let near_due = self.cluster.exchange_round.is_multiple_of(NEAR_ROUNDS);
+        let own = &self.identity.vm;
+        let near = self.next_peer(self.cluster.near_cursor.as_ref().unwrap_or(own), true);
+        let near = near.filter(|_| near_due).or_else(|| self.cluster.near_cursor.clone());
+        let far = self.next_peer(self.cluster.cursor.as_ref().unwrap_or(own), false);
+        targets.extend(near.clone().filter(|_| near_due));
         targets.extend(far.clone());
         self.cluster.near_cursor = near;
         self.cluster.cursor = far;
@@ -53,11 +59,14 @@
     }
 
     /// Returns the peer after a cursor, round the data centre or round all others.
-    fn next_peer(&self, cursor: Option<&VmId>, near: bool) -> Option<VmId> {
+    ///
+    /// Each VM starts after itself, so that VMs that were started together do not all turn to the
+    /// same peer.
+    fn next_peer(&self, cursor: &VmId, near: bool) -> Option<VmId> {
         let centre = &self.identity.data_centre;
         let fits = |peer: &&PeerState| !near || peer.data_centre == *centre;
         let mut after = self.peers.iter().filter(fits);
-        let found = after.find(|peer| cursor.is_none_or(|cursor| peer.vm > *cursor));
+        let found = after.find(|peer| peer.vm > *cursor);
         let found = found.or_else(|| self.peers.iter().find(fits));
         found.map(|peer| peer.vm.clone())
     }
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -2,6 +2,8 @@
 
 /// The time between two reports of a VM to its parent.
 const SHARE_INTERVAL_MS: u64 = 1_000;
+/// The messages that a gateway sends across in each round; with more data centres it skips rounds.
+const ACROSS_PER_ROUND: usize = 3;
 /// The load reports of the own data centre that travel down in one message.
 const LOAD_LIMIT: usize = 32;
 /// The load reports of all other data centres that travel down in one message.
@@ -10,7 +12,7 @@
 const SHARE_DUTY: &str = "shares";
 
 impl Control {
-    /// Reports to the parent in the tree; the root reports to the other roots and to all below.
+    /// Reports to the parent in the tree; the root reports to all below, and the gateway across.
     pub(super) fn tick_shares(&mut self, now: Millis) {
         if self.cluster.share_at > now {
             return;
@@ -29,7 +31,32 @@
                 let message = ShareMessage::Up { sequence, parts };
                 self.send(&ranked[parent], PeerMessage::Shares(message));
             }
-            None => self.report_centre(now, sequence, parts),
+            None => self.report_centre(now, sequence, &parts),
+        }
+        if rank + 1 == ranked.len() {
+            self.report_across(now, sequence, &ranked[0]);
+        }
+    }
+
+    /// As gateway, passes the sums of the other data centres to the root, and that of the own one
+    /// to the other gateways.
+    fn report_across(&mut self, now: Millis, sequence: u64, root: &VmId) {
+        let gateways = self.other_gateways();
+        let rounds = gateways.len().div_ceil(ACROSS_PER_ROUND).max(1) as u64;
+        if !self.cluster.share_round.is_multiple_of(rounds) {
+            return;
+        }
+        let centre = self.identity.data_centre.clone();
+        let mut centres = self.cluster.shares.across(now);
+        centres.remove(&centre);
+        if *root != self.identity.vm && !centres.is_empty() {
+            self.send(root, PeerMessage::Shares(ShareMessage::Remote { sequence, centres }));
+        }
+        let own = self.cluster.shares.centres(now).find(|(name, _)| **name == centre);
+        let Some(parts) = own.map(|(_, parts)| parts.clone()) else { return };
+        let across = PeerMessage::Shares(ShareMessage::Across { sequence, centre, parts });
+        for gateway in gateways {
+            self.send(&gateway, across.clone());
         }
     }
 
@@ -46,17 +73,9 @@
         }
     }
 
-    fn report_centre(&mut self, now: Millis, sequence: u64, parts: ShareParts) {
+    fn report_centre(&mut self, now: Millis, sequence: u64, parts: &ShareParts) {
         let centre = self.identity.data_centre.clone();
         let round = self.cluster.share_round;
-        let across = ShareMessage::Across {
-            sequence,
-            centre: centre.clone(),
-            parts: parts.for_the_way(round, LOAD_LIMIT),
-        };
-        for root in self.other_roots() {
-            self.send(&root, PeerMessage::Shares(across.clone()));
-        }
         let mut centres = self.cluster.shares.across(now);
         let limit = REMOTE_LOAD_LIMIT.div_ceil(centres.len().max(1));
         for remote in centres.values_mut() {
@@ -67,15 +86,15 @@
         self.on_down(now, &root, sequence, &centres);
     }
 
-    fn other_roots(&self) -> Vec<VmId> {
+    fn other_gateways(&self) -> Vec<VmId> {
         let mut centres: BTreeMap<&DataCentreId, Vec<&VmId>> = BTreeMap::new();
         for peer in self.peers.iter().filter(|peer| peer.may_serve()) {
             if peer.data_centre != self.identity.data_centre {
                 centres.entry(&peer.data_centre).or_default().push(&peer.vm);
             }
         }
-        let roots = centres.into_values().filter_map(|vms| first_vm(SHARE_DUTY, vms));
-        roots.cloned().collect()
+        let gateways = centres.into_values().filter_map(|vms| last_vm(SHARE_DUTY, vms));
+        gateways.cloned().collect()
     }
 
     pub(super) fn on_shares(&mut self, now: Millis, from: &PeerName, message: ShareMessage) {
@@ -86,6 +105,11 @@
             ShareMessage::Across { sequence, centre, parts } => {
                 self.cluster.shares.take_across(now, from, sequence, centre, parts);
             }
+            ShareMessage::Remote { sequence, centres } => {
+                for (centre, parts) in centres {
+                    self.cluster.shares.take_across(now, from, sequence, centre, parts);
+                }
+            }
             ShareMessage::Down { sequence, root, centres } => {
                 self.on_down(now, &root, sequence, &centres);
             }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -29,7 +29,7 @@
     message::{PeerMessage, PeerName},
     peer_state::PeerState,
     peer_table::PeerTable,
-    rendezvous::{first_vm, rank_vms, rendezvous_weight},
+    rendezvous::{first_vm, last_vm, rank_vms, rendezvous_weight},
     replay_window::ReplayWindow,
     seal::{PeerSeal, SealError},
     share_parts::{RevisionShare, ServerLoad, ShareParts},
--- a/src/peer/rendezvous.rs
+++ b/src/peer/rendezvous.rs
@@ -17,6 +17,11 @@
     weighed.into_iter().map(|(_, vm)| vm.clone()).collect()
 }
 
+/// Returns the VM that ranks last for a key.
+pub fn last_vm<'a>(key: &str, vms: impl IntoIterator<Item = &'a VmId>) -> Option<&'a VmId> {
+    vms.into_iter().min_by_key(|vm| (rendezvous_weight(key, vm), *vm))
+}
+
 /// Returns the VM that ranks first for a key.
 pub fn first_vm<'a>(key: &str, vms: impl IntoIterator<Item = &'a VmId>) -> Option<&'a VmId> {
     vms.into_iter().max_by_key(|vm| (rendezvous_weight(key, vm), *vm))
--- a/src/peer/seal.rs
+++ b/src/peer/seal.rs
@@ -70,13 +70,13 @@
     }
 }
 
+/// What precedes the message under the signature.
 #[derive(Serialize, Deserialize)]
-struct SealedBody<M> {
+struct SealHead {
     protocol: u32,
     from: PeerName,
     to: PeerName,
     sequence: u64,
-    message: M,
 }
 
 impl PeerSeal {
@@ -109,10 +109,12 @@
         let sequence = *sequence;
         let incarnation = self.incarnations.get(to).copied().unwrap_or_default();
         let to = PeerName { vm: to.clone(), incarnation };
-        let body =
-            SealedBody { protocol: Self::PROTOCOL, from: self.own.clone(), to, sequence, message };
-        let mut bytes = rmp_serde::to_vec_named(&body)
-            .map_err(|error| SealError::Malformed { cause: error.to_string().into() })?;
+        let head = SealHead { protocol: Self::PROTOCOL, from: self.own.clone(), to, sequence };
+        let unwritten = |error: rmp_serde::encode::Error| SealError::Malformed {
+            cause: error.to_string().into(),
+        };
+        let mut bytes = rmp_serde::to_vec(&head).map_err(unwritten)?;
+        rmp_serde::encode::write_named(&mut bytes, message).map_err(unwritten)?;
         let signature = self.keys.sign(Self::PURPOSE, &bytes).ok_or(SealError::Signature)?;
         bytes.extend_from_slice(&signature);
         if bytes.len() > Self::MAX_BYTES {
@@ -135,20 +137,19 @@
         if !self.keys.verify(Self::PURPOSE, body, signature) {
             return Err(SealError::Signature);
         }
-        let body: SealedBody<PeerMessage> = rmp_serde::from_slice(body)
-            .map_err(|error| SealError::Malformed { cause: error.to_string().into() })?;
-        if body.protocol != Self::PROTOCOL {
-            return Err(SealError::Protocol { found: body.protocol });
+        let unread = |error: rmp_serde::decode::Error| SealError::Malformed {
+            cause: error.to_string().into(),
+        };
+        let mut reader = rmp_serde::Deserializer::new(body);
+        let head = SealHead::deserialize(&mut reader).map_err(unread)?;
+        if head.protocol != Self::PROTOCOL {
+            return Err(SealError::Protocol { found: head.protocol });
         }
-        self.check_receiver(&body)?;
-        self.check_sequence(&body)?;
-        let known = self.incarnations.get(&body.from.vm);
-        if known.is_some_and(|known| *known > body.from.incarnation) {
-            let from = body.from;
-            return Err(SealError::Replay { from, sequence: body.sequence });
-        }
-        self.incarnations.insert(body.from.vm.clone(), body.from.incarnation);
-        Ok((body.from, body.message))
+        self.check_receiver(&head)?;
+        let message = rmp_serde::from_slice(reader.get_ref()).map_err(unread)?;
+        self.check_sequence(&head)?;
+        self.incarnations.insert(head.from.vm.clone(), head.from.incarnation);
+        Ok((head.from, message))
     }
 
     /// Returns the answer to a message that was meant for another start of this VM, or for another
@@ -163,23 +164,24 @@
         self.seal(&from.vm, &PeerMessage::Introduce).ok()
     }
 
-    fn check_receiver(&self, body: &SealedBody<PeerMessage>) -> Result<(), SealError> {
-        if body.to == self.own && body.from.vm != self.own.vm {
+    fn check_receiver(&self, head: &SealHead) -> Result<(), SealError> {
+        if head.to == self.own && head.from.vm != self.own.vm {
             return Ok(());
         }
-        Err(SealError::Receiver { from: body.from.clone(), to: body.to.clone() })
+        Err(SealError::Receiver { from: head.from.clone(), to: head.to.clone() })
     }
 
-    fn check_sequence(&mut self, body: &SealedBody<PeerMessage>) -> Result<(), SealError> {
-        let replay = || SealError::Replay { from: body.from.clone(), sequence: body.sequence };
-        let fresh = (body.from.incarnation, ReplayWindow::default());
-        let (incarnation, window) = self.windows.entry(body.from.vm.clone()).or_insert(fresh);
-        if body.from.incarnation < *incarnation {
+    fn check_sequence(&mut self, head: &SealHead) -> Result<(), SealError> {
+        let replay = || SealError::Replay { from: head.from.clone(), sequence: head.sequence };
+        let fresh = (head.from.incarnation, ReplayWindow::default());
+        let (incarnation, window) = self.windows.entry(head.from.vm.clone()).or_insert(fresh);
+        let known = self.incarnations.get(&head.from.vm).copied().unwrap_or_default();
+        if head.from.incarnation < (*incarnation).max(known) {
             return Err(replay());
         }
-        if body.from.incarnation > *incarnation {
+        if head.from.incarnation > *incarnation {
             (*incarnation, *window) = fresh;
         }
-        if window.accept(body.sequence) { Ok(()) } else { Err(replay()) }
+        if window.accept(head.sequence) { Ok(()) } else { Err(replay()) }
     }
 }
--- a/src/peer/share_tree.rs
+++ b/src/peer/share_tree.rs
@@ -10,7 +10,7 @@
         /// The sum.
         parts: ShareParts,
     },
-    /// From one data centre's root to another's: the sum of the data centre.
+    /// From one data centre's gateway to another's: the sum of the data centre.
     Across {
         /// Rises with each message of one sender.
         sequence: u64,
@@ -19,6 +19,13 @@
         /// The sum.
         parts: ShareParts,
     },
+    /// From a data centre's gateway to its root: the sums of the other data centres.
+    Remote {
+        /// Rises with each message of one sender.
+        sequence: u64,
+        /// The sums by data centre.
+        centres: BTreeMap<DataCentreId, ShareParts>,
+    },
     /// From a parent to its children: the sums of all data centres.
     Down {
         /// Rises with each message of one root.
@@ -41,7 +48,8 @@
 
 /// Sums reports up the tree of a data centre's entry VMs and holds the sums that come down.
 ///
-/// The tree follows from the rank of the VMs, so that nobody has to agree on it. A report replaces
+/// The first in rank is the root. The last in rank is the gateway, which exchanges the sums with
+/// those of the other data centres, so that no VM carries both. The tree follows from the rank of the VMs, so that nobody has to agree on it. A report replaces
 /// the one before it of the same sender and expires if none follows.
 #[derive(Clone, Debug, Default)]
 pub struct ShareTree {
@@ -53,9 +61,9 @@
 
 impl ShareTree {
     /// The children of one VM.
-    pub const FAN_OUT: usize = 4;
+    pub const FAN_OUT: usize = 3;
     /// The time after which a report is no longer counted.
-    pub const EXPIRY_MS: u64 = 5_000;
+    pub const EXPIRY_MS: u64 = 10_000;
 
     /// Returns the rank of the parent of a rank; none for the root.
     #[must_use]
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -4,6 +4,7 @@
     configuration::{ConfigurationChange, ConfigurationDocument, PublicationOutcome},
     control::{OperatorAnswer, OperatorRequest},
     ids::{DataCentreId, Revision, VersionId},
+    peer::PeerState,
     platform::MemberState,
     stand_in::{CoreCluster, CoreState},
     units::Millis,
@@ -229,10 +230,7 @@
     cluster.faults.cut.clear();
     assert!(cluster.run_until(seconds(5), at_revision(2)).is_some(), "{:?}", cluster.revisions());
     let all_reach = |cluster: &CoreCluster| {
-        cluster
-            .vms
-            .iter()
-            .all(|vm| vm.control.peers().iter().all(guavapass::peer::PeerState::is_in_reach))
+        cluster.vms.iter().all(|vm| vm.control.peers().iter().all(PeerState::is_in_reach))
     };
     assert!(cluster.run_until(seconds(15), all_reach).is_some());
 }
