--- a/src/command.rs
+++ b/src/command.rs
@@ -12,7 +12,10 @@
 mod command_error;
 mod demo;
 mod logs;
+mod operator_client;
+mod publish;
 mod serve;
+mod status;
 
 pub use {check::read_configuration, command_error::CommandError};
 
@@ -29,6 +32,9 @@
         Some(("serve", matches)) => serve::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("bills", matches)) => bills::run(matches),
+        Some(("publish", matches)) => publish::run(matches),
+        Some(("preset", matches)) => publish::run_preset(matches),
+        Some(("status", matches)) => status::run(matches),
         Some(("demo", matches)) => demo::run(matches),
         _ => Ok(ExitCode::SUCCESS),
     };
@@ -47,5 +53,8 @@
         .subcommand(serve::command())
         .subcommand(check::command())
         .subcommand(bills::command())
+        .subcommand(publish::command())
+        .subcommand(publish::preset_command())
+        .subcommand(status::command())
         .subcommand(demo::command())
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -33,6 +33,7 @@
 mod shares;
 mod shutdown;
 mod spread;
+mod status;
 mod suspects;
 mod tickets;
 mod withdraw;
