Check in the demo that each request is billed exactly once

Cause: claims and bills are wired now; the demo did not look at bills, and sent bookings before entry VMs had heard of each other. Change: the demo waits for peers in reach, folds the bills stream and compares count and cost by team with what callers got; a booking counts once.

--- a/src/command/demo/demo_call.rs
+++ b/src/command/demo/demo_call.rs
@@ -57,6 +57,15 @@
         self.outcome.is_whole() && self.is_own()
     }
 
+    /// Returns the answered calls, each booking once however often it was sent.
+    pub(super) fn billable(results: &[Self]) -> impl Iterator<Item = &Self> {
+        let mut bookings = BTreeSet::new();
+        results.iter().filter(move |result| {
+            let is_booking = result.call.kind == CallKind::Booking;
+            result.is_answered() && (!is_booking || bookings.insert(&result.call.marker))
+        })
+    }
+
     fn is_own(&self) -> bool {
         match self.call.kind {
             CallKind::Question | CallKind::Dossier => {
--- a/src/command/demo/demo_stage.rs
+++ b/src/command/demo/demo_stage.rs
@@ -6,7 +6,7 @@
     pub(super) bookings: Vec<BookingStandIn>,
     pub(super) vms: Vec<EntryVm>,
     pub(super) document: ConfigurationDocument,
-    _platform: PlatformStandIn,
+    platform: PlatformStandIn,
 }
 
 const EXAMPLE: &str = include_str!("../../../examples/ruedaparque/configuration.jsonc");
@@ -18,6 +18,7 @@
     const ENGINES: usize = 6;
     const BOOKING_SERVERS: usize = 2;
     const READY_TIMEOUT: Millis = Millis(10_000);
+    const BILL_TIMEOUT: Millis = Millis(10_000);
     const POLL: Duration = Duration::from_millis(5);
 
     /// Starts everything; the entry VMs know no configuration yet.
@@ -40,7 +41,7 @@
         let vms = (0..Self::ENTRY_VMS)
             .map(|index| start_vm(&platform, index))
             .collect::<Result<Vec<_>, _>>()?;
-        Ok(Self { engines, bookings, vms, document, _platform: platform })
+        Ok(Self { engines, bookings, vms, document, platform })
     }
 
     /// Publishes the example and waits until every entry VM serves it.
@@ -48,7 +49,11 @@
         let revision = self.publish(&self.document).await?;
         let servers = Self::ENGINES + Self::BOOKING_SERVERS;
         self.wait_until(|status| {
-            status.ready && status.revision >= revision && status.servers.len() == servers
+            let peers = status.peers.iter().filter(|peer| peer.in_reach).count();
+            status.ready
+                && status.revision >= revision
+                && status.servers.len() == servers
+                && peers + 1 == Self::ENTRY_VMS
         })
         .await
     }
@@ -91,6 +96,28 @@
         Ok(())
     }
 
+    /// Waits until a number of requests is billed, or no longer, and returns all bills.
+    pub(super) async fn bills(&self, expected: u64) -> BillReport {
+        let clock = Clock::start();
+        loop {
+            let report = self.bills_now();
+            let settled = report.teams.values().map(|total| total.requests - total.unsettled);
+            if settled.sum::<u64>() >= expected || clock.now() > Self::BILL_TIMEOUT {
+                return report;
+            }
+            tokio::time::sleep(Self::POLL).await;
+        }
+    }
+
+    fn bills_now(&self) -> BillReport {
+        let mut fold = BillFold::default();
+        let records = self.platform.log().records(BillLedger::stream().as_str());
+        for (offset, record) in (0..).map(Offset).zip(records) {
+            fold.fold(&LogRecord { offset, record });
+        }
+        BillReport::of(&fold, self.document.unsettled_bills, None, Millis(0))
+    }
+
     /// Returns the runs of a version, over all engines.
     pub(super) fn version_runs(&self, version: &str) -> u64 {
         self.engines.iter().map(|engine| engine.version_runs().runs(version)).sum()
--- a/src/command/demo/demo_traffic.rs
+++ b/src/command/demo/demo_traffic.rs
@@ -18,6 +18,8 @@
     pub(super) runs_in_force: u64,
     /// Its runs at the end.
     pub(super) runs_at_end: u64,
+    /// The bills after the last call.
+    pub(super) bills: BillReport,
 }
 
 impl<'a> DemoTraffic<'a> {
@@ -43,7 +45,9 @@
         let runs_in_force = self.stage.version_runs(&name);
         let results = calls.await.map_err(std::io::Error::from)?;
         let runs_at_end = self.stage.version_runs(&name);
-        Ok(TrafficRecord { results, withdrawn, in_force, runs_in_force, runs_at_end })
+        let expected = DemoResult::billable(&results).count();
+        let bills = self.stage.bills(expected as u64).await;
+        Ok(TrafficRecord { results, withdrawn, in_force, runs_in_force, runs_at_end, bills })
     }
 }
 
--- a/src/command/demo/promise_check.rs
+++ b/src/command/demo/promise_check.rs
@@ -12,6 +12,7 @@
 }
 
 impl PromiseCheck {
+    const COST_TOLERANCE: f64 = 1e-9;
     const IN_FORCE_LIMIT: Millis = Millis(5_000);
 
     /// Checks every promise that the traffic can show.
@@ -24,6 +25,7 @@
             Self::in_force(record),
             Self::bookings_once(stage, record),
             Self::not_run(stage, record),
+            Self::billed_once(stage, record),
         ]
     }
 
@@ -106,6 +108,25 @@
         }
     }
 
+    fn billed_once(stage: &DemoStage, record: &TrafficRecord) -> Self {
+        let tallies = TeamTally::all(&stage.document, &record.results);
+        let answered = DemoResult::billable(&record.results).count() as u64;
+        let failed: u64 = tallies.values().map(|tally| tally.failed).sum();
+        let billed: u64 = record.bills.teams.values().map(|total| total.requests).sum();
+        let wrong = tallies.iter().filter(|(team, tally)| {
+            let billed = record.bills.teams.get(*team).map_or(0.0, |total| total.cost.0);
+            tally.failed == 0 && (billed - tally.cost.0).abs() > Self::COST_TOLERANCE
+        });
+        let wrong = wrong.count();
+        Self {
+            promise: "each request is billed exactly once",
+            held: (answered..=answered + failed).contains(&billed) && wrong == 0,
+            evidence: format!(
+                "{answered} requests answered, {billed} billed, {wrong} teams billed wrongly"
+            ),
+        }
+    }
+
     fn not_run(stage: &DemoStage, record: &TrafficRecord) -> Self {
         let refused = record.results.iter().filter(|result| result.run() == Some("not-run"));
         let ran = |result: &&DemoResult| match result.call.kind {
--- a/src/command/demo/team_tally.rs
+++ b/src/command/demo/team_tally.rs
@@ -38,19 +38,23 @@
         document: &ConfigurationDocument,
         results: &[DemoResult],
     ) -> BTreeMap<TeamId, Self> {
-        let mut tallies = BTreeMap::new();
+        let mut tallies: BTreeMap<TeamId, Self> = BTreeMap::new();
         for result in results {
             let tally = tallies.entry(result.call.team.clone()).or_insert_with(Self::new);
-            tally.add(document, result);
+            tally.add(result);
+        }
+        for result in DemoResult::billable(results) {
+            if let Some(tally) = tallies.get_mut(&result.call.team) {
+                tally.cost += cost(document, result);
+            }
         }
         tallies
     }
 
-    fn add(&mut self, document: &ConfigurationDocument, result: &DemoResult) {
+    fn add(&mut self, result: &DemoResult) {
         self.requests += 1;
         if result.is_answered() {
             self.answered += 1;
-            self.cost += cost(document, result);
             let outcome = &result.outcome;
             self.first_token.saturating_record(outcome.first_byte.as_micros() as u64);
             self.whole.saturating_record(outcome.whole.as_micros() as u64);
