--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,7 @@
 mod shed;
 mod shutdown;
 mod spread;
+mod status;
 mod suspects;
 mod tickets;
 mod timers;
--- a/src/control/shares.rs
+++ b/src/control/shares.rs
@@ -2,13 +2,17 @@
 
 /// The time between two reports of a VM to its parent.
 const SHARE_INTERVAL_MS: u64 = 1_000;
-/// The load reports of one data centre that travel in one message.
-const LOAD_LIMIT: usize = 64;
+/// The messages that a gateway sends across in each round; with more data centres it skips rounds.
+const ACROSS_PER_ROUND: usize = 3;
+/// The load reports of the own data centre that travel down in one message.
+const LOAD_LIMIT: usize = 32;
+/// The load reports of all other data centres that travel down in one message.
+const REMOTE_LOAD_LIMIT: usize = 16;
 /// The key of the ranks in the tree of a data centre.
 const SHARE_DUTY: &str = "shares";
 
 impl Control {
-    /// Reports to the parent in the tree; the root reports to the other roots and to all below.
+    /// Reports to the parent in the tree; the root reports to all below, and the gateway across.
     pub(super) fn tick_shares(&mut self, now: Millis) {
         if self.cluster.share_at > now {
             return;
@@ -20,13 +24,39 @@
         let children = Self::children(&ranked, rank);
         let parts = self.cluster.shares.subtree(now, &self.own_shares(), &children);
         self.cluster.sequence += 1;
+        self.cluster.share_round += 1;
         let sequence = self.cluster.sequence;
         match ShareTree::parent(rank) {
             Some(parent) => {
                 let message = ShareMessage::Up { sequence, parts };
                 self.send(&ranked[parent], PeerMessage::Shares(message));
             }
-            None => self.report_centre(now, sequence, parts),
+            None => self.report_centre(now, sequence, &parts),
+        }
+        if rank + 1 == ranked.len() {
+            self.report_across(now, sequence, &ranked[0]);
+        }
+    }
+
+    /// As gateway, passes the sums of the other data centres to the root, and that of the own one
+    /// to the other gateways.
+    fn report_across(&mut self, now: Millis, sequence: u64, root: &VmId) {
+        let gateways = self.other_gateways();
+        let rounds = gateways.len().div_ceil(ACROSS_PER_ROUND).max(1) as u64;
+        if !self.cluster.share_round.is_multiple_of(rounds) {
+            return;
+        }
+        let centre = self.identity.data_centre.clone();
+        let mut centres = self.cluster.shares.across(now);
+        centres.remove(&centre);
+        if *root != self.identity.vm && !centres.is_empty() {
+            self.send(root, PeerMessage::Shares(ShareMessage::Remote { sequence, centres }));
+        }
+        let own = self.cluster.shares.centres(now).find(|(name, _)| **name == centre);
+        let Some(parts) = own.map(|(_, parts)| parts.clone()) else { return };
+        let across = PeerMessage::Shares(ShareMessage::Across { sequence, centre, parts });
+        for gateway in gateways {
+            self.send(&gateway, across.clone());
         }
     }
 
@@ -43,34 +73,28 @@
         }
     }
 
-    fn report_centre(&mut self, now: Millis, sequence: u64, parts: ShareParts) {
+    fn report_centre(&mut self, now: Millis, sequence: u64, parts: &ShareParts) {
         let centre = self.identity.data_centre.clone();
-        let across = ShareMessage::Across {
-            sequence,
-            centre: centre.clone(),
-            parts: parts.with_some_loads(sequence, LOAD_LIMIT),
-        };
-        for root in self.other_roots() {
-            self.send(&root, PeerMessage::Shares(across.clone()));
-        }
+        let round = self.cluster.share_round;
         let mut centres = self.cluster.shares.across(now);
+        let limit = REMOTE_LOAD_LIMIT.div_ceil(centres.len().max(1));
         for remote in centres.values_mut() {
-            *remote = remote.with_some_loads(sequence, LOAD_LIMIT / ShareTree::FAN_OUT);
+            *remote = remote.for_the_way(round, limit);
         }
-        centres.insert(centre, parts);
+        centres.insert(centre, parts.for_the_way(round, LOAD_LIMIT));
         let root = self.name();
         self.on_down(now, &root, sequence, &centres);
     }
 
-    fn other_roots(&self) -> Vec<VmId> {
+    fn other_gateways(&self) -> Vec<VmId> {
         let mut centres: BTreeMap<&DataCentreId, Vec<&VmId>> = BTreeMap::new();
         for peer in self.peers.iter().filter(|peer| peer.may_serve()) {
             if peer.data_centre != self.identity.data_centre {
                 centres.entry(&peer.data_centre).or_default().push(&peer.vm);
             }
         }
-        let roots = centres.into_values().filter_map(|vms| first_vm(SHARE_DUTY, vms));
-        roots.cloned().collect()
+        let gateways = centres.into_values().filter_map(|vms| last_vm(SHARE_DUTY, vms));
+        gateways.cloned().collect()
     }
 
     pub(super) fn on_shares(&mut self, now: Millis, from: &PeerName, message: ShareMessage) {
@@ -81,6 +105,11 @@
             ShareMessage::Across { sequence, centre, parts } => {
                 self.cluster.shares.take_across(now, from, sequence, centre, parts);
             }
+            ShareMessage::Remote { sequence, centres } => {
+                for (centre, parts) in centres {
+                    self.cluster.shares.take_across(now, from, sequence, centre, parts);
+                }
+            }
             ShareMessage::Down { sequence, root, centres } => {
                 self.on_down(now, &root, sequence, &centres);
             }
