--- a/src/placement/pool_placement.rs
+++ b/src/placement/pool_placement.rs
@@ -230,7 +230,7 @@
     }
 
     fn wish(&self, now: Millis, rank: usize) -> LeaseWish {
-        let delay = Self::RANK_DELAY_MS * rank as u64;
+        let delay = Self::RANK_DELAY_MS.saturating_mul(rank as u64);
         let due = self.needed_since.is_some_and(|since| now.since(since).0 >= delay);
         if due && rank < Self::CANDIDATES {
             LeaseWish::Hold
--- a/src/stand_in/core_cluster.rs
+++ b/src/stand_in/core_cluster.rs
@@ -13,6 +13,8 @@
     pub vms: Vec<CoreVm>,
     /// The configuration stream.
     pub log: CoreLog,
+    /// The other streams.
+    pub streams: BTreeMap<StreamId, CoreLog>,
     /// The membership list.
     pub members: MembershipList,
     /// The faults.
@@ -101,8 +103,18 @@
 }
 
 enum CoreArrival {
-    Event { vm: usize, incarnation: Incarnation, event: Event },
-    Append { vm: usize, incarnation: Incarnation, append: AppendId, records: Vec<Bytes> },
+    Event {
+        vm: usize,
+        incarnation: Incarnation,
+        event: Event,
+    },
+    Append {
+        vm: usize,
+        incarnation: Incarnation,
+        append: AppendId,
+        stream: StreamId,
+        records: Vec<Bytes>,
+    },
 }
 
 struct WaitingRead {
@@ -162,6 +174,7 @@
             now: Millis(1_000),
             vms: Vec::new(),
             log: CoreLog::default(),
+            streams: BTreeMap::new(),
             members: MembershipList::default(),
             faults: CoreFaults::default(),
             kinds: BTreeMap::new(),
@@ -333,20 +346,31 @@
                     CoreState::Dead => {}
                 }
             }
-            CoreArrival::Append { vm, incarnation, append, records } => {
-                let result = self.append(vm, &records);
+            CoreArrival::Append { vm, incarnation, append, stream, records } => {
+                let result = self.append(vm, &stream, &records);
                 self.push(Self::CALL_MS, vm, incarnation, Event::Appended { append, result });
             }
         }
     }
 
-    fn append(&mut self, vm: usize, records: &[Bytes]) -> Result<Offset, PlatformError> {
+    fn append(
+        &mut self,
+        vm: usize,
+        stream: &StreamId,
+        records: &[Bytes],
+    ) -> Result<Offset, PlatformError> {
         if self.faults.platform_down || self.is_cut(vm) {
             return Err(PlatformError::Refused { address: "platform".into(), status: 503 });
         }
-        let first = Offset(self.log.next());
-        self.log.records.extend_from_slice(records);
-        if self.faults.lost_appends > 0 {
+        let configuration = stream.as_str() == "configuration";
+        let log = if configuration {
+            &mut self.log
+        } else {
+            self.streams.entry(stream.clone()).or_default()
+        };
+        let first = Offset(log.next());
+        log.records.extend_from_slice(records);
+        if configuration && self.faults.lost_appends > 0 {
             self.faults.lost_appends -= 1;
             let (address, cause) = ("platform".into(), "the answer was lost".into());
             return Err(PlatformError::Lost { address, cause });
@@ -400,11 +424,11 @@
         let incarnation = self.vms[vm].name.incarnation;
         match command {
             Command::Send { to, address, message } => self.send(vm, &to, address, &message),
-            Command::Append { append, records, .. } => {
+            Command::Append { append, stream, records } => {
                 self.sequence += 1;
                 let key = (self.now + Millis(Self::CALL_MS), self.sequence);
                 self.count_call(vm, records.iter().map(Bytes::len).sum());
-                let arrival = CoreArrival::Append { vm, incarnation, append, records };
+                let arrival = CoreArrival::Append { vm, incarnation, append, stream, records };
                 self.queue.insert(key, arrival);
             }
             Command::Read { stream, from, wait } => {
@@ -481,10 +505,19 @@
         }
     }
 
+    fn stream(&self, stream: &StreamId) -> &CoreLog {
+        const EMPTY: &CoreLog = &CoreLog { records: Vec::new(), oldest: 0 };
+        match stream.as_str() {
+            "configuration" => &self.log,
+            _ => self.streams.get(stream).unwrap_or(EMPTY),
+        }
+    }
+
     fn answer_reads(&mut self) {
         let reads = std::mem::take(&mut self.waiting);
         for read in reads {
-            let page = self.platform(read.vm, |cluster| cluster.log.read(read.from));
+            let page =
+                self.platform(read.vm, |cluster| cluster.stream(&read.stream).read(read.from));
             let result = page.and_then(|page| page);
             let empty = result.as_ref().is_ok_and(|page| page.records.is_empty());
             if empty && self.now < read.until {
