--- a/src/stand_in/core_cluster.rs
+++ b/src/stand_in/core_cluster.rs
@@ -26,6 +26,7 @@
     random: ChaCha8Rng,
     queue: BTreeMap<(Millis, u64), CoreArrival>,
     waiting: Vec<WaitingRead>,
+    reads_due: bool,
     sequence: u64,
 }
 
@@ -166,6 +167,8 @@
     const MESSAGE_MS: u64 = 2;
     /// The delay of a call of the platform.
     const CALL_MS: u64 = 3;
+    /// The time between two looks at reads that wait.
+    const READ_CHECK_MS: u64 = 20;
 
     /// Returns an empty cluster.
     #[must_use]
@@ -182,6 +185,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             waiting: Vec::new(),
+            reads_due: false,
             sequence: 0,
         }
     }
@@ -322,7 +326,10 @@
                 self.handle(vm, Event::Tick);
             }
         }
-        self.answer_reads();
+        if self.reads_due || self.now.0.is_multiple_of(Self::READ_CHECK_MS) {
+            self.reads_due = false;
+            self.answer_reads();
+        }
         while let Some(entry) = self.queue.first_entry()
             && entry.key().0 <= self.now
         {
@@ -370,6 +377,7 @@
         };
         let first = Offset(log.next());
         log.records.extend_from_slice(records);
+        self.reads_due = true;
         if configuration && self.faults.lost_appends > 0 {
             self.faults.lost_appends -= 1;
             let (address, cause) = ("platform".into(), "the answer was lost".into());
@@ -433,6 +441,7 @@
             }
             Command::Read { stream, from, wait } => {
                 let until = self.now + wait;
+                self.reads_due = true;
                 self.waiting.push(WaitingRead { vm, incarnation, stream, from, until });
             }
             Command::ListMembers => {
