--- /dev/null
+++ b/tests/peers_over_sockets.rs
@@ -0,0 +1,164 @@
+//! Entry VMs over real sockets: peers' messages, operators' commands, and a start without the
+//! platform.
+
+use guavapass::{
+    control::{OperatorAnswer, OperatorRequest, VmStatus},
+    driver::EntryVm,
+    ids::Revision,
+    platform::{MemberState, VmMember},
+    settings::{
+        CallerSettings, EntrySettings, ListenerSettings, LogSettings, PlatformSettings, Secret,
+        ShutdownSettings,
+    },
+    stand_in::PlatformStandIn,
+};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    time::{Duration, Instant},
+};
+
+const OPERATORS: &str = "a secret of the operators";
+const PEERS: &str = "a secret of the entry VMs";
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct SocketBench {
+    platform: PlatformStandIn,
+    vms: Vec<EntryVm>,
+    runtime: tokio::runtime::Runtime,
+    folder: PathBuf,
+}
+
+impl Drop for SocketBench {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl SocketBench {
+    fn start(name: &str, vms: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("guavapass-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("secret"), OPERATORS).unwrap();
+        let document = include_str!("support/document.json");
+        std::fs::write(folder.join("document.json"), document).unwrap();
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        let platform = PlatformStandIn::start();
+        let mut bench = Self { platform, vms: Vec::new(), runtime, folder };
+        for index in 0..vms {
+            bench.add_vm(&format!("vm-{index}"), PEERS, Vec::new());
+        }
+        bench
+    }
+
+    fn add_vm(&mut self, name: &str, secret: &str, seeds: Vec<VmMember>) {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let listener = || ListenerSettings { listen: any, secret_files: Vec::new() };
+        let settings = EntrySettings {
+            vm: name.parse().unwrap(),
+            data_centre: "norte".parse().unwrap(),
+            callers: CallerSettings::at(any),
+            operators: listener(),
+            peers: listener(),
+            platform: PlatformSettings { address: self.platform.address() },
+            seeds,
+            log: LogSettings::default(),
+            metrics: None,
+            shutdown: ShutdownSettings::default(),
+        };
+        let secrets = |text: &str| vec![Secret::new(text.as_bytes()).unwrap()];
+        let vm = EntryVm::start(&settings, secrets(OPERATORS), secrets(secret)).unwrap();
+        self.platform.members().add_entry_vm(member(name, vm.peers));
+        self.vms.push(vm);
+    }
+
+    fn status(&self, vm: usize) -> VmStatus {
+        let answer = self.runtime.block_on(self.vms[vm].handle().ask(OperatorRequest::Status));
+        match answer {
+            OperatorAnswer::Status(status) => *status,
+            answer => panic!("not a status: {answer:?}"),
+        }
+    }
+
+    fn wait(&self, vm: usize, what: &str, holds: impl Fn(&VmStatus) -> bool) {
+        let start = Instant::now();
+        loop {
+            let status = self.status(vm);
+            if holds(&status) {
+                return;
+            }
+            assert!(start.elapsed() < LIMIT, "{what}: {status}");
+            std::thread::yield_now();
+        }
+    }
+
+    fn run(&self, vm: usize, words: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_guavapass"))
+            .current_dir(&self.folder)
+            .args(words)
+            .args(["--vm", &self.vms[vm].operators.to_string(), "--secret-file", "secret"])
+            .output()
+            .unwrap()
+    }
+}
+
+fn member(name: &str, address: SocketAddr) -> VmMember {
+    let data_centre = "norte".parse().unwrap();
+    VmMember { id: name.parse().unwrap(), address, data_centre, state: MemberState::Live }
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn publish_reaches_all_vms() {
+    let bench = SocketBench::start("publish", 3);
+    for vm in 0..3 {
+        bench.wait(vm, "peers in reach", |status| {
+            status.peers.iter().filter(|peer| peer.heard_age.is_some()).count() == 2
+        });
+    }
+    let output = bench.run(1, &["publish", "document.json", "--wait-everywhere"]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    assert!(text(&output.stdout).contains("at every live entry VM"), "{}", text(&output.stdout));
+    for vm in 0..3 {
+        assert_eq!(bench.status(vm).revision, Revision(1));
+    }
+    let output = bench.run(0, &["preset", "absent"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("There is no preset absent"), "{}", text(&output.stderr));
+    let output = bench.run(0, &["preset", "peak", "--base", "0"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("but 1 is in force"), "{}", text(&output.stderr));
+    let output = bench.run(2, &["status"]);
+    assert!(text(&output.stdout).contains("revision 1, preset ordinary"), "{output:?}");
+}
+
+#[test]
+fn start_without_platform_takes_peers_configuration() {
+    let mut bench = SocketBench::start("seeds", 2);
+    let output = bench.run(0, &["publish", "document.json"]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    bench.wait(0, "the other peer", |status| !status.peers.is_empty());
+    bench.platform.host().crash();
+    let seed = member("vm-replaced-since", bench.vms[0].peers);
+    bench.add_vm("vm-late", PEERS, vec![seed]);
+    bench.wait(2, "the configuration of a peer", |status| status.revision == Revision(1));
+    bench.wait(2, "the list of a peer", |status| {
+        status.peers.iter().any(|peer| peer.vm.as_str() == "vm-1")
+    });
+    assert!(bench.status(2).ready);
+}
+
+#[test]
+fn stranger_is_not_heard() {
+    let mut bench = SocketBench::start("stranger", 2);
+    bench.add_vm("vm-stranger", "another secret of strangers", Vec::new());
+    bench.wait(0, "the stranger out of reach", |status| {
+        let stranger = status.peers.iter().find(|peer| peer.vm.as_str() == "vm-stranger");
+        stranger.is_some_and(|peer| !peer.in_reach && peer.heard_age.is_none())
+    });
+    assert!(bench.status(0).peers.iter().any(|peer| peer.in_reach));
+}
