--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -205,7 +205,8 @@
         rank.unwrap_or(usize::MAX)
     }
 
-    /// Returns the servers whose reports are to be read for placement besides this VM's own.
+    /// Returns the servers whose reports are to be read for placement besides this VM's own: those
+    /// that say what they have loaded.
     pub(super) fn placement_loads(
         &mut self,
         now: Millis,
@@ -220,7 +221,9 @@
             .map(|(pool, _)| pool.clone())
             .collect();
         let servers = self.servers.iter().filter(|server| due.contains(&server.pool));
+        let reports = |load: &LoadReport| load.versions.is_some();
         let loads: Vec<_> = servers
+            .filter(|server| server.load.as_ref().is_some_and(reports))
             .filter(|server| !own.contains(&server.id))
             .map(|server| (server.id.clone(), server.address))
             .collect();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -42,6 +42,8 @@
     "preset": "ordinary"
 }"#;
 
+/// More than may order in a pool.
+const VMS: usize = 5;
 const SETTLE_MS: u64 = 600_000;
 
 fn base(rule: FenceRule) -> ConfigurationDocument {
@@ -75,7 +77,7 @@
 
 /// A pool of six on which version 1 is loaded everywhere and the others nowhere.
 fn world(rule: FenceRule) -> World {
-    let mut world = World::new(3, 6, rule, base(rule));
+    let mut world = World::new(VMS, 6, rule, base(rule));
     world.preload(0..6, "planner@1");
     world
 }
@@ -133,6 +135,7 @@
         world.ask(vm, "planner@2");
         world.ask(vm, "planner@2");
     }
+    world.run(500);
     assert_eq!(world.started, 6);
     world.publish(without(base(FenceRule::Refuses), "2"));
     world.run_until(SETTLE_MS, is_settled).expect("version 2 is unloaded");
@@ -303,10 +306,10 @@
 
 fn fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
-        (0..3_usize).prop_map(Fault::Pause),
-        (0..3_usize).prop_map(Fault::Stall),
-        (0..3_usize).prop_map(Fault::Replace),
-        (0..3_usize).prop_map(Fault::CutFromLog),
+        (0..VMS).prop_map(Fault::Pause),
+        (0..VMS).prop_map(Fault::Stall),
+        (0..VMS).prop_map(Fault::Replace),
+        (0..VMS).prop_map(Fault::CutFromLog),
         Just(Fault::LogDown),
         Just(Fault::LoseAppends),
         Just(Fault::LoseOrders),
--- a/tests/support/placement_world.rs
+++ b/tests/support/placement_world.rs
@@ -68,6 +68,8 @@
     pub downloads: Vec<u64>,
     /// Orders that took the last copy of a live version.
     pub last_copies_lost: Vec<VersionId>,
+    /// Orders that unloaded a version before all engines refused the holder before.
+    pub early_unloads: u64,
     /// Requests that found their version missing or lost it while they ran.
     pub hurt: u64,
     pub started: u64,
@@ -112,6 +114,7 @@
             refused: 0,
             downloads: Vec::new(),
             last_copies_lost: Vec::new(),
+            early_unloads: 0,
             hurt: 0,
             started: 0,
             answered: 0,
@@ -427,6 +430,8 @@
     }
 
     fn accept(&mut self, vm: usize, index: usize, order: &EngineOrder) {
+        let live = self.engines.iter().filter(|engine| engine.member == MemberState::Live);
+        let barred = live.into_iter().all(|engine| engine.fence >= order.fence);
         let engine = &mut self.engines[index];
         engine.fence = engine.fence.max(order.fence);
         engine.accepted.push((order.fence, vm));
@@ -436,6 +441,7 @@
         engine.loading.retain(|id, _| versions.contains(id));
         let cut = engine.runs.values().filter(|id| dropped.contains(id)).count();
         self.hurt += cut as u64;
+        self.early_unloads += u64::from(!dropped.is_empty() && !barred);
         for id in versions {
             if !engine.loaded.contains(id) {
                 engine.loading.entry(id.clone()).or_insert(0);
@@ -478,6 +484,7 @@
 
     /// Asserts that the orders which each fencing engine took never went back to an older holder.
     pub fn assert_fenced(&self) {
+        assert_eq!(self.early_unloads, 0);
         let mut holders: BTreeMap<Fence, usize> = BTreeMap::new();
         for engine in &self.engines {
             let fences: Vec<Fence> = engine.accepted.iter().map(|(fence, _)| *fence).collect();
