--- a/src/command/operator_client.rs
+++ b/src/command/operator_client.rs
@@ -104,10 +104,26 @@
     pub(super) fn status(&self) -> Result<VmStatus, CommandError> {
         match self.ask(&OperatorRequest::Status, Millis(0))? {
             OperatorAnswer::Status(status) => Ok(*status),
-            _ => Err(CommandError::Operator {
-                address: self.address,
-                cause: "its answer is of another kind".into(),
-            }),
+            _ => Err(self.wrong_kind()),
+        }
+    }
+
+    /// Returns the placement in each pool, as the entry VM sees it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub(super) fn placement(&self) -> Result<Vec<PlacementStatus>, CommandError> {
+        match self.ask(&OperatorRequest::Placement, Millis(0))? {
+            OperatorAnswer::Placement(pools) => Ok(pools),
+            _ => Err(self.wrong_kind()),
+        }
+    }
+
+    fn wrong_kind(&self) -> CommandError {
+        CommandError::Operator {
+            address: self.address,
+            cause: "its answer is of another kind".into(),
         }
     }
 }
--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -11,7 +11,11 @@
     /// Describes the placement in each pool.
     #[must_use]
     pub fn placement_status(&self, now: Millis) -> Vec<PlacementStatus> {
-        self.placement.status(now)
+        let mut pools = self.placement.status(now);
+        for pool in &mut pools {
+            pool.may_order = self.placement_candidates(&pool.pool);
+        }
+        pools
     }
 
     /// Moves the placement of every pool on.
--- a/src/placement/placement_status.rs
+++ b/src/placement/placement_status.rs
@@ -9,6 +9,8 @@
     pub holder: Option<PeerName>,
     /// Its fencing number.
     pub fence: Option<Fence>,
+    /// The VMs that may order in the pool, by rank; the first one knows most.
+    pub may_order: Vec<VmId>,
     /// Whether the entry VM that answers holds the lease.
     pub held_here: bool,
     /// The versions that lack room.
@@ -39,6 +41,8 @@
             (Some(holder), Some(fence)) => write!(formatter, "  holder {holder}  fence {fence}")?,
             _ => write!(formatter, "  no holder known")?,
         }
+        let may_order: Vec<&str> = self.may_order.iter().map(VmId::as_str).collect();
+        write!(formatter, "  may order {}", may_order.join(","))?;
         if self.held_here {
             write!(formatter, "  held here")?;
         }
--- a/src/placement/pool_placement.rs
+++ b/src/placement/pool_placement.rs
@@ -283,6 +283,7 @@
             pool: self.pool.clone(),
             holder: state.filter(|state| !state.released).map(|state| state.holder.clone()),
             fence: state.map(|state| state.fence),
+            may_order: Vec::new(),
             held_here: self.lease.fence(now).is_some(),
             unplaced: self.plan.unplaced.clone(),
             servers: servers.collect(),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -267,6 +267,23 @@
     world.assert_fenced();
 }
 
+#[test]
+fn status_shows_the_change_under_way() {
+    let mut world = world(FenceRule::Refuses);
+    let (holder, fence) = hold_in_rollout(&mut world);
+    let pool = &world.status(holder)[0];
+    assert_eq!((pool.held_here, pool.fence), (true, Some(fence)));
+    assert_eq!(pool.holder.as_ref(), Some(&world.vms[holder].name));
+    assert_eq!(pool.may_order.len(), 3);
+    let changes = |server: &&guavapass::placement::ServerPlacementStatus| {
+        server.pending.is_some() && server.actual.as_ref() != Some(&server.desired)
+    };
+    let server = pool.servers.iter().find(changes).expect("a server changes");
+    let text = pool.to_string();
+    assert!(text.contains(&format!("fence {fence}  may order ")), "{text}");
+    assert!(text.contains(&format!("{}  desired ", server.server)), "{text}");
+}
+
 #[test]
 fn leaving_server_gets_no_order() {
     let mut world = world(FenceRule::Refuses);
