--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -11,7 +11,11 @@
     /// Describes the placement in each pool.
     #[must_use]
     pub fn placement_status(&self, now: Millis) -> Vec<PlacementStatus> {
-        self.placement.status(now)
+        let mut pools = self.placement.status(now);
+        for pool in &mut pools {
+            pool.may_order = self.placement_candidates(&pool.pool);
+        }
+        pools
     }
 
     /// Moves the placement of every pool on.
@@ -205,7 +209,8 @@
         rank.unwrap_or(usize::MAX)
     }
 
-    /// Returns the servers whose reports are to be read for placement besides this VM's own.
+    /// Returns the servers whose reports are to be read for placement besides this VM's own: those
+    /// that say what they have loaded.
     pub(super) fn placement_loads(
         &mut self,
         now: Millis,
@@ -220,7 +225,9 @@
             .map(|(pool, _)| pool.clone())
             .collect();
         let servers = self.servers.iter().filter(|server| due.contains(&server.pool));
+        let reports = |load: &LoadReport| load.versions.is_some();
         let loads: Vec<_> = servers
+            .filter(|server| server.load.as_ref().is_some_and(reports))
             .filter(|server| !own.contains(&server.id))
             .map(|server| (server.id.clone(), server.address))
             .collect();
