--- a/benches/policy/naive.rs
+++ b/benches/policy/naive.rs
@@ -71,6 +71,7 @@
                 repeat: RepeatRule::Repeatable,
                 priority: 0,
                 session: None,
+                session_moved: None,
             }));
         }
     }
--- a/src/control/operate.rs
+++ b/src/control/operate.rs
@@ -134,6 +134,12 @@
         }
     }
 
+    /// Returns the number of requests that wait for a pause before another attempt to end.
+    fn pausing(&self) -> usize {
+        let pausing = |state: &&RequestState| state.phase == RequestPhase::Pausing;
+        self.requests.values().filter(pausing).count()
+    }
+
     /// Returns the state of this entry VM.
     #[must_use]
     pub fn status(&self, now: Millis) -> VmStatus {
@@ -161,7 +167,7 @@
             preset: self.configuration.document().map(|document| document.preset.clone()),
             ready: self.is_ready(),
             requests: self.requests.len(),
-            queued: self.queues.values().map(FairQueue::len).sum(),
+            queued: self.queues.values().map(FairQueue::len).sum::<usize>() + self.pausing(),
             log_age: self.log_read.map(|at| now.since(at)),
             members_age: self.members_read.map(|at| now.since(at)),
             peers: peers.collect(),
