Close bills at one keeper by difference, and measure what once costs

Cause: a closed bill went whole to two peers, and nothing measured latency, appends, bytes or memory.

--- a/src/billing/ledger.rs
+++ b/src/billing/ledger.rs
@@ -48,9 +48,9 @@
 
 impl BillLedger {
     /// The memory for this VM's own bills, past which no billable work is taken.
-    pub const OWN_LIMIT_BYTES: u64 = 64 << 20;
+    pub const OWN_LIMIT_BYTES: u64 = 48 << 20;
     /// The memory for copies of peers' bills, past which none is taken.
-    pub const COPY_LIMIT_BYTES: u64 = 64 << 20;
+    pub const COPY_LIMIT_BYTES: u64 = 96 << 20;
     /// The least time between two appends.
     pub const APPEND_INTERVAL_MS: u64 = 500;
     /// The time between two appends, for each entry VM.
@@ -162,26 +162,36 @@
         self.append_at = Millis(0);
     }
 
+    /// Sends open bills to all keepers, and closes them at the first one; what stays without an
+    /// answer is sent whole to all.
     fn send_copies(&mut self, now: Millis) -> Vec<BillAction> {
-        let mut messages: BTreeMap<VmId, Vec<BillRecord>> = BTreeMap::new();
-        let due = |bill: &OwnBill| {
-            bill.sent == Millis(0) || now.since(bill.sent) >= Millis(Self::RESEND_MS)
-        };
+        let mut whole: BTreeMap<VmId, Vec<BillRecord>> = BTreeMap::new();
+        let mut closes: BTreeMap<VmId, Vec<(RequestNumber, BillStage)>> = BTreeMap::new();
         for request in self.unsent.clone() {
             let Some(bill) = self.own.get_mut(&request) else { continue };
-            if !due(bill) {
+            let first = bill.sent == Millis(0);
+            if !first && now.since(bill.sent) < Millis(Self::RESEND_MS) {
                 continue;
             }
             bill.sent = now;
-            for keeper in &bill.keepers {
-                messages.entry(keeper.clone()).or_default().push(bill.record.clone());
-            }
-            if bill.keepers.is_empty() {
-                self.unsent.remove(&request);
+            match bill.keepers.first() {
+                None => {
+                    self.unsent.remove(&request);
+                }
+                Some(keeper) if first && bill.record.is_closed() => {
+                    let stage = bill.record.stage.clone();
+                    closes.entry(keeper.clone()).or_default().push((request, stage));
+                }
+                Some(_) => {
+                    for keeper in &bill.keepers {
+                        whole.entry(keeper.clone()).or_default().push(bill.record.clone());
+                    }
+                }
             }
         }
-        let send = |(keeper, bills)| BillAction::Send(keeper, BillMessage::Keep(bills));
-        messages.into_iter().map(send).collect()
+        let keep = |(keeper, bills)| BillAction::Send(keeper, BillMessage::Keep(bills));
+        let close = |(keeper, bills)| BillAction::Send(keeper, BillMessage::Close(bills));
+        whole.into_iter().map(keep).chain(closes.into_iter().map(close)).collect()
     }
 
     fn append(&mut self, now: Millis, vms: usize) -> Option<BillAction> {
@@ -254,6 +264,7 @@
     pub fn on_message(&mut self, from: &PeerName, message: &BillMessage) -> Option<BillAction> {
         match message {
             BillMessage::Keep(records) => Some(self.keep(from, records)),
+            BillMessage::Close(bills) => Some(self.close_copies(from, bills)),
             BillMessage::Kept { open, closed } => {
                 self.on_kept(open, false);
                 self.on_kept(closed, true);
@@ -293,6 +304,24 @@
         BillAction::Send(from.vm.clone(), kept)
     }
 
+    fn close_copies(
+        &mut self,
+        from: &PeerName,
+        bills: &[(RequestNumber, BillStage)],
+    ) -> BillAction {
+        let mut closed = Vec::new();
+        for (request, stage) in bills {
+            let copies = self.copies.get_mut(from);
+            let Some(copy) = copies.and_then(|copies| copies.get_mut(request)) else { continue };
+            self.copy_bytes -= copy.size().0;
+            copy.stage = stage.clone();
+            self.copy_bytes += copy.size().0;
+            closed.push(*request);
+        }
+        let kept = BillMessage::Kept { open: Vec::new(), closed };
+        BillAction::Send(from.vm.clone(), kept)
+    }
+
     fn on_kept(&mut self, requests: &[RequestNumber], closed: bool) {
         for request in requests {
             let Some(bill) = self.own.get_mut(request) else { continue };
--- a/src/billing/message.rs
+++ b/src/billing/message.rs
@@ -5,6 +5,8 @@
 pub enum BillMessage {
     /// The origin asks the receiver to keep copies.
     Keep(Vec<BillRecord>),
+    /// The origin closes bills whose open copies the receiver keeps.
+    Close(Vec<(RequestNumber, BillStage)>),
     /// The receiver keeps them: open ones and closed ones.
     Kept {
         /// The requests whose open bill is kept.
--- a/src/billing/record.rs
+++ b/src/billing/record.rs
@@ -43,7 +43,7 @@
     /// Returns the memory that the record takes.
     #[must_use]
     pub fn size(&self) -> ByteSize {
-        const NAMES_BYTES: usize = 128;
+        const NAMES_BYTES: usize = 370;
         let parts = match &self.stage {
             BillStage::Final { parts, .. } => parts.len(),
             BillStage::Open { .. } | BillStage::Void => 0,
--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,7 @@
 mod event;
 mod gate;
 mod hedge;
+mod gather;
 mod learn;
 mod load_state;
 mod members;
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -13,12 +13,11 @@
     pub(super) forwards: BTreeSet<RequestNumber>,
     pub(super) tickets: u64,
     attempts: u64,
-    review_at: Millis,
+    pub(super) review_at: Millis,
 }
 
 impl Control {
     const ASK_REPEAT_MS: u64 = 200;
-    const CLAIM_REVIEW_MS: u64 = 1_000;
 
     /// Lets a request that may not be repeated run, join an earlier one, or hear its end.
     pub(super) fn gate_once(&mut self, now: Millis, gated: GatedArrival) -> Result<(), Refusal> {
@@ -141,105 +140,7 @@
         self.claims.releases.insert(attempt, (key, Millis(0)));
     }
 
-    /// Sends entries of one stream to its gatherer.
-    fn ask(&mut self, now: Millis, entries: Vec<ClaimEntry>) {
-        let Some(first) = entries.first() else { return };
-        let stream = first.key().stream();
-        let gatherer = self.gatherer(stream, 0);
-        if gatherer.as_ref() == Some(&self.identity.vm) {
-            let own = self.identity.vm.clone();
-            self.gather(now, &own, entries);
-        } else if let Some(gatherer) = gatherer {
-            self.send(&gatherer, PeerMessage::Claim(ClaimMessage::Ask(entries)));
-        }
-    }
-
-    /// Returns the VM of a rank among those in reach that could gather a stream.
-    fn gatherer(&self, stream: ClaimStream, rank: usize) -> Option<VmId> {
-        let peers = self.peers.iter().filter(|peer| peer.may_serve()).map(|peer| &peer.vm);
-        let own = self.shutdown.is_serving().then_some(&self.identity.vm);
-        let ranked = rank_vms(stream.id().as_str(), peers.chain(own));
-        if ranked.is_empty() {
-            return Some(self.identity.vm.clone());
-        }
-        ranked.into_iter().nth(rank)
-    }
-
-    fn gather(&mut self, now: Millis, from: &VmId, entries: Vec<ClaimEntry>) {
-        let Some(first) = entries.first() else { return };
-        let stream = first.key().stream();
-        let unix = self.unix(now);
-        let gatherer = self.claims.gatherers.entry(stream).or_default();
-        let mut actions = Vec::new();
-        for entry in entries {
-            actions.extend(gatherer.ask(now, from, entry));
-        }
-        actions.extend(gatherer.pump(now, unix));
-        self.act(now, stream, actions);
-    }
-
-    fn act(&mut self, now: Millis, stream: ClaimStream, actions: Vec<GathererAction>) {
-        for action in actions {
-            match action {
-                GathererAction::Append(record) => {
-                    let append = self.next_append();
-                    self.claims.appends.insert(append, stream);
-                    let records = vec![record];
-                    self.emit(Command::Append { append, stream: stream.id(), records });
-                }
-                GathererAction::Read(from) => {
-                    let wait = Millis(Self::READ_WAIT_MS);
-                    self.emit(Command::Read { stream: stream.id(), from, wait });
-                }
-                GathererAction::Tell(vm, name, verdict) if vm == self.identity.vm => {
-                    self.on_verdict(now, &name, &verdict);
-                }
-                GathererAction::Tell(vm, name, verdict) => {
-                    let message = ClaimMessage::Verdict { name, verdict };
-                    self.send(&vm, PeerMessage::Claim(message));
-                }
-            }
-        }
-    }
-
-    /// Takes in a message about claims.
-    pub(super) fn on_claim_message(&mut self, now: Millis, from: &PeerName, message: ClaimMessage) {
-        match message {
-            ClaimMessage::Ask(entries) => self.gather(now, &from.vm, entries),
-            ClaimMessage::Verdict { name, verdict } => self.on_verdict(now, &name, &verdict),
-        }
-    }
-
-    /// Takes in the answer to an append of claims; returns whether it was one.
-    pub(super) fn on_claims_appended(
-        &mut self,
-        now: Millis,
-        append: AppendId,
-        result: &Result<Offset, PlatformError>,
-    ) -> bool {
-        let Some(stream) = self.claims.appends.remove(&append) else { return false };
-        let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { return true };
-        let actions = gatherer.on_appended(now, result);
-        self.act(now, stream, actions);
-        true
-    }
-
-    /// Takes in a read of a claims stream; returns whether it was one.
-    pub(super) fn on_claims_read(
-        &mut self,
-        now: Millis,
-        stream: &StreamId,
-        result: &Result<LogPage, PlatformError>,
-    ) -> bool {
-        let Some(stream) = ClaimStream::of_id(stream) else { return false };
-        let unix = self.unix(now);
-        let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { return true };
-        let actions = gatherer.on_read(now, unix, result);
-        self.act(now, stream, actions);
-        true
-    }
-
-    fn on_verdict(&mut self, now: Millis, name: &ClaimName, verdict: &ClaimVerdict) {
+    pub(super) fn on_verdict(&mut self, now: Millis, name: &ClaimName, verdict: &ClaimVerdict) {
         if name.claimant != self.name() {
             return;
         }
@@ -395,29 +296,7 @@
         }
     }
 
-    /// Sends again what is due and lets the gatherers work.
-    pub(super) fn pump_claims(&mut self, now: Millis) {
-        self.repeat_asks(now);
-        if self.claims.review_at <= now {
-            self.claims.review_at = now + Millis(Self::CLAIM_REVIEW_MS);
-            self.claims.table.prune(now);
-            for stream in ClaimStream::all() {
-                let ranks = [0, 1].map(|rank| self.gatherer(stream, rank));
-                if ranks.contains(&Some(self.identity.vm.clone())) {
-                    self.claims.gatherers.entry(stream).or_default().start(now);
-                }
-            }
-        }
-        let unix = self.unix(now);
-        let streams: Vec<ClaimStream> = self.claims.gatherers.keys().copied().collect();
-        for stream in streams {
-            let Some(gatherer) = self.claims.gatherers.get_mut(&stream) else { continue };
-            let actions = gatherer.pump(now, unix);
-            self.act(now, stream, actions);
-        }
-    }
-
-    fn repeat_asks(&mut self, now: Millis) {
+    pub(super) fn repeat_asks(&mut self, now: Millis) {
         for (key, entry) in self.claims.table.claiming() {
             let OnceStage::Claiming { attempt, asked } = entry.stage else { continue };
             if now.since(asked) < Millis(Self::ASK_REPEAT_MS) {
@@ -439,10 +318,4 @@
             self.ask(now, vec![ClaimEntry::Release { key, name }]);
         }
     }
-
-    /// Returns whether no claim or release of this VM or its peers is under way here.
-    pub(super) fn claims_are_idle(&self) -> bool {
-        self.claims.releases.is_empty()
-            && self.claims.gatherers.values().all(ClaimGatherer::is_idle)
-    }
 }
--- a/tests/common/once_cluster.rs
+++ b/tests/common/once_cluster.rs
@@ -15,6 +15,8 @@
     net::SocketAddr,
 };
 
+/// The time that a message between entry VMs and an answer of the log take.
+pub const LATENCIES_MS: (u64, u64) = (LINK_MS, LOG_MS);
 pub const WALL_START_MS: u64 = 1_760_000_000_000;
 const LINK_MS: u64 = 1;
 const LOG_MS: u64 = 3;
@@ -124,8 +126,10 @@
     pub drop_per_mille: u64,
     pub duplicate_per_mille: u64,
     pub cut: bool,
-    pub message_bytes: u64,
-    pub messages: u64,
+    /// The messages and bytes between entry VMs, by kind.
+    pub traffic: BTreeMap<&'static str, (u64, u64)>,
+    /// When each request was handed to a server for the first time.
+    pub started: BTreeMap<Place, Millis>,
     pub in_flight: BTreeMap<(Place, AttemptId), ServerId>,
     forwarded: BTreeMap<Place, (Place, Refusal)>,
     due: BTreeMap<(Millis, u64), Due>,
@@ -152,8 +156,8 @@
             drop_per_mille: 0,
             duplicate_per_mille: 0,
             cut: false,
-            message_bytes: 0,
-            messages: 0,
+            traffic: BTreeMap::new(),
+            started: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             due: BTreeMap::new(),
@@ -414,7 +418,10 @@
 
     fn obey(&mut self, vm: usize, incarnation: Incarnation, command: Command) {
         match command {
-            Command::Start(start) => self.push(1, Due::Write(vm, incarnation, start)),
+            Command::Start(start) => {
+                self.started.entry((vm, start.request)).or_insert(self.now);
+                self.push(1, Due::Write(vm, incarnation, start));
+            }
             Command::Refuse { request, refusal } => {
                 self.answer((vm, request), CallerAnswer::Refused(refusal));
             }
@@ -470,9 +477,10 @@
 
     fn pass(&mut self, from: usize, address: SocketAddr, message: PeerMessage) {
         let to = Self::by_address(address);
-        self.messages += 1;
         let name = self.nodes[from].name.clone();
-        self.message_bytes += rmp_serde::to_vec(&(&name, &message)).unwrap().len() as u64;
+        let size = rmp_serde::to_vec(&(&name, &message)).unwrap().len() as u64;
+        let traffic = self.traffic.entry(message.kind()).or_default();
+        *traffic = (traffic.0 + 1, traffic.1 + size);
         if self.separated(from, to) || self.nodes[to].control.is_none() || self.nodes[to].stopped {
             let (vm, incarnation) =
                 (self.nodes[to].name.vm.clone(), self.nodes[from].name.incarnation);
