--- a/tests/bills.rs
+++ b/tests/bills.rs
@@ -314,3 +314,58 @@
     cluster.run(20_000);
     assert_eq!(cluster.billed(), (1, 1));
 }
+
+#[test]
+fn bills_of_long_cut_off_vm_go_to_log_first() {
+    let mut cluster = OnceCluster::new(2, 2, 3, 5);
+    cluster.cut = true;
+    cluster.run(10_000);
+    cluster.send(0, &Call::status(1));
+    while cluster.runs.is_empty() {
+        cluster.run(1);
+    }
+    cluster.kill(0);
+    cluster.cut = false;
+    cluster.run(20_000);
+    assert_eq!(cluster.billed(), (1, 1));
+}
+
+#[test]
+fn bills_survive_killed_vm_while_log_is_down() {
+    let mut cluster = OnceCluster::new(4, 2, 3, 5);
+    cluster.log.down = true;
+    for label in 0..200 {
+        cluster.send(label as usize % 4, &Call::status(label));
+        cluster.run(3);
+    }
+    cluster.kill(1);
+    cluster.run(20_000);
+    cluster.log.down = false;
+    cluster.run(20_000);
+    assert_eq!(cluster.billed().0, cluster.runs.len() as u64);
+}
+
+#[test]
+fn bills_closed_at_silent_keeper_go_to_the_other() {
+    let mut ledger = BillLedger::default();
+    let other: VmId = "vm-3".parse().unwrap();
+    ledger.open(open(1, 1), vec![keeper(), other.clone()]);
+    ledger.pump(Millis(1), 3);
+    let kept = BillMessage::Kept { open: vec![RequestNumber(1)], closed: Vec::new() };
+    ledger.on_message(&peer("vm-2"), &kept);
+    ledger.close(RequestNumber(1), closed(1, 1, 1.0).stage);
+    let sent = |actions: Vec<BillAction>| -> Vec<(VmId, BillMessage)> {
+        let send = |action| match action {
+            BillAction::Send(to, message) => Some((to, message)),
+            BillAction::Append(_) => None,
+        };
+        actions.into_iter().filter_map(send).collect()
+    };
+    let first = sent(ledger.pump(Millis(2), 3));
+    assert!(matches!(&first[..], [(to, BillMessage::Close(_))] if *to == keeper()), "{first:?}");
+    let again = sent(ledger.pump(Millis(2_000), 3));
+    let whole = |to: &VmId| {
+        again.iter().any(|(vm, message)| vm == to && matches!(message, BillMessage::Keep(_)))
+    };
+    assert!(whole(&keeper()) && whole(&other), "{again:?}");
+}
