--- a/tests/common/once_cluster.rs
+++ b/tests/common/once_cluster.rs
@@ -15,6 +15,8 @@
     net::SocketAddr,
 };
 
+/// The time that a message between entry VMs and an answer of the log take.
+pub const LATENCIES_MS: (u64, u64) = (LINK_MS, LOG_MS);
 pub const WALL_START_MS: u64 = 1_760_000_000_000;
 const LINK_MS: u64 = 1;
 const LOG_MS: u64 = 3;
@@ -124,8 +126,10 @@
     pub drop_per_mille: u64,
     pub duplicate_per_mille: u64,
     pub cut: bool,
-    pub message_bytes: u64,
-    pub messages: u64,
+    /// The messages and bytes between entry VMs, by kind.
+    pub traffic: BTreeMap<&'static str, (u64, u64)>,
+    /// When each request was handed to a server for the first time.
+    pub started: BTreeMap<Place, Millis>,
     pub in_flight: BTreeMap<(Place, AttemptId), ServerId>,
     forwarded: BTreeMap<Place, (Place, Refusal)>,
     due: BTreeMap<(Millis, u64), Due>,
@@ -152,8 +156,8 @@
             drop_per_mille: 0,
             duplicate_per_mille: 0,
             cut: false,
-            message_bytes: 0,
-            messages: 0,
+            traffic: BTreeMap::new(),
+            started: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             due: BTreeMap::new(),
@@ -414,7 +418,10 @@
 
     fn obey(&mut self, vm: usize, incarnation: Incarnation, command: Command) {
         match command {
-            Command::Start(start) => self.push(1, Due::Write(vm, incarnation, start)),
+            Command::Start(start) => {
+                self.started.entry((vm, start.request)).or_insert(self.now);
+                self.push(1, Due::Write(vm, incarnation, start));
+            }
             Command::Refuse { request, refusal } => {
                 self.answer((vm, request), CallerAnswer::Refused(refusal));
             }
@@ -440,6 +447,9 @@
                 self.push(LOG_MS, Due::Event(vm, incarnation, Event::Listed(Ok(list))));
             }
             Command::Send { address, message, .. } => self.pass(vm, address, message),
+            Command::Cancel { request, attempt } => {
+                self.break_attempt((vm, request), attempt, AttemptFault::Cancelled);
+            }
             Command::Stop => self.nodes[vm].stopped = true,
             _ => {}
         }
@@ -470,9 +480,10 @@
 
     fn pass(&mut self, from: usize, address: SocketAddr, message: PeerMessage) {
         let to = Self::by_address(address);
-        self.messages += 1;
         let name = self.nodes[from].name.clone();
-        self.message_bytes += rmp_serde::to_vec(&(&name, &message)).unwrap().len() as u64;
+        let size = rmp_serde::to_vec(&(&name, &message)).unwrap().len() as u64;
+        let traffic = self.traffic.entry(message.kind()).or_default();
+        *traffic = (traffic.0 + 1, traffic.1 + size);
         if self.separated(from, to) || self.nodes[to].control.is_none() || self.nodes[to].stopped {
             let (vm, incarnation) =
                 (self.nodes[to].name.vm.clone(), self.nodes[from].name.incarnation);
@@ -603,25 +614,28 @@
         let broken = self.in_flight.iter().filter(|(_, on)| *on == server);
         let broken: Vec<(Place, AttemptId)> = broken.map(|(key, _)| *key).collect();
         for (place, attempt) in broken {
-            self.in_flight.remove(&(place, attempt));
-            let stale = self.due.iter().filter(|(_, due)| match due {
-                Due::Answer(at, CallerAnswer::Whole(_)) => *at == place,
-                Due::Event(vm, _, Event::Attempt { request, attempt: id, .. }) => {
-                    (*vm, *request, *id) == (place.0, place.1, attempt)
-                }
-                _ => false,
-            });
-            let stale: Vec<(Millis, u64)> = stale.map(|(key, _)| *key).collect();
-            for key in stale {
-                self.due.remove(&key);
+            self.break_attempt(place, attempt, AttemptFault::Closed);
+        }
+    }
+
+    fn break_attempt(&mut self, place: Place, attempt: AttemptId, fault: AttemptFault) {
+        self.in_flight.remove(&(place, attempt));
+        let stale = self.due.iter().filter(|(_, due)| match due {
+            Due::Answer(at, CallerAnswer::Whole(_)) => *at == place,
+            Due::Event(vm, _, Event::Attempt { request, attempt: id, .. }) => {
+                (*vm, *request, *id) == (place.0, place.1, attempt)
             }
-            let fault = AttemptFault::Closed;
-            let outcome = AttemptOutcome::Failed { fault, output_tokens: Tokens(0) };
-            let report = AttemptReport::Ended(outcome);
-            let event = Event::Attempt { request: place.1, attempt, report };
-            let incarnation = self.nodes[place.0].name.incarnation;
-            self.push(0, Due::Event(place.0, incarnation, event));
+            _ => false,
+        });
+        let stale: Vec<(Millis, u64)> = stale.map(|(key, _)| *key).collect();
+        for key in stale {
+            self.due.remove(&key);
         }
+        let outcome = AttemptOutcome::Failed { fault, output_tokens: Tokens(0) };
+        let report = AttemptReport::Ended(outcome);
+        let event = Event::Attempt { request: place.1, attempt, report };
+        let incarnation = self.nodes[place.0].name.incarnation;
+        self.push(0, Due::Event(place.0, incarnation, event));
     }
 
     fn answer(&mut self, place: Place, answer: CallerAnswer) {
