--- a/src/control/sessions.rs
+++ b/src/control/sessions.rs
@@ -158,7 +158,7 @@
         true
     }
 
-    /// Asks the VM of a rank for a session; nothing is sent if that is this VM.
+    /// Asks the VM of a rank for a session; if that is this VM, the next one gets a copy of the pin.
     fn ask_home(
         &mut self,
         key: SessionKey,
@@ -172,6 +172,8 @@
         {
             let message = PinMessage::Ask { key, proposal, ended };
             self.send(home, PeerMessage::Pin(message));
+        } else if self.session_waits.asks.get(&key).is_none() {
+            self.copy_pin(key, proposal);
         }
     }
 
@@ -204,6 +206,7 @@
         if let Some(version) = self.sessions.find(now, key)
             && !self.is_withdrawn(&version)
         {
+            self.copy_pin(key, version.clone());
             self.answer_pin(now, &asker, key, version);
             return;
         }
@@ -222,6 +225,13 @@
         }
     }
 
+    /// Hands a copy of a pin to the next in rank.
+    fn copy_pin(&mut self, key: SessionKey, version: VersionId) {
+        if let Some(next) = self.next_in_rank(key) {
+            self.send(&next, PeerMessage::Pin(PinMessage::Copy { key, version }));
+        }
+    }
+
     fn next_in_rank(&self, key: SessionKey) -> Option<VmId> {
         let ranked = self.peers.ranked(&self.identity.vm, &key.to_string());
         ranked.into_iter().take(PIN_ASKED).find(|vm| *vm != self.identity.vm)
@@ -235,10 +245,7 @@
         };
         let version = found.filter(valid).unwrap_or(lookup.proposal);
         self.sessions.pin(now, key, version.clone());
-        if let Some(next) = self.next_in_rank(key) {
-            let message = PinMessage::Copy { key, version: version.clone() };
-            self.send(&next, PeerMessage::Pin(message));
-        }
+        self.copy_pin(key, version.clone());
         for asker in lookup.askers {
             self.answer_pin(now, &asker, key, version.clone());
         }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -2,7 +2,7 @@
 
 use guavapass::{
     configuration::{ConfigurationChange, ConfigurationDocument, PublicationOutcome},
-    control::{OperatorAnswer, OperatorRequest},
+    control::{Event, OperatorAnswer, OperatorRequest},
     ids::{DataCentreId, Revision, VersionId},
     peer::PeerState,
     platform::MemberState,
@@ -240,11 +240,19 @@
     let mut cluster = cluster();
     cluster.ask(1, 10, preset("a", "peak"));
     cluster.run(Millis(4));
+    let awaits_reply = |cluster: &CoreCluster| {
+        let mut peers = cluster.vms[0].control.peers().iter();
+        peers.any(|peer| peer.probe.is_some_and(|(_, sent)| peer.heard < Some(sent)))
+    };
+    assert!(cluster.run_until(seconds(5), awaits_reply).is_some());
     cluster.vms[0].state = CoreState::Paused;
     cluster.run(seconds(60));
     let others = cluster.revisions()[1..].iter().all(|revision| *revision == Revision(2));
     assert!(others, "{:?}", cluster.revisions());
     cluster.vms[0].state = CoreState::Running;
+    cluster.handle(0, Event::Tick);
+    let missed = cluster.vms[0].control.peers().iter().filter(|peer| peer.misses > 0).count();
+    assert_eq!(missed, 0, "the pause counts against the peers");
     assert!(cluster.run_until(seconds(3), at_revision(2)).is_some(), "{:?}", cluster.revisions());
     let blamed = cluster.vms[0].control.peers().iter().filter(|peer| !peer.is_in_reach()).count();
     assert_eq!(blamed, 0, "the paused VM blames its peers");
