--- a/benches/policy/blocking.rs
+++ b/benches/policy/blocking.rs
@@ -11,6 +11,8 @@
     world::World,
 };
 
+/// Long requests a second that fill the pool.
+const FILLING: f64 = 2.5;
 const RUN_MS: u64 = 300_000;
 const WARM_UP_MS: u64 = 60_000;
 
@@ -56,7 +58,6 @@
             let slots = document.pools[&deployment.pool()].slots;
             let ours = || router::shipping(&document);
             let naive = || NaiveRouter::new(&document, slots, seed);
-            const FILLING: f64 = 2.5;
             let (without, _) = measure(ours(), deployment, seed, 0.0);
             let (with, tokens) = measure(ours(), deployment, seed, FILLING);
             let (naive_without, _) = measure(naive(), deployment, seed, 0.0);
--- a/benches/policy/exposure.rs
+++ b/benches/policy/exposure.rs
@@ -17,6 +17,9 @@
 const RUN_MS: u64 = 1_600_000;
 const GOOD: f64 = 0.9;
 const BAD: f64 = 0.5;
+/// The version-days without a fall, and those after which a version is replaced.
+const DAYS: u64 = 3_000;
+const DAYS_A_LIFE: u64 = 30;
 
 /// A document in which the new version takes a share of one model, which all teams use.
 fn document(deployment: Deployment, share: f64) -> ConfigurationDocument {
@@ -75,11 +78,11 @@
     let answers = world.results.iter().filter(|result| {
         result.version.as_ref() == Some(&new) && result.end.is_some_and(|end| end >= FALL_MS)
     });
-    let poor = answers.filter(|result| !result.good).count();
+    let poor_answers = answers.filter(|result| !result.good).count();
     let ratings = if withdrawn { f64::from(count) } else { f64::INFINITY };
     world.run(FALL_MS + 300_000);
     let seconds = (last - FALL_MS) as f64 / 1_000.0;
-    ExposureRun { ratings, poor_answers: poor as f64, seconds, world }
+    ExposureRun { ratings, poor_answers: poor_answers as f64, seconds, world }
 }
 
 /// The false withdrawals in a number of version-days of steady quality.
@@ -88,7 +91,6 @@
     let document = deployment.document();
     let mut entry = document.version(&deployment.new_version()).unwrap().clone();
     let mut random = ChaCha8Rng::seed_from_u64(days);
-    const DAYS_A_LIFE: u64 = 30;
     let mut withdrawn = 0;
     for life in 0..days / DAYS_A_LIFE {
         let truth = 0.8 + 0.16 * (life % 16) as f64 / 16.0;
@@ -129,7 +131,6 @@
             stats::line("seconds until then", name, &stats::spread(&seconds), "");
         }
     }
-    const DAYS: u64 = 3_000;
     for (ratings, offset) in [(2_000, 0.0), (10_000, 0.0), (10_000, -0.03), (10_000, 0.03)] {
         let what = format!(
             "false withdrawals in 1,000 version-days at {ratings} ratings a day, prior off by {}",
--- a/benches/policy/workload.rs
+++ b/benches/policy/workload.rs
@@ -5,6 +5,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+const STEP_MS: u64 = 10;
+
 /// One request as its caller and the engines know it.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -47,13 +49,12 @@
         let mut jobs = Vec::new();
         let mut burst_until = 0;
         let mut at = self.from;
-        const STEP_MS: u64 = 10;
         while at < self.to {
             if at >= burst_until && random.random::<f64>() < STEP_MS as f64 / 20_000.0 {
                 burst_until = at + 2_000;
             }
             let factor = if at < burst_until { self.burst } else { 1.0 };
-            let mut send = |team: &'static str, is_long: bool, random: &mut ChaCha8Rng| {
+            let mut add = |team: &'static str, is_long: bool, random: &mut ChaCha8Rng| {
                 let keys = subscribers(team);
                 // The first subscriber of a team sends most of its work.
                 let index = if random.random::<f64>() < 0.7 {
@@ -67,15 +68,15 @@
             let step = STEP_MS as f64 / 1_000.0;
             for _ in 0..poisson(&mut random, self.short_per_second * factor * step) {
                 let index = (random.random::<f64>().powi(2) * short_teams.len() as f64) as usize;
-                send(short_teams[index], false, &mut random);
+                add(short_teams[index], false, &mut random);
             }
             for _ in 0..poisson(&mut random, self.long_per_second * step) {
                 let index = random.random_range(0..long_teams.len());
-                send(long_teams[index], true, &mut random);
+                add(long_teams[index], true, &mut random);
             }
             if let Some((team, times)) = self.heavy {
                 for _ in 0..poisson(&mut random, self.short_per_second * times * step) {
-                    send(team, false, &mut random);
+                    add(team, false, &mut random);
                 }
             }
             at += STEP_MS;
--- a/src/command.rs
+++ b/src/command.rs
@@ -11,13 +11,14 @@
 mod check;
 mod command_error;
 mod demo;
+mod explain;
 mod logs;
 mod operator_client;
 mod publish;
 mod serve;
 mod status;
 
-pub use {check::read_configuration, command_error::CommandError};
+pub use {check::read_configuration, command_error::CommandError, explain::explain_line};
 
 /// Parses the arguments and runs the command they name.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -35,6 +36,7 @@
         Some(("publish", matches)) => publish::run(matches),
         Some(("preset", matches)) => publish::run_preset(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("demo", matches)) => demo::run(matches),
         _ => Ok(ExitCode::SUCCESS),
     };
@@ -56,5 +58,6 @@
         .subcommand(publish::command())
         .subcommand(publish::preset_command())
         .subcommand(status::command())
+        .subcommand(explain::command())
         .subcommand(demo::command())
 }
