--- a/src/command.rs
+++ b/src/command.rs
@@ -2,7 +2,7 @@
 //!
 //! Every command is a file in this folder with a `command` that describes its arguments and a
 //! `run` that carries it out. Exit codes: 0 for success, 1 if the work failed, 2 if the arguments
-//! or a file are wrong.
+//! or a file are wrong, 3 if a publication may yet come into force, or not everywhere so far.
 
 use super::*;
 use clap::{Arg, ArgMatches, Command as CommandLine};
--- a/src/driver/control_thread.rs
+++ b/src/driver/control_thread.rs
@@ -169,5 +169,14 @@
         self.metrics.gauge("requests", status.requests as u64);
         self.metrics.gauge("queued", status.queued as u64);
         self.metrics.gauge("revision", status.revision.0);
+        let reached = status.peers.iter().filter(|peer| peer.in_reach).count();
+        self.metrics.gauge("peers_in_reach", reached as u64);
+        self.metrics.gauge("peers_out_of_reach", (status.peers.len() - reached) as u64);
+        if let Some(age) = status.log_age {
+            self.metrics.gauge("log_age_ms", age.0);
+        }
+        if let Some(age) = status.members_age {
+            self.metrics.gauge("members_age_ms", age.0);
+        }
     }
 }
--- a/src/traffic/peer_desk.rs
+++ b/src/traffic/peer_desk.rs
@@ -52,7 +52,9 @@
                 reply::plain(204, "")
             }
             Err((error, introduction)) => {
-                tracing::warn!(%error, "message of a peer dropped");
+                if introduction.is_none() {
+                    tracing::warn!(%error, "message of a peer dropped");
+                }
                 match introduction {
                     Some(introduction) => reply::plain(409, introduction),
                     None => reply::plain(error.status(), ""),
