--- a/src/control/sessions.rs
+++ b/src/control/sessions.rs
@@ -172,7 +172,7 @@
         {
             let message = PinMessage::Ask { key, proposal, ended };
             self.send(home, PeerMessage::Pin(message));
-        } else if self.session_waits.asks.get(&key).is_none() {
+        } else if !self.session_waits.asks.contains_key(&key) {
             self.copy_pin(key, proposal);
         }
     }
