Wait for servers in trouble instead of shedding; tell peers of suspects more often

Cause: short requests of a pool whose only server paused after a fault were refused after 0.3 s as if the queue stood; and notices of suspects, sent 4 times, missed a peer in the test with 30% loss (one server more than the bound went down). Change: a queue counts as standing only while a server of the pool serves; notices go out 8 times at 250 ms.

--- a/src/control/shed.rs
+++ b/src/control/shed.rs
@@ -113,8 +113,10 @@
         let oldest = queue.oldest(SizeClass::Short).map(|(queued, _)| queued);
         let wait = oldest.map_or(Millis(0), |queued| now.since(queued));
         self.load.waits.insert(pool.clone(), wait);
+        // A queue that waits for servers to come back from trouble is no sign of load.
+        let serves = self.servers.any_in(pool, |server| server.is_regular(now));
         let gate = &mut self.load.pool(pool).gate;
-        gate.observe(now, is_empty);
+        gate.observe(now, is_empty || !serves);
         let longest = gate.longest_wait(now, bound);
         loop {
             let oldest = self.queues.get(pool).and_then(|queue| queue.oldest(SizeClass::Short));
--- a/src/health/server_state.rs
+++ b/src/health/server_state.rs
@@ -108,7 +108,7 @@
     }
 
     /// Returns whether the server is on the order of its pool: live, not in trouble, not slow.
-    pub(super) fn is_regular(&self, now: Millis) -> bool {
+    pub(crate) fn is_regular(&self, now: Millis) -> bool {
         self.member == MemberState::Live
             && self.next_probe.is_none()
             && self.trouble.is_none_or(|trouble| now >= trouble.until)
--- a/src/health/suspect_table.rs
+++ b/src/health/suspect_table.rs
@@ -92,8 +92,8 @@
     pub const EXPIRY_MS: u64 = 10 * 60 * 1_000;
     /// The time in which two marks on the same server count as one crash.
     const MERGE_MS: u64 = 250;
-    const REPEAT_MS: u64 = 500;
-    const REPEATS: u32 = 4;
+    const REPEAT_MS: u64 = 250;
+    const REPEATS: u32 = 8;
     const ENTRY_LIMIT: usize = 10_000;
 
     /// Returns how a request may run.
