--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -16,6 +16,7 @@
 };
 use std::{
     collections::{BTreeMap, VecDeque},
+    fmt::Write,
     time::{Duration, Instant},
 };
 
@@ -283,7 +284,7 @@
         let each = |count: u64| count as f64 / vms as f64 / SECONDS as f64;
         let heads = messages * (envelope_bytes + HTTP_HEAD_BYTES);
         let (messages, bytes) = (each(*messages), each(bytes + heads) / 1_000.0);
-        text += &format!("| {kind} | {messages:.2} | {bytes:.2} |\n");
+        let _ = writeln!(text, "| {kind} | {messages:.2} | {bytes:.2} |");
     }
     text
 }
