Take turns in reading the membership list among all VMs in reach

Change: all VMs in reach together read the list twice a second, and a VM that is left with fewer reads earlier; policy's digests go to 8 peers a second.

--- a/src/control/cluster.rs
+++ b/src/control/cluster.rs
@@ -38,6 +38,7 @@
     pub(super) rumours: VecDeque<(Millis, VmId)>,
     pub(super) wanted: Option<WantedConfiguration>,
     pub(super) list_reads: u64,
+    pub(super) list_read_at: Millis,
     pub(super) members_fetched: Option<Millis>,
     pub(super) snapshot_at: Option<Millis>,
     pub(super) snapshot_append: Option<AppendId>,
@@ -119,6 +120,7 @@
             const SWEEP_MS: u64 = 1_000;
             self.cluster.sweep_at = now + Millis(SWEEP_MS);
             self.cluster.polls = self.centre_rank(POLL_DUTY).0 < POLLERS;
+            self.hasten_list();
             self.cluster.shares.expire(now);
             self.peers.forget(now);
             self.sessions.expire(now);
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -1,26 +1,28 @@
 use super::*;
 
-/// The time between two readings of the membership list by the VMs of one data centre together.
-const LIST_INTERVAL_MS: u64 = 1_000;
-/// The longest time between two readings by one VM.
-const LIST_LONGEST_MS: u64 = 60_000;
+/// The time between two readings of the membership list by all VMs in reach together.
+const LIST_INTERVAL_MS: u64 = 500;
+/// The time from the first reading by a VM to its second.
+const LIST_SECOND_MS: u64 = 1_000;
 /// The time within which the whole list is not fetched again.
 const LIST_FETCH_MS: u64 = 1_000;
-/// The key of the turns in which the VMs of a data centre read the list.
+/// The key of the turns in which VMs read the list.
 const LIST_DUTY: &str = "members";
 
 impl Control {
     /// Sets when this VM reads the membership list again.
     ///
-    /// The VMs of its data centre take turns: the first time by rank, so that VMs that were started
-    /// together do not go on reading together, and later with some variation.
+    /// All VMs in reach take turns: the first time by rank, so that VMs that were started together
+    /// do not go on reading together, and later with some variation.
     pub(super) fn schedule_list(&mut self, now: Millis) {
-        let (rank, sharers) = self.centre_rank(LIST_DUTY);
-        let all = (LIST_INTERVAL_MS * sharers.max(1) as u64).min(LIST_LONGEST_MS);
+        let ranked = self.peers.ranked(&self.identity.vm, LIST_DUTY);
+        let rank = ranked.iter().position(|vm| *vm == self.identity.vm).unwrap_or(0) as u64;
+        let all = LIST_INTERVAL_MS * ranked.len() as u64;
         self.cluster.list_reads += 1;
+        self.cluster.list_read_at = now;
         let interval = match self.cluster.list_reads {
-            1 => LIST_INTERVAL_MS,
-            2 => all * (rank as u64 + 1) / sharers.max(1) as u64,
+            1 => LIST_SECOND_MS,
+            2 => LIST_INTERVAL_MS * (rank + 1),
             turn => {
                 let name = self.identity.vm.as_str().as_bytes();
                 let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name, turn);
@@ -30,6 +32,14 @@
         self.list_again = Some(now + Millis(interval));
     }
 
+    /// Reads the list earlier if fewer VMs are in reach now than when the turn was set.
+    pub(super) fn hasten_list(&mut self) {
+        let sharers = self.peers.iter().filter(|peer| peer.may_serve()).count() as u64 + 1;
+        let all = LIST_INTERVAL_MS * sharers;
+        let latest = self.cluster.list_read_at + Millis(all + all / 4);
+        self.list_again = self.list_again.map(|at| at.min(latest));
+    }
+
     /// Puts the list in force that this VM has read or learned.
     pub(super) fn apply_members(&mut self, now: Millis) {
         let list = self.cluster.members.list();
--- a/src/control/policy_digest.rs
+++ b/src/control/policy_digest.rs
@@ -17,7 +17,7 @@
     const DIGEST_ENTRIES: usize = 64;
     const DIGEST_INTERVAL_MS: u64 = 1_000;
     /// The peers that hear of this VM's load and evidence each time.
-    const DIGEST_PEERS: usize = 12;
+    const DIGEST_PEERS: usize = 8;
 
     /// Ages load reports and what peers have told, and tells peers what is known here.
     pub(super) fn tick_load(&mut self, now: Millis) {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -562,3 +562,21 @@
     let mut runner = TestRunner::new(config);
     runner.run(&history(), |steps| replay(&steps)).unwrap();
 }
+
+#[test]
+fn member_list_read_more_often_by_fewer() {
+    let mut cluster = sized_cluster(60);
+    cluster.run(seconds(40));
+    for vm in 1..60 {
+        cluster.vms[vm].state = CoreState::Dead;
+        let to = cluster.vms[vm].name.vm.clone();
+        cluster.handle(0, Event::Unsent { to: to.clone() });
+        cluster.handle(0, Event::Unsent { to });
+    }
+    cluster.list_server("engine-1", "planning", "norte");
+    let known = |cluster: &CoreCluster| {
+        cluster.vms[0].control.servers().get(&"engine-1".parse().unwrap()).is_some()
+    };
+    let took = cluster.run_until(seconds(30), known);
+    assert!(took.is_some_and(|took| took <= seconds(2)), "{took:?}");
+}
