Forget mailboxes of ended requests a few at a time

Cause: once a second the control thread walked the mailboxes of all requests of that second: 1 ms for 1,001, 16 ms for 14,942, in which no request was decided. Change: ended requests are queued, and each tick looks at 256 of them. Conclusion: the walk keeps to requests that had no attempt.

--- a/src/driver/control_thread.rs
+++ b/src/driver/control_thread.rs
@@ -10,6 +10,7 @@
     pub(super) metrics: MetricClient,
     pub(super) ready: Arc<AtomicBool>,
     pub(super) mailboxes: FxHashMap<RequestNumber, RequestMailbox>,
+    pub(super) ended: VecDeque<RequestNumber>,
     pub(super) operators: BTreeMap<CallId, tokio::sync::oneshot::Sender<OperatorAnswer>>,
     pub(super) calls: u64,
 }
@@ -19,6 +20,8 @@
     const SWEEP_MS: u64 = 1_000;
     /// The inputs handled between two looks at the other channel.
     const BATCH: usize = 64;
+    /// The mailboxes looked at in one tick.
+    const FORGET_BATCH: usize = 256;
 
     /// Runs until the core says stop or every sender is gone.
     pub(super) fn run(mut self) {
@@ -28,6 +31,7 @@
             let now = self.clock.now();
             if now >= next_tick {
                 next_tick = now + Millis(Self::TICK_MS);
+                self.forget_ended();
                 if self.handle(Event::Tick).is_break() {
                     return;
                 }
@@ -74,7 +78,12 @@
     fn take(&mut self, input: ControlInput) -> ControlFlow<()> {
         match input {
             ControlInput::Halt => ControlFlow::Break(()),
-            ControlInput::Event(event) => self.handle(event),
+            ControlInput::Event(event) => {
+                if let Event::Attempt { request, report: AttemptReport::Ended(_), .. } = &event {
+                    self.ended.push_back(*request);
+                }
+                self.handle(event)
+            }
             ControlInput::Request(arrival, mailbox) => {
                 self.mailboxes.insert(arrival.request, mailbox);
                 self.handle(Event::Arrived(arrival))
@@ -161,7 +170,20 @@
         );
     }
 
-    /// Forgets the mailboxes of requests that have ended, and reports the state.
+    /// Forgets mailboxes whose attempt has ended, a few at a time, so that no request waits for
+    /// it.
+    fn forget_ended(&mut self) {
+        for _ in 0..self.ended.len().min(Self::FORGET_BATCH) {
+            let Some(request) = self.ended.pop_front() else { return };
+            match self.mailboxes.get(&request) {
+                Some(mailbox) if mailbox.is_closed() => drop(self.mailboxes.remove(&request)),
+                Some(_) => self.ended.push_back(request),
+                None => {}
+            }
+        }
+    }
+
+    /// Forgets the mailboxes of requests that had no attempt, and reports the state.
     fn sweep(&mut self) {
         self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
         self.control.set_wall_clock(self.clock.now(), self.clock.unix());
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -90,6 +90,7 @@
             metrics: MetricClient::new(settings.metrics.as_ref())?,
             ready: Arc::clone(&ready),
             mailboxes: FxHashMap::default(),
+            ended: VecDeque::new(),
             operators: BTreeMap::new(),
             calls: 0,
         };
