Count every listed server before a test's publication is done

Change: the bench counts raw servers too, so it waits for the number that is listed. Conclusion: the fault was in the test's own count.

--- a/tests/whole_path/bench.rs
+++ b/tests/whole_path/bench.rs
@@ -12,6 +12,7 @@
     platform: PlatformStandIn,
     pub engines: Vec<EngineStandIn>,
     pub bookings: Vec<BookingStandIn>,
+    other_servers: usize,
     pub vms: Vec<EntryVm>,
     body_limit: u64,
     body_timeout: u64,
@@ -25,6 +26,7 @@
             platform: PlatformStandIn::start(),
             engines: Vec::new(),
             bookings: Vec::new(),
+            other_servers: 0,
             vms: Vec::new(),
             body_limit: 1 << 20,
             body_timeout: 10_000,
@@ -73,8 +75,9 @@
     }
 
     /// Adds a server of the caller's own making.
-    pub fn server(self, name: &str, pool: &str, address: SocketAddr) -> Self {
+    pub fn server(mut self, name: &str, pool: &str, address: SocketAddr) -> Self {
         self.list_server(name, pool, address);
+        self.other_servers += 1;
         self
     }
 
@@ -128,7 +131,7 @@
         let OperatorAnswer::Published(PublicationOutcome::Accepted(revision)) = answer else {
             panic!("not accepted: {answer:?}");
         };
-        let servers = self.engines.len() + self.bookings.len();
+        let servers = self.engines.len() + self.bookings.len() + self.other_servers;
         self.wait_until(|status| {
             status.ready && status.revision >= revision && status.servers.len() == servers
         });
