--- a/benches/capacity/failures.rs
+++ b/benches/capacity/failures.rs
@@ -27,7 +27,7 @@
     }
     let seconds = took.0.max(1) as f64 / 1_000.0;
     println!(
-        "| {name} | {vms} | {seconds:.1} s | {:.1} | {:.2} |",
+        "| {name} | {vms} | {took} | {:.1} | {:.2} |",
         messages as f64 / f64::from(count) / seconds,
         spent.as_secs_f64() / f64::from(count) / seconds * 100.0
     );
--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -76,13 +76,13 @@
     world
 }
 
-/// Runs with traffic on every version until the condition holds.
+/// Runs with traffic on each version in proportion to its copies.
 fn run_with_traffic(world: &mut World, ms: u64, names: &[&str]) {
     const ASK_EVERY_MS: u64 = 500;
-    for _ in 0..ms / ASK_EVERY_MS {
+    for round in 0..ms / ASK_EVERY_MS {
         for vm in 0..world.vms.len() {
             for name in names {
-                if world.copies(name) > 0 {
+                if (round as usize + vm) % world.engines.len() < world.copies(name) {
                     world.ask(vm, name);
                 }
             }
@@ -134,6 +134,9 @@
         "| roll-out and withdrawal, an hour, {rule:?} | {vms} | {servers} | {orders} | {appends} | {} | {} |",
         world.answered, world.hurt
     );
+    for (message, count) in &world.refusals {
+        println!("| refused {count}: {message} | | | | | | |");
+    }
     assert_eq!(world.copies("planner@1"), 0, "the withdrawn version is unloaded");
     assert_eq!(world.copies("planner@2"), servers, "the new version is everywhere");
 }
--- a/tests/support/placement_world.rs
+++ b/tests/support/placement_world.rs
@@ -74,6 +74,8 @@
     pub early_unloads: u64,
     /// Requests that found their version missing or lost it while they ran.
     pub hurt: u64,
+    /// The refusals among them, by their message.
+    pub refusals: BTreeMap<String, u64>,
     pub started: u64,
     pub answered: u64,
     streams: BTreeMap<StreamId, Vec<bytes::Bytes>>,
@@ -118,6 +120,7 @@
             last_copies_lost: Vec::new(),
             early_unloads: 0,
             hurt: 0,
+            refusals: BTreeMap::new(),
             started: 0,
             answered: 0,
             streams: BTreeMap::new(),
@@ -307,7 +310,10 @@
             }
             Command::Send { to, message, .. } => self.send(vm, &to, message),
             Command::Start(start) => self.start(vm, &start),
-            Command::Refuse { .. } => self.hurt += 1,
+            Command::Refuse { refusal, .. } => {
+                self.hurt += 1;
+                *self.refusals.entry(refusal.message.to_string()).or_default() += 1;
+            }
             _ => {}
         }
     }
