--- a/src/health/attempt_budget.rs
+++ b/src/health/attempt_budget.rs
@@ -13,8 +13,8 @@
 }
 
 impl AttemptBudget {
-    const FIRST_LEVEL: f64 = 2.0;
-    const HIGHEST_LEVEL: f64 = 5.0;
+    const FIRST_LEVEL: f64 = 1.0;
+    const HIGHEST_LEVEL: f64 = 2.0;
 
     /// Adds the share of an extra attempt that a first attempt earns.
     pub fn earn(&mut self, share: Share) {
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -175,5 +175,5 @@
     }
     assert!((50..=52).contains(&taken), "{taken}");
     (0..1_000).for_each(|_| budget.earn(Share::new(0.05).unwrap()));
-    assert_eq!((0..100).filter(|_| budget.take()).count(), 5);
+    assert_eq!((0..100).filter(|_| budget.take()).count(), 2);
 }
