Give retries a reserve of their own

Cause: the smaller reserve of hedges also bounded retries, and a suspect was refused after two crashes in place of its run alone (three tests of tests/suspects.rs).

--- a/src/control/load_state.rs
+++ b/src/control/load_state.rs
@@ -24,7 +24,7 @@
 }
 
 /// The load of one pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PoolLoad {
     pub(super) gate: LoadGate,
     pub(super) pace: PaceBook,
@@ -33,6 +33,18 @@
     starts: RateEstimate,
 }
 
+impl Default for PoolLoad {
+    fn default() -> Self {
+        Self {
+            gate: LoadGate::default(),
+            pace: PaceBook::default(),
+            hedges: AttemptBudget::hedges(),
+            retries: AttemptBudget::retries(),
+            starts: RateEstimate::default(),
+        }
+    }
+}
+
 impl PoolLoad {
     /// Notes that a short request has started.
     pub(super) fn started(&mut self, now: Millis) {
--- a/src/health/attempt_budget.rs
+++ b/src/health/attempt_budget.rs
@@ -4,21 +4,31 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AttemptBudget {
     level: f64,
+    highest: f64,
 }
 
 impl Default for AttemptBudget {
     fn default() -> Self {
-        Self { level: Self::FIRST_LEVEL }
+        Self::hedges()
     }
 }
 
 impl AttemptBudget {
-    const FIRST_LEVEL: f64 = 1.0;
-    const HIGHEST_LEVEL: f64 = 2.0;
+    /// Returns a budget of hedges, which keeps little in reserve.
+    #[must_use]
+    pub const fn hedges() -> Self {
+        Self { level: 1.0, highest: 2.0 }
+    }
+
+    /// Returns a budget of retries, whose reserve carries a pool over a few crashes.
+    #[must_use]
+    pub const fn retries() -> Self {
+        Self { level: 10.0, highest: 20.0 }
+    }
 
     /// Adds the share of an extra attempt that a first attempt earns.
     pub fn earn(&mut self, share: Share) {
-        self.level = (self.level + share.get()).min(Self::HIGHEST_LEVEL);
+        self.level = (self.level + share.get()).min(self.highest);
     }
 
     /// Takes one extra attempt if the budget has it.
