--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -127,19 +127,19 @@
 
 #[test]
 fn withdrawn_version_is_unloaded_after_its_requests() {
-    let mut world = world(FenceRule::Refuses);
-    world.run_until(SETTLE_MS, is_settled).unwrap();
-    world.run(2_000);
-    world.run_ms = 40_000;
     for vm in 0..VMS {
+        let mut world = world(FenceRule::Refuses);
+        world.run_until(SETTLE_MS, is_settled).unwrap();
+        world.run(2_000);
+        world.run_ms = 40_000;
         world.ask(vm, "planner@2");
+        world.run(500);
+        assert_eq!(world.started, 1);
+        world.publish(without(base(FenceRule::Refuses), "2"));
+        world.run_until(SETTLE_MS, is_settled).expect("version 2 is unloaded");
+        assert_eq!(world.hurt, 0);
+        assert_eq!(world.answered, 1);
     }
-    world.run(500);
-    assert_eq!(world.started, VMS as u64);
-    world.publish(without(base(FenceRule::Refuses), "2"));
-    world.run_until(SETTLE_MS, is_settled).expect("version 2 is unloaded");
-    assert_eq!(world.hurt, 0);
-    assert_eq!(world.answered, VMS as u64);
 }
 
 #[test]
