Keep the exact server count in the whole-path bench

Change: the exact count, which includes servers listed by the test itself. Conclusion: the stricter wait stays.

--- a/tests/whole_path/bench.rs
+++ b/tests/whole_path/bench.rs
@@ -133,7 +133,7 @@
         };
         let servers = self.engines.len() + self.bookings.len() + self.other_servers;
         self.wait_until(|status| {
-            status.ready && status.revision >= revision && status.servers.len() >= servers
+            status.ready && status.revision >= revision && status.servers.len() == servers
         });
     }
 
