Append bills as soon as there are enough of them

Cause: an entry VM appended at most 2,000 bills each 500 ms, so above 4,000 requests/s bills filled their 48 MB and new work was refused with 503 while the log was up. The traffic bench broke off on it on a quiet machine.

--- a/benches/traffic/load_caller.rs
+++ b/benches/traffic/load_caller.rs
@@ -41,8 +41,12 @@
     async fn call(&mut self, start: Instant) -> CallTimes {
         self.sender.ready().await.expect("the connection is kept");
         let response = self.sender.send_request(self.request()).await.expect("an answer");
-        assert_eq!(response.status(), 200);
+        let status = response.status();
         let mut body = response.into_body();
+        if status != 200 {
+            let answer = body.collect().await.expect("a whole answer").to_bytes();
+            panic!("status {status}: {}", String::from_utf8_lossy(&answer));
+        }
         let mut first = None;
         while let Some(frame) = body.frame().await {
             frame.expect("a whole answer");
--- a/src/billing/ledger.rs
+++ b/src/billing/ledger.rs
@@ -11,7 +11,8 @@
     copies: BTreeMap<PeerName, BTreeMap<RequestNumber, BillRecord>>,
     own_bytes: u64,
     copy_bytes: u64,
-    append_at: Millis,
+    /// When the next append may go, if there is enough for one; and when it goes in any case.
+    append_at: (Millis, Millis),
     review_at: Millis,
 }
 
@@ -59,6 +60,8 @@
     const RESEND_MS: u64 = 1_000;
     const REVIEW_MS: u64 = 30_000;
     const BATCH_BILLS: usize = 2_000;
+    /// The bills that are worth an append before its interval is over.
+    const ENOUGH_BILLS: usize = 200;
 
     /// Returns the name of the stream of bills.
     ///
@@ -147,7 +150,7 @@
     /// Returns the messages and the append that are due.
     pub fn pump(&mut self, now: Millis, vms: usize) -> Vec<BillAction> {
         let mut actions = self.send_copies(now);
-        if now >= self.append_at && self.flight.is_none() {
+        if self.flight.is_none() && self.is_append_due(now) {
             actions.extend(self.append(now, vms));
         }
         if now >= self.review_at {
@@ -157,9 +160,15 @@
         actions
     }
 
+    fn is_append_due(&self, now: Millis) -> bool {
+        let (soonest, latest) = self.append_at;
+        let is_enough = self.outbox.len() + self.adopted.len() >= Self::ENOUGH_BILLS;
+        now >= latest || (is_enough && now >= soonest)
+    }
+
     /// Lets the next append go at once.
     pub const fn hurry(&mut self) {
-        self.append_at = Millis(0);
+        self.append_at = (Millis(0), Millis(0));
     }
 
     /// Sends open bills to all keepers, and closes them at the first one; what stays without an
@@ -207,8 +216,9 @@
         let records = own.iter().filter_map(|(request, _)| self.get(*request));
         let batch: Vec<&BillRecord> = records.chain(&adopted).collect();
         let record = rmp_serde::to_vec(&batch).ok()?;
-        let per_vm = Self::APPEND_INTERVAL_PER_VM_MS * vms as u64;
-        self.append_at = now + Millis(per_vm.max(Self::APPEND_INTERVAL_MS));
+        let soonest = Self::APPEND_INTERVAL_PER_VM_MS * vms as u64;
+        let latest = soonest.max(Self::APPEND_INTERVAL_MS);
+        self.append_at = (now + Millis(soonest), now + Millis(latest));
         self.flight = Some(BillFlight { own, adopted });
         Some(BillAction::Append(record.into()))
     }
@@ -222,7 +232,8 @@
         let Some(flight) = self.flight.take() else { return Vec::new() };
         if let Err(error) = result {
             tracing::warn!(%error, waiting = self.own.len(), "bills not appended");
-            self.append_at = now + Millis(Self::RETRY_MS);
+            let retry = now + Millis(Self::RETRY_MS);
+            self.append_at = (retry, retry);
             for (request, _) in flight.own.into_iter().rev() {
                 self.outbox.push_front(request);
             }
--- a/tests/bills.rs
+++ b/tests/bills.rs
@@ -166,6 +166,29 @@
     assert_eq!((ledger.waiting(), ledger.size().0.0), (0, 0));
 }
 
+#[test]
+fn ledger_drains_faster_than_it_fills() {
+    const BILLS_A_SECOND: u64 = 8_000;
+    const TICK_MS: u64 = 10;
+    let mut ledger = BillLedger::default();
+    let mut appends = 0;
+    for tick in 0..500 {
+        for number in 0..BILLS_A_SECOND * TICK_MS / 1_000 {
+            let number = tick * BILLS_A_SECOND + number;
+            ledger.open(open(number, number), Vec::new());
+            ledger.close(RequestNumber(number), closed(number, number, 1.0).stage);
+        }
+        let now = Millis(1_000 + tick * TICK_MS);
+        let actions = ledger.pump(now, 1);
+        if actions.iter().any(|action| matches!(action, BillAction::Append(_))) {
+            appends += 1;
+            ledger.on_appended(now, &Ok(Offset(appends)));
+        }
+    }
+    assert!(ledger.waiting() < 400, "{} bills wait", ledger.waiting());
+    assert!(appends <= 5 * 40, "{appends} appends in 5 s");
+}
+
 #[test]
 fn ledger_full_drops_nothing() {
     let mut ledger = BillLedger::default();
