Plan again when a version is withdrawn while a request's bill is copied

Cause: a request is planned, then waits milliseconds for the copy of its open bill before it is queued; a withdrawal in between was met at the start, which refused the request although the team may use another version. Change: a request that has not started and has no session is planned anew at the start. Conclusion: a withdrawal refuses only what has no other version.

--- a/src/control/dispatch.rs
+++ b/src/control/dispatch.rs
@@ -53,6 +53,10 @@
             let Some(queued) = self.queues.get_mut(pool).and_then(|queue| queue.pop(class)) else {
                 break;
             };
+            if self.has_withdrawn_plan(queued.request) {
+                self.plan_again(now, &document, queued.request);
+                continue;
+            }
             self.reserve_for_suspect(now, &document, queued.request);
             match self.may_start(now, &document, queued.request) {
                 StartCheck::May(place) => self.start(now, &document, queued.request, *place),
@@ -67,6 +71,25 @@
         }
     }
 
+    /// Returns whether a request that has not started was planned for a version that has been
+    /// withdrawn since.
+    fn has_withdrawn_plan(&self, request: RequestNumber) -> bool {
+        let Some(state) = self.requests.get(&request) else { return false };
+        let WorkTarget::Version(version) = state.target() else { return false };
+        state.session.is_none() && state.attempts.is_empty() && self.is_withdrawn(version)
+    }
+
+    fn plan_again(
+        &mut self,
+        now: Millis,
+        document: &ConfigurationDocument,
+        request: RequestNumber,
+    ) {
+        if let Err(refusal) = self.recheck(now, document, request) {
+            self.refuse(now, request, refusal);
+        }
+    }
+
     /// Returns the slots of a server that long work may take under the preset in force.
     pub(super) fn long_slots(document: &ConfigurationDocument, entry: &PoolEntry) -> u32 {
         let factor = document.preset_in_force().long_factor;
--- a/src/control/shed.rs
+++ b/src/control/shed.rs
@@ -145,7 +145,8 @@
         }
     }
 
-    fn recheck(
+    /// Plans a request anew if it has not been started, or checks whether it may still run.
+    pub(super) fn recheck(
         &mut self,
         now: Millis,
         document: &ConfigurationDocument,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,7 @@
     configuration::{ConfigurationChange, ConfigurationDocument, ConfigurationRecord, hash_key},
     control::*,
     ids::{AttemptId, Offset, RequestNumber, Revision},
-    platform::{LogPage, LogRecord, MemberState, MembershipList, ServerMember},
+    platform::{LogPage, LogRecord, MemberState, MembershipList, ServerMember, VmMember},
     routing::CheapestPolicy,
     units::{Millis, Tokens},
 };
@@ -53,7 +53,11 @@
     }
 
     fn publish(&mut self) {
-        let text = DOCUMENT.replace("KEY", &hash_key("secret"));
+        self.publish_text(DOCUMENT);
+    }
+
+    fn publish_text(&mut self, text: &str) {
+        let text = text.replace("KEY", &hash_key("secret"));
         let document: ConfigurationDocument = serde_json::from_str(&text).unwrap();
         let record = ConfigurationRecord {
             schema: 1,
@@ -69,6 +73,10 @@
     }
 
     fn list_server(&mut self) {
+        self.list_server_and_vms(Vec::new());
+    }
+
+    fn list_server_and_vms(&mut self, entry_vms: Vec<VmMember>) {
         let member = ServerMember {
             id: "engine-1".parse().unwrap(),
             address: "127.0.0.1:9".parse().unwrap(),
@@ -76,7 +84,7 @@
             pool: "planning".parse().unwrap(),
             state: MemberState::Live,
         };
-        let list = MembershipList { entry_vms: Vec::new(), backend_servers: vec![member] };
+        let list = MembershipList { entry_vms, backend_servers: vec![member] };
         self.control.handle(self.now, Event::Listed(Ok(list)));
     }
 
@@ -199,3 +207,23 @@
     assert!(commands.iter().all(|command| !matches!(command, Command::Refuse { .. })));
     assert_eq!(bench.control.status(bench.now).queued, 1);
 }
+
+#[test]
+fn withdrawal_while_bill_is_copied_plans_again() {
+    let mut bench = CoreBench::new();
+    bench.publish_text(&DOCUMENT.replace(", \"state\": \"withdrawn\"", ""));
+    bench.list_server_and_vms(vec![VmMember {
+        id: "vm-2".parse().unwrap(),
+        address: "127.0.0.1:8".parse().unwrap(),
+        data_centre: "norte".parse().unwrap(),
+        state: MemberState::Live,
+    }]);
+    assert!(started(&bench.ask(1, "secret", "auto")).is_none());
+    bench.control.withdraw(bench.now, "planner@1".parse().unwrap(), 0, "poor answers");
+    let mut commands = Vec::new();
+    while started(&commands).is_none() && bench.now < Millis(2_000) {
+        bench.now = bench.now + Millis(10);
+        commands.extend(bench.control.handle(bench.now, Event::Tick));
+    }
+    assert_eq!(started(&commands).unwrap().target.to_string(), "planner@2");
+}
