--- a/tests/whole_path/bad_input.rs
+++ b/tests/whole_path/bad_input.rs
@@ -144,6 +144,36 @@
     bench.expect_alive();
 }
 
+#[test]
+fn caller_gone_while_engine_is_silent() {
+    let hour = Duration::from_hours(1);
+    let mut document = document();
+    for pool in document.pools.values_mut() {
+        pool.progress_timeout_ms = Millis(hour.as_millis() as u64);
+    }
+    for team in document.teams.values_mut() {
+        team.deadline_ms = Millis(hour.as_millis() as u64);
+    }
+    let setup = EngineSetup { first_token: hour, ..EngineSetup::default() };
+    let bench = Bench::new().engine_of("engine-1", setup).vm("vm-1");
+    bench.publish_document(&document);
+    let body = json!({ "model": "auto", "messages": [{"role": "user", "content": "silent"}] });
+    let body = body.to_string();
+    let mut stream = bench.connect();
+    let head = chat_head(&format!("content-length: {}\r\n", body.len()));
+    stream.write_all(&[head, body.into_bytes()].concat()).unwrap();
+    let wait_for = |count: &dyn Fn() -> u64, what: &str| {
+        let start = Instant::now();
+        while count() == 0 {
+            assert!(start.elapsed() < Duration::from_secs(20), "no request {what}");
+            std::thread::yield_now();
+        }
+    };
+    wait_for(&|| bench.engines[0].runs().started(), "started");
+    drop(stream);
+    wait_for(&|| bench.engines[0].runs().cancelled(), "cancelled");
+}
+
 #[test]
 fn caller_gone_cancels_upstream() {
     let setup = EngineSetup {
