Give the pace of bill appends a type of its own

Change: AppendPace holds both times and the rule; the ledger asks it. Behaviour is the same. Conclusion: the rule can be read in one place.

--- a/src/billing.rs
+++ b/src/billing.rs
@@ -7,6 +7,7 @@
 
 use super::*;
 
+mod append_pace;
 mod fold;
 mod key;
 mod ledger;
@@ -16,6 +17,8 @@
 mod report;
 mod unsettled;
 
+use append_pace::AppendPace;
+
 pub use {
     fold::{BillFold, BillState},
     key::BillKey,
--- a/src/billing/ledger.rs
+++ b/src/billing/ledger.rs
@@ -11,8 +11,7 @@
     copies: BTreeMap<PeerName, BTreeMap<RequestNumber, BillRecord>>,
     own_bytes: u64,
     copy_bytes: u64,
-    /// When the next append may go, if there is enough for one; and when it goes in any case.
-    append_at: (Millis, Millis),
+    pace: AppendPace,
     review_at: Millis,
 }
 
@@ -60,8 +59,6 @@
     const RESEND_MS: u64 = 1_000;
     const REVIEW_MS: u64 = 30_000;
     const BATCH_BILLS: usize = 2_000;
-    /// The bills that are worth an append before its interval is over.
-    const ENOUGH_BILLS: usize = 200;
 
     /// Returns the name of the stream of bills.
     ///
@@ -150,7 +147,8 @@
     /// Returns the messages and the append that are due.
     pub fn pump(&mut self, now: Millis, vms: usize) -> Vec<BillAction> {
         let mut actions = self.send_copies(now);
-        if self.flight.is_none() && self.is_append_due(now) {
+        let waiting = self.outbox.len() + self.adopted.len();
+        if self.flight.is_none() && self.pace.is_due(now, waiting) {
             actions.extend(self.append(now, vms));
         }
         if now >= self.review_at {
@@ -160,15 +158,9 @@
         actions
     }
 
-    fn is_append_due(&self, now: Millis) -> bool {
-        let (soonest, latest) = self.append_at;
-        let is_enough = self.outbox.len() + self.adopted.len() >= Self::ENOUGH_BILLS;
-        now >= latest || (is_enough && now >= soonest)
-    }
-
     /// Lets the next append go at once.
     pub const fn hurry(&mut self) {
-        self.append_at = (Millis(0), Millis(0));
+        self.pace = AppendPace::between(Millis(0), Millis(0));
     }
 
     /// Sends open bills to all keepers, and closes them at the first one; what stays without an
@@ -218,7 +210,7 @@
         let record = rmp_serde::to_vec(&batch).ok()?;
         let soonest = Self::APPEND_INTERVAL_PER_VM_MS * vms as u64;
         let latest = soonest.max(Self::APPEND_INTERVAL_MS);
-        self.append_at = (now + Millis(soonest), now + Millis(latest));
+        self.pace = AppendPace::between(now + Millis(soonest), now + Millis(latest));
         self.flight = Some(BillFlight { own, adopted });
         Some(BillAction::Append(record.into()))
     }
@@ -233,7 +225,7 @@
         if let Err(error) = result {
             tracing::warn!(%error, waiting = self.own.len(), "bills not appended");
             let retry = now + Millis(Self::RETRY_MS);
-            self.append_at = (retry, retry);
+            self.pace = AppendPace::between(retry, retry);
             for (request, _) in flight.own.into_iter().rev() {
                 self.outbox.push_front(request);
             }
