Move the ports of the platform's services to a module of the product

Also: Clock counts the time of a suspension (boot-time clock), because a lease that stands still while the VM is suspended outlives its bound.

--- a/benches/policy/router.rs
+++ b/benches/policy/router.rs
@@ -4,7 +4,7 @@
     configuration::{ConfigurationChange, ConfigurationDocument, ConfigurationRecord},
     control::{Command, Control, Event, VmIdentity},
     ids::{Incarnation, Offset, PoolId, Revision},
-    platform::{LogPage, LogRecord, MemberState, MembershipList, ServerMember},
+    ports::{LogPage, LogRecord, MemberState, MembershipList, ServerMember},
     routing::QualityPolicy,
     units::Millis,
 };
--- a/benches/policy/world.rs
+++ b/benches/policy/world.rs
@@ -12,7 +12,7 @@
         AttemptReport, AttemptStart, Command, Event, ReleaseRule, TokenUsage, WorkTarget,
     },
     ids::{AttemptId, PoolId, RequestNumber, ServerId, VersionId},
-    platform::{LoadReport, PlatformError},
+    ports::{LoadReport, PlatformError},
     units::{Millis, Share, Tokens},
 };
 use std::collections::{BTreeMap, VecDeque};
--- a/benches/traffic/main.rs
+++ b/benches/traffic/main.rs
@@ -11,7 +11,7 @@
         control::{OperatorAnswer, OperatorRequest},
         document::parse_document,
         driver::EntryVm,
-        platform::{MemberState, ServerMember},
+        ports::{MemberState, ServerMember},
         settings::*,
         stand_in::{AnswerFault, EngineSetup, EngineStandIn, PlatformStandIn},
         units::Millis,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,7 +46,7 @@
 pub mod ids;
 pub mod peer;
 pub mod placement;
-pub mod platform;
+pub mod ports;
 pub mod routing;
 pub mod session;
 pub mod settings;
@@ -56,7 +56,7 @@
 
 use {
     admission::*, billing::*, claim::*, configuration::*, control::*, document::*, driver::*,
-    health::*, ids::*, peer::*, placement::*, platform::*, routing::*, session::*, settings::*,
+    health::*, ids::*, peer::*, placement::*, ports::*, routing::*, session::*, settings::*,
     traffic::*, units::*,
 };
 
--- a/src/units.rs
+++ b/src/units.rs
@@ -187,23 +187,30 @@
 
 /// The one source of time.
 ///
-/// `now` never goes back and starts near zero; `unix` is the wall clock, which may step.
+/// `now` never goes back, starts near zero and counts the time for which the VM was suspended, so
+/// that no lease outlives a suspension; `unix` is the wall clock, which may step.
 #[derive(Clone, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts a clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: Self::since_boot() }
     }
 
     /// Returns the time since the start.
     #[must_use]
     pub fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        Millis(Self::since_boot().saturating_sub(self.start).as_millis() as u64)
+    }
+
+    /// Returns the time since the machine's boot, suspensions included.
+    fn since_boot() -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
     }
 
     /// Returns the wall clock's time since 1970.
--- a/tests/bills.rs
+++ b/tests/bills.rs
@@ -9,7 +9,7 @@
     control::{RefusalCode, RunState, TokenUsage, WorkTarget},
     ids::{AttemptId, Incarnation, Offset, RequestId, RequestNumber, VmId},
     peer::PeerName,
-    platform::PlatformError,
+    ports::PlatformError,
     units::{Cost, Millis, Tokens},
 };
 use once_cluster::{Call, CallerAnswer, OnceCluster};
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -4,7 +4,7 @@
     claim::*,
     ids::{ClaimAttempt, Incarnation, Offset, TeamId, TicketNumber, VmId},
     peer::{KeyRing, PeerName},
-    platform::{LogPage, LogRecord, PlatformError},
+    ports::{LogPage, LogRecord, PlatformError},
     units::Millis,
 };
 use proptest::prelude::*;
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -5,7 +5,7 @@
     control::{Event, OperatorAnswer, OperatorRequest},
     ids::{DataCentreId, Revision, VersionId},
     peer::PeerState,
-    platform::MemberState,
+    ports::MemberState,
     stand_in::{CoreCluster, CoreState},
     units::Millis,
 };
--- a/tests/common/once_cluster.rs
+++ b/tests/common/once_cluster.rs
@@ -6,7 +6,7 @@
     control::*,
     ids::*,
     peer::{KeyRing, PeerMessage, PeerName},
-    platform::*,
+    ports::*,
     routing::CheapestPolicy,
     units::{Millis, Tokens},
 };
--- a/tests/configuration_fold.rs
+++ b/tests/configuration_fold.rs
@@ -3,7 +3,7 @@
 use guavapass::{
     configuration::*,
     ids::{Offset, Revision},
-    platform::{LogPage, LogRecord},
+    ports::{LogPage, LogRecord},
 };
 
 const DOCUMENT: &str = include_str!("support/document.json");
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,7 @@
     configuration::{ConfigurationChange, ConfigurationDocument, ConfigurationRecord, hash_key},
     control::*,
     ids::{AttemptId, Offset, RequestNumber, Revision},
-    platform::{LogPage, LogRecord, MemberState, MembershipList, ServerMember, VmMember},
+    ports::{LogPage, LogRecord, MemberState, MembershipList, ServerMember, VmMember},
     routing::CheapestPolicy,
     units::{Millis, Tokens},
 };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -5,7 +5,7 @@
     control::*,
     health::ServerState,
     ids::{AttemptId, Incarnation, Offset, RequestNumber, Revision, ServerId, VersionId},
-    platform::{LogPage, LogRecord, MemberState, MembershipList, PlatformError, ServerMember},
+    ports::{LogPage, LogRecord, MemberState, MembershipList, PlatformError, ServerMember},
     routing::QualityPolicy,
     units::{Millis, Share, Tokens},
 };
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -5,7 +5,7 @@
     control::AttemptFault,
     health::{AttemptBudget, ServerTable, StartWish},
     ids::{PoolId, ServerId},
-    platform::{LoadReport, MemberState, ServerMember},
+    ports::{LoadReport, MemberState, ServerMember},
     routing::SizeClass,
     units::{Millis, Share},
 };
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -4,7 +4,7 @@
     configuration::ConfigurationStamp,
     ids::{Incarnation, Revision, VmId},
     peer::*,
-    platform::{MembershipList, VmMember},
+    ports::{MembershipList, VmMember},
     session::{SessionToken, TokenError},
     units::Millis,
 };
@@ -187,7 +187,7 @@
         id: id.parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "norte".parse().unwrap(),
-        state: guavapass::platform::MemberState::Live,
+        state: guavapass::ports::MemberState::Live,
     };
     let list = |ids: &[&str]| MembershipList {
         entry_vms: ids.iter().map(|id| member(id)).collect(),
--- a/tests/peers_over_sockets.rs
+++ b/tests/peers_over_sockets.rs
@@ -5,7 +5,7 @@
     control::{OperatorAnswer, OperatorRequest, VmStatus},
     driver::EntryVm,
     ids::Revision,
-    platform::{MemberState, VmMember},
+    ports::{MemberState, VmMember},
     settings::{
         CallerSettings, EntrySettings, ListenerSettings, LogSettings, PlatformSettings, Secret,
         ShutdownSettings,
@@ -141,7 +141,7 @@
     let mut bench = SocketBench::start("seeds", 2);
     let output = bench.run(0, &["publish", "document.json"]);
     assert!(output.status.success(), "{}", text(&output.stderr));
-    bench.platform.members().add_backend_server(guavapass::platform::ServerMember {
+    bench.platform.members().add_backend_server(guavapass::ports::ServerMember {
         id: "listed-last".parse().unwrap(),
         address: bench.vms[0].peers,
         data_centre: "norte".parse().unwrap(),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -286,7 +286,7 @@
 #[test]
 fn leaving_server_gets_no_order() {
     let mut world = world(FenceRule::Refuses);
-    world.engines[0].member = guavapass::platform::MemberState::Leaving;
+    world.engines[0].member = guavapass::ports::MemberState::Leaving;
     world.run_until(SETTLE_MS, is_settled).unwrap();
     let document = with_rollout(world.document(), "2", 1.0);
     world.publish(document);
--- a/tests/placement_parts.rs
+++ b/tests/placement_parts.rs
@@ -5,7 +5,7 @@
     ids::*,
     peer::PeerName,
     placement::*,
-    platform::LogRecord,
+    ports::LogRecord,
     units::{ByteSize, Millis, Share},
 };
 
--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -2,7 +2,7 @@
 
 use {
     guavapass::{
-        platform::{MemberState, VmMember},
+        ports::{MemberState, VmMember},
         stand_in::{
             AnswerFault, BookingStandIn, CallRequest, CallerStandIn, EngineSetup, EngineStandIn,
             PlatformStandIn,
--- a/tests/support/golden_script.rs
+++ b/tests/support/golden_script.rs
@@ -4,7 +4,7 @@
     configuration::{ConfigurationChange, ConfigurationDocument, PublicationOutcome},
     control::*,
     ids::{AttemptId, DataCentreId, RequestNumber, TeamId},
-    platform::MemberState,
+    ports::MemberState,
     session::SessionToken,
     stand_in::{CoreCluster, CoreState},
     units::{Millis, Tokens},
--- a/tests/support/placement_world.rs
+++ b/tests/support/placement_world.rs
@@ -10,7 +10,7 @@
     ids::*,
     peer::{PeerMessage, PeerName},
     placement::{EngineOrder, LeaseRecord, OrderKind},
-    platform::*,
+    ports::*,
     routing::CheapestPolicy,
     units::Millis,
 };
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -5,7 +5,7 @@
     call::{Answer, Call},
     guavapass::{
         billing::*, claim::*, configuration::*, control::*, document::*, driver::*, ids::*,
-        platform::*, settings::*, stand_in::*, traffic::*, units::*,
+        ports::*, settings::*, stand_in::*, traffic::*, units::*,
     },
     http::Method,
     serde_json::{Value, json},
