--- a/src/command.rs
+++ b/src/command.rs
@@ -12,6 +12,7 @@
 mod command_error;
 mod demo;
 mod explain;
+mod gateway;
 mod logs;
 mod operator_client;
 mod publish;
@@ -31,6 +32,7 @@
     };
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve::run(matches),
+        Some(("gateway", matches)) => gateway::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("bills", matches)) => bills::run(matches),
         Some(("publish", matches)) => publish::run(matches),
@@ -53,6 +55,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve::command())
+        .subcommand(gateway::command())
         .subcommand(check::command())
         .subcommand(bills::command())
         .subcommand(publish::command())
--- /dev/null
+++ b/src/command/gateway.rs
@@ -0,0 +1,61 @@
+//! `guavapass gateway`: runs an entry VM that serves routes.
+
+use super::*;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The variable that names the settings file if no argument does.
+const SETTINGS_VARIABLE: &str = "GUAVAPASS_SETTINGS";
+
+/// Describes the command.
+pub fn command() -> CommandLine {
+    CommandLine::new("gateway").about("Run an entry VM that serves an operator's routes").arg(
+        Arg::new("settings")
+            .value_name("FILE")
+            .help("The settings, JSON with comments; $GUAVAPASS_SETTINGS if not given"),
+    )
+}
+
+/// Runs an entry VM until a signal has ended it.
+///
+/// # Errors
+///
+/// Returns why the settings cannot be used or the VM cannot start.
+pub fn run(matches: &ArgMatches) -> Result<ExitCode, CommandError> {
+    let named = matches.get_one::<String>("settings").map(PathBuf::from);
+    let path = named.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    let settings = GatewaySettings::read(&path.unwrap_or_default())?;
+    let _writer = logs::start(&settings.log);
+    let address = settings.store.address;
+    let vm = GatewayVm::start(&settings, move || Arc::new(HttpStore::new(address)))?;
+    tracing::info!(
+        vm = %settings.vm,
+        data_centre = %settings.data_centre,
+        callers = %vm.callers,
+        status = %vm.status,
+        store = %address,
+        "serving routes"
+    );
+    let handle = vm.handle().clone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name("signals".into()).spawn(move || {
+        runtime.block_on(async move {
+            let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
+            let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
+            let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                    _ = hangup.recv() => {
+                        tracing::info!("settings are read at the next start");
+                        continue;
+                    }
+                }
+                tracing::info!("told to end");
+                handle.send(GatewayEvent::Shutdown);
+            }
+        });
+    })?;
+    vm.wait();
+    Ok(ExitCode::SUCCESS)
+}
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -23,7 +23,7 @@
     let settings = EntrySettings::read(&path)?;
     let file = SmolStr::new(path.display().to_string());
     let (operators, peers) = settings.secrets(&file)?;
-    logs::start(&settings.log);
+    let _writer = logs::start(&settings.log);
     let vm = EntryVm::start(&settings, operators, peers)?;
     tracing::info!(
         vm = %settings.vm,
--- a/src/control/refusal.rs
+++ b/src/control/refusal.rs
@@ -49,6 +49,8 @@
     Conflict,
     /// The body is larger than the limit.
     TooLarge,
+    /// The head is larger than the limit.
+    HeadTooLarge,
     /// The request can be read but not accepted.
     Unprocessable,
     /// The team is over one of its limits.
@@ -72,6 +74,7 @@
             Self::NotFound => 404,
             Self::Conflict => 409,
             Self::TooLarge => 413,
+            Self::HeadTooLarge => 431,
             Self::Unprocessable => 422,
             Self::OverLimit => 429,
             Self::BadGateway => 502,
@@ -90,6 +93,7 @@
             Self::NotFound => "not_found",
             Self::Conflict => "conflict",
             Self::TooLarge => "too_large",
+            Self::HeadTooLarge => "head_too_large",
             Self::Unprocessable => "unprocessable",
             Self::OverLimit => "over_limit",
             Self::BadGateway => "bad_gateway",
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -11,6 +11,11 @@
 mod directive;
 mod entry_vm;
 mod errands;
+mod gateway_directive;
+mod gateway_handle;
+mod gateway_thread;
+mod gateway_vm;
+mod metric_page;
 mod metrics;
 mod peer_client;
 
@@ -18,7 +23,17 @@
     control_handle::{ControlHandle, ControlInput},
     directive::{Directive, RequestMailbox},
     entry_vm::{EntryVm, VmError},
+    gateway_directive::{GatewayDirective, GatewayMailbox},
+    gateway_handle::{GatewayHandle, GatewayInput},
+    gateway_vm::GatewayVm,
+    metric_page::MetricPage,
     metrics::MetricClient,
 };
 
-use {control_thread::ControlThread, errands::ErrandRunner, peer_client::PeerClient};
+use {
+    control_thread::ControlThread,
+    entry_vm::{KEEP_ALIVE_SECONDS, ServerThread, listen},
+    errands::ErrandRunner,
+    gateway_thread::GatewayThread,
+    peer_client::PeerClient,
+};
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -173,9 +173,9 @@
 }
 
 /// A listener's thread, and what stops it.
-struct ServerThread {
-    handle: ServerHandle,
-    thread: JoinHandle<()>,
+pub(super) struct ServerThread {
+    pub(super) handle: ServerHandle,
+    pub(super) thread: JoinHandle<()>,
 }
 
 fn address(listener: &TcpListener) -> io::Result<SocketAddr> {
@@ -183,7 +183,7 @@
 }
 
 /// Binds a listener whose accepted sockets send small segments at once.
-fn listen(address: SocketAddr) -> Result<TcpListener, VmError> {
+pub(super) fn listen(address: SocketAddr) -> Result<TcpListener, VmError> {
     const BACKLOG: i32 = 4_096;
     let open = || -> io::Result<TcpListener> {
         let domain = socket2::Domain::for_address(address);
@@ -250,7 +250,7 @@
     };
 }
 
-const KEEP_ALIVE_SECONDS: u64 = 60;
+pub(super) const KEEP_ALIVE_SECONDS: u64 = 60;
 
 serve_with!(serve_callers, CallerListener, CallerDesk);
 serve_with!(serve_operators, TcpListener, OperatorDesk);
--- /dev/null
+++ b/src/driver/gateway_thread.rs
@@ -0,0 +1,133 @@
+use super::{gateway_handle::GatewayInbox, metric_page::PageClient, *};
+
+/// Runs the gateway's core, passes its commands on and calls the store.
+pub(super) struct GatewayThread {
+    pub(super) gateway: Gateway,
+    pub(super) clock: Clock,
+    pub(super) inbox: GatewayInbox,
+    pub(super) handle: GatewayHandle,
+    pub(super) store: Arc<dyn RecordStore>,
+    pub(super) flags: Arc<GatewayFlags>,
+    pub(super) metrics: PageClient,
+    pub(super) mailboxes: FxHashMap<RequestNumber, GatewayMailbox>,
+    pub(super) swept: Millis,
+}
+
+impl GatewayThread {
+    /// The longest time without a look at the state: the ready flag and the mailboxes of requests
+    /// that have ended.
+    const SWEEP_MS: u64 = 500;
+
+    /// Runs until the core says stop.
+    pub(super) async fn run(mut self) {
+        let mut next = self.handle(GatewayEvent::Tick);
+        while next.is_continue() {
+            let now = self.clock.now();
+            let wake = self.gateway.next_wake(now).min(self.swept + Millis(Self::SWEEP_MS));
+            let input = tokio::select! {
+                biased;
+                input = self.inbox.events.recv() => input,
+                input = self.inbox.arrivals.recv() => input,
+                () = tokio::time::sleep(wake.since(now).duration()) => {
+                    Some(GatewayInput::Event(GatewayEvent::Tick))
+                }
+            };
+            next = match input {
+                Some(GatewayInput::Event(event)) => self.handle(event),
+                Some(GatewayInput::Request(arrival, mailbox)) => {
+                    self.metrics.count("requests");
+                    self.mailboxes.insert(arrival.request, mailbox);
+                    self.handle(GatewayEvent::Arrived(arrival))
+                }
+                Some(GatewayInput::Halt) | None => ControlFlow::Break(()),
+            };
+        }
+    }
+
+    fn handle(&mut self, event: GatewayEvent) -> ControlFlow<()> {
+        let now = self.clock.now();
+        let commands = self.gateway.handle(now, event);
+        for command in commands {
+            self.obey(command)?;
+        }
+        self.show(now);
+        ControlFlow::Continue(())
+    }
+
+    /// Lets the traffic threads know what has changed.
+    fn show(&mut self, now: Millis) {
+        let is_ready = self.gateway.is_ready(now);
+        if self.flags.is_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
+            tracing::info!(is_ready, "readiness changed");
+        }
+        self.flags.is_ending.store(self.gateway.is_ending(), Ordering::Relaxed);
+        if let Some(document) = self.gateway.document() {
+            self.flags.body_limit.store(document.body_limit.0, Ordering::Relaxed);
+            self.flags.head_limit.store(document.head_limit.0, Ordering::Relaxed);
+        }
+        if now.since(self.swept).0 >= Self::SWEEP_MS {
+            self.swept = now;
+            self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
+            self.metrics.gauge("open_requests", self.mailboxes.len() as u64);
+        }
+    }
+
+    fn obey(&mut self, command: GatewayCommand) -> ControlFlow<()> {
+        match command {
+            GatewayCommand::Start(order) => {
+                self.metrics.count("runs");
+                self.post(order.request, GatewayDirective::Start(order));
+            }
+            GatewayCommand::Deliver { request, attempt } => {
+                self.metrics.count("delivered");
+                self.post(request, GatewayDirective::Deliver(attempt));
+            }
+            GatewayCommand::Cancel { request, attempt } => {
+                self.post(request, GatewayDirective::Cancel(attempt));
+            }
+            GatewayCommand::Refuse { request, refusal } => {
+                self.metrics.count_by("refusals", refusal.code.as_str());
+                self.post(request, GatewayDirective::Refuse(refusal));
+            }
+            GatewayCommand::BreakOff { request } => {
+                self.metrics.count("broken_off");
+                self.post(request, GatewayDirective::BreakOff);
+            }
+            GatewayCommand::Read(read) => self.read(read),
+            GatewayCommand::Append { record, at } => self.append(record, at),
+            GatewayCommand::Stop => return ControlFlow::Break(()),
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn post(&mut self, request: RequestNumber, directive: GatewayDirective) {
+        if let Some(mailbox) = self.mailboxes.get(&request) {
+            let _ = mailbox.send(directive);
+        }
+    }
+
+    fn read(&self, read: FeedRead) {
+        let (store, handle) = (Arc::clone(&self.store), self.handle.clone());
+        self.metrics.count("store_reads");
+        tokio::spawn(async move {
+            let (stream, answer) = match read {
+                FeedRead::Newest { stream, after } => {
+                    (stream, FeedAnswer::Newest(store.newest(stream, after).await))
+                }
+                FeedRead::From { stream, from, wait } => {
+                    (stream, FeedAnswer::From(store.read(stream, from, wait).await))
+                }
+            };
+            handle.send(GatewayEvent::Read { stream, answer });
+        });
+    }
+
+    fn append(&self, record: StoreRecord, at: Option<Offset>) {
+        let (store, handle) = (Arc::clone(&self.store), self.handle.clone());
+        self.metrics.count("store_appends");
+        tokio::spawn(async move {
+            let result = store.append(&record, at).await;
+            handle.send(GatewayEvent::Appended { record, result });
+        });
+    }
+}
--- /dev/null
+++ b/src/driver/gateway_vm.rs
@@ -0,0 +1,139 @@
+use super::*;
+use std::{io, net::TcpListener, thread::JoinHandle};
+use xitca_web::HttpServer;
+
+/// A running entry VM that serves routes.
+pub struct GatewayVm {
+    handle: GatewayHandle,
+    control: Option<JoinHandle<()>>,
+    server: Option<ServerThread>,
+    connections: Arc<ConnectionTable>,
+    exchanges: ExchangeCount,
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for the balancer and for metrics.
+    pub status: SocketAddr,
+}
+
+impl GatewayVm {
+    const EXCHANGE_POLL: Duration = Duration::from_millis(10);
+    /// The longest wait for exchanges that are still being written when the core has ended.
+    const EXCHANGE_WAIT: Duration = Duration::from_millis(300);
+    const TRAFFIC_THREADS: usize = 1;
+
+    /// Starts an entry VM that follows a store.
+    ///
+    /// # Errors
+    ///
+    /// Returns why an address or a thread cannot be had.
+    pub fn start(
+        settings: &GatewaySettings,
+        store: impl FnOnce() -> Arc<dyn RecordStore> + Send + 'static,
+    ) -> Result<Self, VmError> {
+        let callers = listen(settings.callers.listen)?;
+        let status = listen(settings.status.listen)?;
+        let addresses = (callers.local_addr()?, status.local_addr()?);
+        let clock = Clock::start();
+        let identity = VmIdentity {
+            vm: settings.vm.clone(),
+            incarnation: Incarnation(clock.unix().0),
+            data_centre: settings.data_centre.clone(),
+        };
+        let gateway = Gateway::new(identity, settings.bounds);
+        let (handle, inbox) = GatewayHandle::new();
+        let flags = Arc::new(GatewayFlags::default());
+        let page = MetricPage::default();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let control = {
+            let (handle, flags, metrics) = (handle.clone(), Arc::clone(&flags), page.client());
+            std::thread::Builder::new().name("control".into()).spawn(move || {
+                runtime.block_on(async move {
+                    let store = store();
+                    let mailboxes = FxHashMap::default();
+                    let swept = Millis(0);
+                    let thread = GatewayThread {
+                        gateway, clock, inbox, handle, store, flags, metrics, mailboxes, swept,
+                    };
+                    thread.run().await;
+                });
+            })?
+        };
+        let connections = Arc::new(ConnectionTable::default());
+        let limit = settings.callers.answer_limit_bytes;
+        let desk =
+            GatewayDesk::new(handle.clone(), flags, limit, Arc::clone(&connections), page);
+        let exchanges = desk.exchanges();
+        let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
+        let server = serve(listener, status, desk)?;
+        Ok(Self {
+            handle,
+            control: Some(control),
+            server: Some(server),
+            connections,
+            exchanges,
+            callers: addresses.0,
+            status: addresses.1,
+        })
+    }
+
+    /// Returns a handle to the control thread.
+    #[must_use]
+    pub const fn handle(&self) -> &GatewayHandle {
+        &self.handle
+    }
+
+    /// Waits until the control thread has ended and the last answers are on their way.
+    pub fn wait(mut self) {
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
+        }
+        let ends = Instant::now() + Self::EXCHANGE_WAIT;
+        while self.exchanges.get() > 0 && Instant::now() < ends {
+            std::thread::sleep(Self::EXCHANGE_POLL);
+        }
+        self.connections.hang_up();
+        std::thread::sleep(Self::EXCHANGE_POLL);
+        if let Some(server) = self.server.take() {
+            server.handle.stop(false);
+        }
+    }
+}
+
+impl Drop for GatewayVm {
+    /// Ends at once, as a crash would.
+    fn drop(&mut self) {
+        self.handle.halt();
+        if let Some(server) = self.server.take() {
+            server.handle.stop(false);
+        }
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
+        }
+    }
+}
+
+fn serve(
+    callers: CallerListener,
+    status: TcpListener,
+    desk: GatewayDesk,
+) -> io::Result<ServerThread> {
+    let desk = Arc::new(desk);
+    let service = xitca_web::service::fn_service(move |request: WebRequest| {
+        let desk = Arc::clone(&desk);
+        async move { Ok::<_, Infallible>(desk.serve(request).await) }
+    });
+    let mut server = HttpServer::serve(service)
+        .worker_threads(GatewayVm::TRAFFIC_THREADS)
+        .disable_signal()
+        .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
+        .listen(callers)?
+        .listen(status)?
+        .run();
+    let handle = server.handle()?;
+    let thread = std::thread::Builder::new().name("serve_routes".into()).spawn(move || {
+        if let Err(error) = server.wait() {
+            tracing::error!(%error, "listener ended");
+        }
+    })?;
+    Ok(ServerThread { handle, thread })
+}
--- /dev/null
+++ b/src/driver/metric_page.rs
@@ -0,0 +1,108 @@
+use super::*;
+use cadence::{Counted, CountedExt, Gauged, Histogrammed, MetricSink, StatsdClient};
+use hdrhistogram::Histogram;
+
+/// Keeps the counters, gauges and histograms of this process as text for whoever asks.
+#[derive(Clone, Debug, Default)]
+pub struct MetricPage {
+    values: Arc<Mutex<MetricValues>>,
+}
+
+#[derive(Debug, Default)]
+struct MetricValues {
+    numbers: BTreeMap<SmolStr, i64>,
+    histograms: BTreeMap<SmolStr, Histogram<u64>>,
+}
+
+impl MetricPage {
+    const PREFIX: &'static str = "guavapass";
+
+    /// Returns a client that writes to the page.
+    #[must_use]
+    pub fn client(&self) -> PageClient {
+        PageClient { client: Arc::new(StatsdClient::from_sink(Self::PREFIX, self.clone())) }
+    }
+
+    /// Returns the page: a line for each value, and four for each histogram.
+    #[must_use]
+    pub fn text(&self) -> String {
+        use fmt::Write;
+        let values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        for (name, number) in &values.numbers {
+            let _ = writeln!(text, "{name} {number}");
+        }
+        for (name, histogram) in &values.histograms {
+            let _ = writeln!(text, "{name}.count {}", histogram.len());
+            for percent in [50.0, 95.0, 99.0] {
+                let value = histogram.value_at_percentile(percent);
+                let _ = writeln!(text, "{name}.p{percent:.0} {value}");
+            }
+        }
+        text
+    }
+
+    fn take(&self, metric: &str) -> Option<()> {
+        let (name, rest) = metric.split_once(':')?;
+        let mut fields = rest.split('|');
+        let value = fields.next()?;
+        let kind = fields.next()?;
+        let tag = fields.next().and_then(|tags| tags.strip_prefix('#'));
+        let name = tag.map_or_else(|| name.into(), |tag| SmolStr::new(format!("{name}.{tag}")));
+        let mut values = self.values.lock().unwrap_or_else(PoisonError::into_inner);
+        match kind {
+            "c" => *values.numbers.entry(name).or_default() += value.parse::<i64>().ok()?,
+            "g" => drop(values.numbers.insert(name, value.parse().ok()?)),
+            _ => {
+                let histogram = values.histograms.entry(name).or_insert_with(Self::histogram);
+                histogram.saturating_record(value.parse().ok()?);
+            }
+        }
+        Some(())
+    }
+
+    /// Returns a histogram of milliseconds up to ten minutes.
+    fn histogram() -> Histogram<u64> {
+        const HIGHEST_MS: u64 = 600_000;
+        const DIGITS: u8 = 1;
+        Histogram::new_with_bounds(1, HIGHEST_MS, DIGITS)
+            .unwrap_or_else(|error| unreachable!("the bounds are constant: {error}"))
+    }
+}
+
+impl MetricSink for MetricPage {
+    fn emit(&self, metric: &str) -> std::io::Result<usize> {
+        if self.take(metric).is_none() {
+            tracing::debug!(metric, "metric not understood");
+        }
+        Ok(metric.len())
+    }
+}
+
+/// Writes metrics to a page.
+#[derive(Clone, Debug)]
+pub struct PageClient {
+    client: Arc<StatsdClient>,
+}
+
+impl PageClient {
+    /// Counts one occurrence.
+    pub fn count(&self, name: &str) {
+        let _ = self.client.incr(name);
+    }
+
+    /// Counts one occurrence of a kind.
+    pub fn count_by(&self, name: &str, kind: &str) {
+        let _ = self.client.count_with_tags(name, 1).with_tag("kind", kind).try_send();
+    }
+
+    /// Reports a level.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Enters a time in milliseconds into a histogram.
+    pub fn time(&self, name: &str, value: u64) {
+        let _ = self.client.histogram(name, value);
+    }
+}
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,71 @@
+//! Requests of routes: the entry VM behind a platform that publishes hosts, paths and pools.
+//!
+//! [`Gateway::handle`] takes the time and one [`GatewayEvent`] and returns the
+//! [`GatewayCommand`]s that follow. Like [`Control`] it opens no socket, reads no clock and starts
+//! no thread, so that tests drive the code that ships. It keeps nothing that has to last: what
+//! operators publish, the list of backend servers and the states of roll-outs are read from the
+//! platform's store, and everything else is soft state.
+//!
+//! A request passes through these steps: it is admitted ([`admit`]), sent to a server ([`runs`]),
+//! and each run ends in an answer that is delivered or in a fault, after which it is sent once more
+//! or refused. The store is followed in [`reads`]; roll-outs are led in [`rollouts`].
+
+use super::*;
+
+mod admit;
+mod answer_tally;
+mod backend_server;
+mod gateway_bounds;
+mod gateway_command;
+mod gateway_core;
+mod gateway_document;
+mod gateway_event;
+mod knowledge_lease;
+mod load_sample;
+mod place_choice;
+mod pool_pace;
+mod reads;
+mod record_store;
+mod rollout_order;
+mod rollout_track;
+mod rollouts;
+mod route_entry;
+mod route_table;
+mod routed_arrival;
+mod routed_request;
+mod run_order;
+mod run_report;
+mod runs;
+mod server_book;
+mod server_entry;
+mod store_error;
+mod store_feed;
+mod store_record;
+
+pub use {
+    answer_tally::AnswerTally,
+    backend_server::BackendServer,
+    gateway_bounds::GatewayBounds,
+    gateway_command::GatewayCommand,
+    gateway_core::Gateway,
+    gateway_document::{EngineShape, GatewayDocument, KeyHolder, PoolShape},
+    gateway_event::GatewayEvent,
+    knowledge_lease::KnowledgeLease,
+    load_sample::{DatedLoad, LoadSample},
+    place_choice::{Place, PlaceWish, SoftwareRule, choose_place},
+    pool_pace::PoolPace,
+    record_store::RecordStore,
+    rollout_order::{EvidenceRecord, RolloutOrder, RolloutRecord, RolloutState},
+    rollout_track::{RolloutTrack, VersionSide},
+    route_entry::{PoolWeight, RouteEntry, RouteKind},
+    route_table::RouteTable,
+    routed_arrival::{PromptPart, RoutedArrival},
+    routed_request::{RoutedRequest, RunStage, RunTrack},
+    run_order::RunOrder,
+    run_report::{AnswerHead, NotRunCause, RunOutcome, RunReport},
+    server_book::{ServerBook, ServerNews},
+    server_entry::{ServerChange, ServerEntry},
+    store_error::StoreError,
+    store_feed::{FeedAnswer, FeedRead, FeedStep, StoreFeed},
+    store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
+};
--- /dev/null
+++ b/src/gateway/admit.rs
@@ -0,0 +1,121 @@
+//! The admission of a request: its route, its key, its pool.
+
+use super::*;
+
+/// What a request is admitted to.
+struct Admission {
+    route: Arc<RouteEntry>,
+    team: Option<TeamId>,
+    rank: u8,
+}
+
+impl Gateway {
+    /// The time after which a caller may come back that was refused because this VM knows too
+    /// little; another VM may serve it at once.
+    const ELSEWHERE_MS: u64 = 50;
+    /// The longest time that a request waits whose caller names none.
+    const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+    pub(super) fn on_arrival(&mut self, now: Millis, arrival: RoutedArrival) {
+        let request = arrival.request;
+        match self.admit(now, &arrival) {
+            Ok(admission) => self.accept(now, arrival, admission),
+            Err(refusal) => {
+                let age = self.lease.age(now).map(|age| age.0);
+                let revision = self.document.as_ref().map(|document| document.revision.0);
+                tracing::info!(
+                    request = request.0,
+                    caller_id = %arrival.caller_id,
+                    host = %arrival.host,
+                    path = %arrival.path,
+                    code = refusal.code.as_str(),
+                    reason = %refusal.message,
+                    revision,
+                    knowledge_age_ms = age,
+                    "refused on arrival"
+                );
+                self.emit(GatewayCommand::Refuse { request, refusal });
+            }
+        }
+    }
+
+    fn admit(&self, now: Millis, arrival: &RoutedArrival) -> Result<Admission, Refusal> {
+        let Some(document) = &self.document else {
+            let message = "This entry VM knows no configuration yet; ask again.";
+            return Err(Self::elsewhere(message));
+        };
+        let Some(route) = document.routes.find(&arrival.host, &arrival.path) else {
+            let message = format!("There is no route for {}{}.", arrival.host, arrival.path);
+            return Err(Refusal::not_run(RefusalCode::NotFound, message));
+        };
+        let route = Arc::clone(route);
+        if route.keyless || document.keys.is_empty() {
+            let rank = route.rank;
+            return Ok(Admission { route, team: None, rank });
+        }
+        if !self.is_fresh(now) {
+            let message = "This entry VM is cut off from the store and cannot check keys; ask again.";
+            return Err(Self::elsewhere(message));
+        }
+        let holder = arrival.key.as_ref().and_then(|key| document.keys.get(key));
+        let Some(holder) = holder else {
+            let message = "The key is missing or unknown; send a key of your team.";
+            return Err(Refusal::not_run(RefusalCode::Unauthorised, message));
+        };
+        let rank = holder.rank.unwrap_or(route.rank);
+        Ok(Admission { route, team: Some(holder.team.clone()), rank })
+    }
+
+    fn elsewhere(message: &str) -> Refusal {
+        Refusal::not_run(RefusalCode::Unavailable, message)
+            .with_retry_after(Millis(Self::ELSEWHERE_MS))
+    }
+
+    fn accept(&mut self, now: Millis, arrival: RoutedArrival, admission: Admission) {
+        let Admission { route, team, rank } = admission;
+        let request = arrival.request;
+        let pool = self.choose_pool(&route);
+        let wait = arrival.deadline.unwrap_or(Millis(Self::DEFAULT_DEADLINE_MS));
+        let ends = now + wait.min(route.timeout);
+        let model = if arrival.any_model { self.choose_model(&route) } else { None };
+        let share = Share::new(self.bounds.resend_share.get() / 2.0).unwrap_or(Share::ZERO);
+        self.budgets.entry(pool.clone()).or_insert_with(AttemptBudget::resends).earn(share);
+        let last_event = arrival.last_event;
+        let state = RoutedRequest {
+            arrival,
+            route,
+            pool,
+            team,
+            rank,
+            received: now,
+            ends,
+            model,
+            runs: Vec::new(),
+            is_delivered: false,
+            last_event,
+        };
+        self.requests.insert(request, state);
+        self.ends.insert((ends, request));
+        if let Err(refusal) = self.send(now, request, "first") {
+            self.refuse(now, request, refusal);
+        }
+    }
+
+    fn choose_pool(&mut self, route: &RouteEntry) -> PoolId {
+        let total: f64 = route.pools.iter().map(|part| part.weight).sum();
+        let mut place = self.draw() * total;
+        for part in &route.pools {
+            place -= part.weight;
+            if place < 0.0 {
+                return part.pool.clone();
+            }
+        }
+        route.pools[route.pools.len() - 1].pool.clone()
+    }
+
+    /// Returns the model that is to answer: the largest, which answers hard requests well.
+    #[expect(clippy::unused_self, reason = "the choice will depend on confidence seen")]
+    fn choose_model(&self, route: &RouteEntry) -> Option<ModelId> {
+        route.models.last().cloned()
+    }
+}
--- /dev/null
+++ b/src/gateway/backend_server.rs
@@ -0,0 +1,143 @@
+use super::*;
+
+/// A backend server as this entry VM sees it.
+#[derive(Clone, Debug)]
+pub struct BackendServer {
+    /// What it has said of itself.
+    pub entry: ServerEntry,
+    /// When its entry was removed, if it was.
+    pub removed: Option<Millis>,
+    /// The requests of this VM that it has.
+    pub in_flight: u32,
+    /// The prompt tokens that it has yet to read for this VM.
+    pub unread: f64,
+    /// The newest load that it has told.
+    pub load: Option<DatedLoad>,
+    /// The share of its recent answers that were failures.
+    pub fail_share: f64,
+    /// Until when it gets no requests but one probe, after it could not be reached.
+    pub avoid_until: Millis,
+    /// The times in a row that it could not be reached.
+    pub misses: u32,
+    /// When this VM last sent it a prompt with a part, by the part's id.
+    parts: FxHashMap<u64, Millis>,
+}
+
+impl BackendServer {
+    /// The weight of the newest answer in the share of failures: about the last ten answers count.
+    const FAIL_WEIGHT: f64 = 0.1;
+    /// The pause after a server could not be reached; doubles each time.
+    const FIRST_AVOID_MS: u64 = 500;
+    /// The longest such pause: most servers that crash are back after some seconds.
+    const LAST_AVOID_MS: u64 = 4_000;
+    /// The time for which another VM's load is taken to be as the server told it.
+    const LOAD_MEMORY_MS: f64 = 1_500.0;
+    /// The parts that are remembered for a server.
+    const PART_LIMIT: usize = 4_096;
+    /// The time after which a part that was not used again may have left the cache.
+    const PART_MEMORY_MS: u64 = 60_000;
+
+    /// Returns a server that nothing is known of but its entry.
+    #[must_use]
+    pub fn new(entry: ServerEntry) -> Self {
+        Self {
+            entry,
+            removed: None,
+            in_flight: 0,
+            unread: 0.0,
+            load: None,
+            fail_share: 0.0,
+            avoid_until: Millis(0),
+            misses: 0,
+            parts: FxHashMap::default(),
+        }
+    }
+
+    /// Returns whether it may get new work.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.removed.is_none() && self.entry.state == MemberState::Live
+    }
+
+    /// Returns whether it could be reached when it was last tried, or may be tried again.
+    #[must_use]
+    pub fn is_reachable(&self, now: Millis) -> bool {
+        now >= self.avoid_until && (self.misses == 0 || self.in_flight == 0)
+    }
+
+    /// Notes that a request starts.
+    pub fn started(&mut self, now: Millis, unread: f64, parts: &[PromptPart]) {
+        self.in_flight += 1;
+        self.unread += unread;
+        if self.parts.len() >= Self::PART_LIMIT {
+            self.parts.retain(|_, used| now.since(*used).0 < Self::PART_MEMORY_MS);
+        }
+        for part in parts {
+            self.parts.insert(part.id, now);
+        }
+    }
+
+    /// Notes that a prompt has been read.
+    pub fn prompt_read(&mut self, unread: f64) {
+        self.unread = (self.unread - unread).max(0.0);
+    }
+
+    /// Notes that a request has ended.
+    pub const fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Notes the load that it told.
+    pub const fn told_load(&mut self, now: Millis, sample: LoadSample) {
+        self.load = Some(DatedLoad { sample, at: now, own: self.in_flight });
+    }
+
+    /// Notes an answer.
+    pub fn answered(&mut self, is_failure: bool) {
+        self.misses = 0;
+        self.avoid_until = Millis(0);
+        let newest = if is_failure { 1.0 } else { 0.0 };
+        self.fail_share += (newest - self.fail_share) * Self::FAIL_WEIGHT;
+    }
+
+    /// Notes that it could not be reached, or fell silent.
+    pub fn missed(&mut self, now: Millis) {
+        let pause = Self::FIRST_AVOID_MS << self.misses.min(3);
+        self.avoid_until = now + Millis(pause.min(Self::LAST_AVOID_MS));
+        self.misses += 1;
+        self.fail_share += (1.0 - self.fail_share) * Self::FAIL_WEIGHT;
+    }
+
+    /// Returns the requests that it is expected to have, those of other VMs included.
+    #[must_use]
+    pub fn expected_requests(&self, now: Millis) -> f64 {
+        let Some(load) = self.load else { return f64::from(self.in_flight) };
+        let told = load.sample.running + load.sample.waiting;
+        let others = f64::from(told.saturating_sub(load.own));
+        let age = now.since(load.at).0 as f64;
+        f64::from(self.in_flight) + others * (-age / Self::LOAD_MEMORY_MS).exp()
+    }
+
+    /// Returns the requests that wait in its queue, as far as is known.
+    #[must_use]
+    pub fn expected_waiting(&self, now: Millis) -> f64 {
+        let Some(load) = self.load else { return 0.0 };
+        let age = now.since(load.at).0 as f64;
+        f64::from(load.sample.waiting) * (-age / Self::LOAD_MEMORY_MS).exp()
+    }
+
+    /// Returns how long work takes on it, as a multiple of its usual time.
+    #[must_use]
+    pub fn slowdown(&self, now: Millis) -> f64 {
+        let Some(load) = self.load else { return 1.0 };
+        let told = f64::from(load.sample.slowdown) / f64::from(LoadSample::USUAL_SLOWDOWN);
+        let age = now.since(load.at).0 as f64;
+        1.0 + (told - 1.0) * (-age / Self::LOAD_MEMORY_MS).exp()
+    }
+
+    /// Returns whether this VM has sent it a prompt with a part lately.
+    #[must_use]
+    pub fn has_part(&self, now: Millis, part: u64) -> bool {
+        self.parts.get(&part).is_some_and(|used| now.since(*used).0 < Self::PART_MEMORY_MS)
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_command.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+/// Something that the gateway's core wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayCommand {
+    /// Send a request to a backend server.
+    Start(Box<RunOrder>),
+    /// Give a run's answer to the caller.
+    Deliver {
+        /// The request.
+        request: RequestNumber,
+        /// The run.
+        attempt: AttemptId,
+    },
+    /// End a run and drop what it has answered.
+    Cancel {
+        /// The request.
+        request: RequestNumber,
+        /// The run.
+        attempt: AttemptId,
+    },
+    /// Give a caller its final answer.
+    Refuse {
+        /// The request.
+        request: RequestNumber,
+        /// The answer.
+        refusal: Refusal,
+    },
+    /// Break off an answer of which the caller has a part.
+    BreakOff {
+        /// The request.
+        request: RequestNumber,
+    },
+    /// Read the store.
+    Read(FeedRead),
+    /// Append to the store.
+    Append {
+        /// The record.
+        record: StoreRecord,
+        /// The end that the stream has to have.
+        at: Option<Offset>,
+    },
+    /// End the process.
+    Stop,
+}
--- /dev/null
+++ b/src/gateway/gateway_event.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+/// Something that the gateway's core learns.
+#[derive(Clone, Debug)]
+pub enum GatewayEvent {
+    /// Time has passed.
+    Tick,
+    /// A caller's request has been read.
+    Arrived(Box<RoutedArrival>),
+    /// The caller of a request closed its connection.
+    CallerGone {
+        /// The request.
+        request: RequestNumber,
+    },
+    /// A run of a request reports how far it is.
+    Run {
+        /// The request.
+        request: RequestNumber,
+        /// The attempt within the request.
+        attempt: AttemptId,
+        /// What happened.
+        report: RunReport,
+    },
+    /// A read of the store returned.
+    Read {
+        /// The stream.
+        stream: StoreStream,
+        /// The records, or why there are none.
+        answer: FeedAnswer,
+    },
+    /// An append to the store returned.
+    Appended {
+        /// The record.
+        record: StoreRecord,
+        /// The stream's end, or why that is not known.
+        result: Result<Offset, StoreError>,
+    },
+    /// The process was told to end after its work.
+    Shutdown,
+}
--- /dev/null
+++ b/src/gateway/place_choice.rs
@@ -0,0 +1,147 @@
+//! The choice of a backend server for one run.
+//!
+//! Every VM expects a shared part of a prompt to be cached at its home, the server that ranks first
+//! for the part by rendezvous hashing, without a word between VMs. A request goes where its first
+//! event is expected soonest: at the home if that is not much busier than others, else at a server
+//! that has to read the part again.
+
+use super::*;
+
+/// The software that a run may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SoftwareRule {
+    /// Any version.
+    Any,
+    /// Only this version.
+    Only(SmolStr),
+    /// Any version but this one.
+    Not(SmolStr),
+}
+
+impl SoftwareRule {
+    /// Returns whether the rule lets a version be used.
+    #[must_use]
+    pub fn allows(&self, software: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == software,
+            Self::Not(not) => not != software,
+        }
+    }
+}
+
+/// What a run wants of a server.
+#[derive(Clone, Debug)]
+pub struct PlaceWish<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// The software that may be used.
+    pub software: &'a SoftwareRule,
+    /// The servers that have had the request.
+    pub tried: &'a [ServerId],
+    /// The data centre of this VM.
+    pub data_centre: &'a DataCentreId,
+    /// The parts of the prompt; none for a plain service.
+    pub parts: &'a [PromptPart],
+    /// The pace of the pool.
+    pub pace: PoolPace,
+    /// A number that differs between requests, to break ties.
+    pub tie: u64,
+}
+
+/// The server for a run, and what is expected of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The version of its software.
+    pub software: SmolStr,
+    /// The tokens that it has to read.
+    pub unread: f64,
+    /// The time to the first event.
+    pub expected: Millis,
+}
+
+/// Returns the server that is expected to answer first.
+#[must_use]
+pub fn choose_place(now: Millis, book: &ServerBook, wish: &PlaceWish<'_>) -> Option<Place> {
+    let fit: Vec<&BackendServer> =
+        book.open(wish.pool).filter(|server| wish.software.allows(&server.entry.software)).collect();
+    let home = home(&fit, wish.parts);
+    let mean_fail = fit.iter().map(|server| server.fail_share).sum::<f64>() / fit.len().max(1) as f64;
+    let cost = |server: &&&BackendServer| expected_cost(now, server, wish, home, mean_fail);
+    let untried = |server: &&&BackendServer| !wish.tried.contains(&server.entry.id);
+    let reachable = |server: &&&BackendServer| server.is_reachable(now);
+    let best = fit.iter().filter(untried).filter(reachable).min_by(|left, right| cost(left).total_cmp(&cost(right)));
+    let server = best.or_else(|| fit.iter().filter(untried).min_by_key(|server| server.avoid_until))?;
+    Some(Place {
+        server: server.entry.id.clone(),
+        address: server.entry.address,
+        software: server.entry.software.clone(),
+        unread: unread_tokens(now, server, wish.parts, home),
+        expected: Millis(expected_first(now, server, wish, home) as u64),
+    })
+}
+
+/// Returns the home of the last shared part of a prompt.
+fn home<'a>(servers: &[&'a BackendServer], parts: &[PromptPart]) -> Option<&'a ServerId> {
+    let shared = parts.len().checked_sub(2).and_then(|last| parts.get(last))?;
+    let rank = |server: &&&BackendServer| {
+        xxh3_64(server.entry.id.as_str().as_bytes()) .rotate_left(17) ^ shared.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    };
+    servers.iter().max_by_key(|server| xxh3_64(&rank(server).to_le_bytes())).map(|server| &server.entry.id)
+}
+
+/// Returns the tokens of a prompt that a server has to read: those after the cached parts.
+fn unread_tokens(
+    now: Millis,
+    server: &BackendServer,
+    parts: &[PromptPart],
+    home: Option<&ServerId>,
+) -> f64 {
+    let is_home = home == Some(&server.entry.id);
+    let shared = parts.len().saturating_sub(1);
+    let is_cached = |part: &PromptPart| is_home || server.has_part(now, part.id);
+    let cached = parts[..shared].iter().take_while(|part| is_cached(part)).count();
+    parts[cached..].iter().map(|part| part.tokens.0 as f64).sum()
+}
+
+fn expected_first(
+    now: Millis,
+    server: &BackendServer,
+    wish: &PlaceWish<'_>,
+    home: Option<&ServerId>,
+) -> f64 {
+    let unread = server.unread + unread_tokens(now, server, wish.parts, home);
+    let requests = server.expected_requests(now);
+    let waiting = server.expected_waiting(now);
+    let slots = f64::from(server.entry.slots.max(1));
+    let over = (requests - slots + 1.0).max(0.0).max(waiting);
+    let work = unread * wish.pace.token_ms + requests * wish.pace.neighbour_ms;
+    (work + over * wish.pace.queue_ms) * server.slowdown(now)
+}
+
+fn expected_cost(
+    now: Millis,
+    server: &BackendServer,
+    wish: &PlaceWish<'_>,
+    home: Option<&ServerId>,
+    mean_fail: f64,
+) -> f64 {
+    /// The time that a call to another data centre takes longer.
+    const DISTANCE_MS: f64 = 3.0;
+    /// What a request loses by a failure that could have been avoided.
+    const FAILURE_MS: f64 = 2_000.0;
+    /// How far a server's share of failures may lie above the mean by chance.
+    const FAIL_SLACK: f64 = 0.12;
+    /// Spreads requests over servers that are as good as each other.
+    const TIE_MS: f64 = 1.0;
+    let is_far = server.entry.data_centre != *wish.data_centre;
+    let distance = if is_far { DISTANCE_MS } else { 0.0 };
+    let failing = (server.fail_share - mean_fail - FAIL_SLACK).max(0.0) * FAILURE_MS;
+    let tie = wish.tie ^ xxh3_64(server.entry.id.as_str().as_bytes());
+    let tie = (tie % 1_000) as f64 / 1_000.0 * TIE_MS;
+    expected_first(now, server, wish, home) + distance + failing + tie
+}
--- /dev/null
+++ b/src/gateway/reads.rs
@@ -0,0 +1,128 @@
+//! Following the platform's store.
+
+use super::*;
+
+impl Gateway {
+    /// Sends the reads that are due.
+    pub(super) fn read_feeds(&mut self, now: Millis) {
+        let reads: Vec<FeedRead> =
+            self.feeds.values_mut().filter_map(|feed| feed.read(now)).collect();
+        for read in reads {
+            self.emit(GatewayCommand::Read(read));
+        }
+    }
+
+    pub(super) fn on_read(&mut self, now: Millis, stream: StoreStream, answer: &FeedAnswer) {
+        let jitter = self.draw();
+        let Some(feed) = self.feeds.get_mut(&stream) else { return };
+        let before = feed.failures();
+        let step = feed.answered(now, jitter, answer);
+        Self::log_read(stream, before, answer);
+        let is_newest = matches!(answer, FeedAnswer::Newest(Ok(_)));
+        if is_newest && stream == StoreStream::Servers && self.listed.is_none() {
+            self.listed = Some(BTreeSet::new());
+        }
+        match answer {
+            FeedAnswer::Newest(Ok(page)) => self.take_records(now, &page.records),
+            FeedAnswer::From(Ok(page)) => self.take_records(now, &page.records),
+            FeedAnswer::Newest(Err(_)) | FeedAnswer::From(Err(_)) => {}
+        }
+        let FeedStep::Caught { sent } = step else { return };
+        match stream {
+            StoreStream::Operators => self.lease.renew(sent),
+            StoreStream::Servers => self.end_listing(now, is_newest),
+            StoreStream::Rollouts => self.rollout_end = self.feeds[&stream].end(),
+            StoreStream::Evidence => {}
+        }
+    }
+
+    fn log_read(stream: StoreStream, before: u32, answer: &FeedAnswer) {
+        let error = match answer {
+            FeedAnswer::Newest(Err(error)) | FeedAnswer::From(Err(error)) => error,
+            FeedAnswer::Newest(Ok(_)) | FeedAnswer::From(Ok(_)) => {
+                if before > 0 {
+                    tracing::info!(%stream, failures = before, "the store answers again");
+                }
+                return;
+            }
+        };
+        if matches!(error, StoreError::Trimmed { .. }) {
+            tracing::info!(%stream, %error, "reading the newest records again");
+        } else if before == 0 {
+            tracing::warn!(%stream, %error, "the store does not answer");
+        }
+    }
+
+    /// Drops the servers that a whole new reading of the list does not have.
+    fn end_listing(&mut self, now: Millis, is_newest: bool) {
+        if !is_newest {
+            return;
+        }
+        let Some(listed) = self.listed.take() else { return };
+        for server in self.servers.retain_listed(now, &listed) {
+            tracing::info!(%server, "server not listed any more");
+        }
+    }
+
+    fn take_records(&mut self, now: Millis, records: &[StoreRecord]) {
+        for record in records {
+            match record {
+                StoreRecord::Configuration(document) => self.take_document(document),
+                StoreRecord::Order(order) => self.take_order(now, order),
+                StoreRecord::Server(change) => self.take_server(now, change),
+                StoreRecord::Rollout(record) => self.take_rollout(record),
+                StoreRecord::Evidence(evidence) => self.take_evidence(evidence),
+                StoreRecord::Unreadable { key, cause } => {
+                    tracing::warn!(%key, %cause, "record ignored");
+                }
+            }
+        }
+        if !records.is_empty() {
+            self.servers.forget_removed(now);
+        }
+    }
+
+    fn take_document(&mut self, document: &Arc<GatewayDocument>) {
+        let known = self.document.as_ref().map(|known| known.revision);
+        if known >= Some(document.revision) {
+            return;
+        }
+        tracing::info!(
+            revision = document.revision.0,
+            before = known.map(|known| known.0),
+            routes = document.routes.len(),
+            keys = document.keys.len(),
+            "configuration in force"
+        );
+        self.document = Some(Arc::clone(document));
+    }
+
+    fn take_server(&mut self, now: Millis, change: &ServerChange) {
+        match change {
+            ServerChange::Said(entry) => {
+                if let Some(listed) = &mut self.listed {
+                    listed.insert(entry.id.clone());
+                }
+                let (server, pool) = (entry.id.clone(), entry.pool.clone());
+                let news = self.servers.said(entry.as_ref().clone());
+                let software = &entry.software;
+                match news {
+                    ServerNews::Joined => tracing::info!(%server, %pool, %software, "server joined"),
+                    ServerNews::Leaving => tracing::info!(%server, %pool, "server leaving"),
+                    ServerNews::Same => {}
+                }
+            }
+            ServerChange::Removed(server) => {
+                if let Some(listed) = &mut self.listed {
+                    listed.remove(server);
+                }
+                if self.servers.removed(now, server) == ServerNews::Leaving {
+                    tracing::info!(%server, "server removed");
+                }
+            }
+            ServerChange::Unreadable { key, cause } => {
+                tracing::warn!(%key, %cause, "server entry ignored");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/rollouts.rs
@@ -0,0 +1,202 @@
+//! Leading roll-outs together with the other entry VMs.
+//!
+//! No VM is in charge. Each one acts on the records in the store, and any of them appends the next
+//! record when it is due, on the condition that the stream still ends where it has read it to: of
+//! two that try at once, one is told to read on. A final record is never followed by another.
+
+use super::*;
+
+impl Gateway {
+    /// The longest time that VMs wait, each a time of its own, before they append the same record.
+    const SPREAD_MS: u64 = 600;
+    /// The time between two records of evidence.
+    const EVIDENCE_PAUSE_MS: u64 = 400;
+    /// How long the store may wait for a record of a roll-out.
+    const ROLLOUT_WAIT_MS: u64 = 10_000;
+
+    /// Returns the software that a request may run on.
+    pub(super) fn software_rule(
+        &self,
+        now: Millis,
+        state: &RoutedRequest,
+    ) -> (Option<VersionSide>, SoftwareRule) {
+        let Some(track) = self.rollouts.get(&state.pool) else { return (None, SoftwareRule::Any) };
+        let target = track.order.target.clone();
+        let side = track.side(now, &self.bounds, Self::session_hash(state));
+        let has = |rule: &SoftwareRule| {
+            self.servers.open(&state.pool).any(|server| rule.allows(&server.entry.software))
+        };
+        let (new, old) = (SoftwareRule::Only(target.clone()), SoftwareRule::Not(target));
+        match side {
+            VersionSide::New if has(&new) => (Some(VersionSide::New), new),
+            VersionSide::New => (Some(VersionSide::Old), old),
+            VersionSide::Old if has(&old) || track.state == RolloutState::Withdrawn => {
+                (Some(VersionSide::Old), old)
+            }
+            VersionSide::Old => (Some(VersionSide::New), new),
+        }
+    }
+
+    fn session_hash(state: &RoutedRequest) -> u64 {
+        match (&state.arrival.session, state.arrival.parts.last()) {
+            (Some(session), _) => xxh3_64(session.as_bytes()),
+            (None, Some(part)) => xxh3_64(&part.id.to_le_bytes()),
+            (None, None) => xxh3_64(state.arrival.caller_id.as_bytes()),
+        }
+    }
+
+    pub(super) fn take_order(&mut self, now: Millis, order: &RolloutOrder) {
+        let known = self.rollouts.get(&order.pool);
+        if known.is_some_and(|known| known.order == *order) {
+            return;
+        }
+        let (pool, target) = (&order.pool, &order.target);
+        tracing::info!(%pool, %target, duration_ms = order.duration.0, "roll-out ordered");
+        self.rollouts.insert(order.pool.clone(), RolloutTrack::new(now, order.clone()));
+        for stream in [StoreStream::Rollouts, StoreStream::Evidence] {
+            let wait = Millis(Self::ROLLOUT_WAIT_MS);
+            self.feeds.insert(stream, StoreFeed::new(stream, wait, Millis(0)));
+        }
+        self.rollout_end = None;
+    }
+
+    pub(super) fn take_rollout(&mut self, record: &RolloutRecord) {
+        let Some(track) = self.rollouts.get_mut(&record.pool) else { return };
+        if track.order.target != record.target {
+            return;
+        }
+        track.is_recorded = true;
+        if record.state > track.state && !track.state.is_final() {
+            let (pool, target, state) = (&record.pool, &record.target, record.state);
+            tracing::info!(%pool, %target, ?state, "roll-out moved on by the store's record");
+            track.state = record.state;
+        }
+        self.stop_feeds();
+    }
+
+    /// Stops following the records of roll-outs once all have ended.
+    fn stop_feeds(&mut self) {
+        let is_over = |track: &RolloutTrack| track.state.is_final() && track.is_recorded;
+        if self.rollouts.values().all(is_over) {
+            self.feeds.remove(&StoreStream::Rollouts);
+            self.feeds.remove(&StoreStream::Evidence);
+        }
+    }
+
+    pub(super) fn take_evidence(&mut self, evidence: &EvidenceRecord) {
+        let is_own = evidence.vm == self.identity.vm && evidence.incarnation == self.identity.incarnation;
+        let Some(track) = self.rollouts.get_mut(&evidence.pool) else { return };
+        if !is_own && track.order.target == evidence.target {
+            track.take(evidence);
+        }
+    }
+
+    /// Notes how long a run took to its first event.
+    pub(super) fn note_pace(&mut self, pool: &PoolId, run: &RunTrack, took: Millis) {
+        let Some(track) = self.rollouts.get_mut(pool) else { return };
+        match run.side {
+            Some(VersionSide::New) if track.is_slow(took, run.expected) => {
+                track.count(VersionSide::New, true);
+            }
+            Some(VersionSide::Old) => track.note_old_pace(took, run.expected),
+            _ => {}
+        }
+    }
+
+    /// Counts an answer for or against its version.
+    pub(super) fn note_evidence(&mut self, pool: &PoolId, run: &RunTrack, outcome: &RunOutcome) {
+        let Some(track) = self.rollouts.get_mut(pool) else { return };
+        let Some(side) = run.side else { return };
+        match outcome {
+            RunOutcome::Whole { head } => track.count(side, head.status >= 500),
+            RunOutcome::Broken { fault: AttemptFault::Cancelled, .. }
+            | RunOutcome::NotRun { .. } => {}
+            RunOutcome::Broken { .. } => track.count(side, true),
+        }
+    }
+
+    /// Withdraws bad versions, completes good ones and tells the other VMs.
+    pub(super) fn lead_rollouts(&mut self, now: Millis) {
+        let pools: Vec<PoolId> = self.rollouts.keys().cloned().collect();
+        for pool in pools {
+            self.lead_rollout(now, &pool);
+        }
+    }
+
+    fn lead_rollout(&mut self, now: Millis, pool: &PoolId) {
+        let delay = Millis(xxh3_64(self.identity.vm.as_str().as_bytes()) % Self::SPREAD_MS);
+        let Some(track) = self.rollouts.get_mut(pool) else { return };
+        if track.state == RolloutState::Running && track.is_bad() {
+            let (sum, target) = (track.sum(), &track.order.target);
+            tracing::warn!(%pool, %target, good = sum.good, bad = sum.bad, "version withdrawn");
+            track.state = RolloutState::Withdrawn;
+            track.is_recorded = false;
+        }
+        let is_final = track.state.is_final();
+        let is_due = track.is_due(Millis(now.since(delay).0));
+        let is_new = !track.is_recorded && now.since(track.learned) >= delay;
+        let record = if is_due {
+            Some(RolloutRecord { state: RolloutState::Completed, ..track.record() })
+        } else if is_new {
+            Some(track.record())
+        } else {
+            None
+        };
+        let evidence = if is_final || now < self.evidence_next {
+            None
+        } else {
+            track.report(&self.identity)
+        };
+        if let Some(evidence) = evidence {
+            self.evidence_next = now + Millis(Self::EVIDENCE_PAUSE_MS);
+            self.emit(GatewayCommand::Append { record: StoreRecord::Evidence(evidence), at: None });
+        }
+        if let Some(record) = record {
+            self.append_rollout(now, record);
+        }
+    }
+
+    /// Appends a record of a roll-out, unless an append is under way or the stream's end is unknown.
+    fn append_rollout(&mut self, now: Millis, record: RolloutRecord) {
+        /// The time after which an append without an answer is tried again.
+        const AGAIN_MS: u64 = 1_500;
+        if self.rollout_append.is_some_and(|sent| now.since(sent).0 < AGAIN_MS) {
+            return;
+        }
+        let Some(at) = self.rollout_end else { return };
+        self.rollout_append = Some(now);
+        self.emit(GatewayCommand::Append { record: StoreRecord::Rollout(record), at: Some(at) });
+    }
+
+    pub(super) fn on_appended(
+        &mut self,
+        now: Millis,
+        record: &StoreRecord,
+        result: &Result<Offset, StoreError>,
+    ) {
+        let StoreRecord::Rollout(record) = record else {
+            if let Err(error) = result {
+                tracing::warn!(%error, "evidence not told");
+            }
+            return;
+        };
+        let (pool, state) = (&record.pool, record.state);
+        match result {
+            Ok(end) => {
+                tracing::info!(%pool, ?state, end = end.0, "roll-out recorded");
+                self.rollout_append = None;
+                self.rollout_end = Some(*end);
+                self.take_rollout(record);
+            }
+            Err(StoreError::Moved { end }) => {
+                tracing::info!(%pool, ?state, end = end.0, "another VM recorded the roll-out");
+                self.rollout_append = None;
+                self.rollout_end = None;
+                if let Some(feed) = self.feeds.get_mut(&StoreStream::Rollouts) {
+                    feed.hurry(now);
+                }
+            }
+            Err(error) => tracing::warn!(%pool, ?state, %error, "roll-out not recorded"),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/route_table.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+/// Finds the route of a request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteTable {
+    hosts: BTreeMap<SmolStr, Vec<Arc<RouteEntry>>>,
+}
+
+impl RouteTable {
+    /// Returns a table of routes.
+    #[must_use]
+    pub fn new(routes: impl IntoIterator<Item = RouteEntry>) -> Self {
+        let mut hosts: BTreeMap<SmolStr, Vec<Arc<RouteEntry>>> = BTreeMap::new();
+        for route in routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// Returns the route with the longest prefix of the path among those of the host.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = self.hosts.get(host.to_ascii_lowercase().as_str())?;
+        routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Returns the number of routes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Returns whether there is no route.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+}
--- /dev/null
+++ b/src/gateway/routed_request.rs
@@ -0,0 +1,108 @@
+use super::*;
+
+/// A request of a route that has no final answer yet.
+#[derive(Clone, Debug)]
+pub struct RoutedRequest {
+    /// The request as it arrived.
+    pub arrival: RoutedArrival,
+    /// Its route.
+    pub route: Arc<RouteEntry>,
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// The team that it belongs to.
+    pub team: Option<TeamId>,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+    /// When it arrived.
+    pub received: Millis,
+    /// When it gets its final answer at the latest.
+    pub ends: Millis,
+    /// The model that is to answer.
+    pub model: Option<ModelId>,
+    /// Its runs, oldest first.
+    pub runs: Vec<RunTrack>,
+    /// Whether the caller has a part of an answer.
+    pub is_delivered: bool,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+}
+
+/// One run of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunTrack {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The server.
+    pub server: ServerId,
+    /// The side of a roll-out that the server was on.
+    pub side: Option<VersionSide>,
+    /// When it started.
+    pub started: Millis,
+    /// The time to its first event that was expected.
+    pub expected: Millis,
+    /// The tokens that its server has to read.
+    pub unread: f64,
+    /// How far it is.
+    pub stage: RunStage,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunStage {
+    /// Nothing has arrived.
+    Waiting,
+    /// Its first event has arrived.
+    Begun,
+    /// It is over, and its server may have run the request.
+    Over,
+    /// It is over, and its server got the request but certainly did not run it.
+    NotRun,
+    /// It is over before anything was sent.
+    Unsent,
+}
+
+impl RunStage {
+    /// Returns whether the run is over.
+    #[must_use]
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Over | Self::NotRun | Self::Unsent)
+    }
+}
+
+impl RoutedRequest {
+    /// The runs that could not be sent, after which a request is refused.
+    const UNSENT_LIMIT: usize = 3;
+
+    /// Returns a run.
+    pub fn run_mut(&mut self, attempt: AttemptId) -> Option<&mut RunTrack> {
+        self.runs.iter_mut().find(|run| run.attempt == attempt)
+    }
+
+    /// Returns the servers that have had the request.
+    #[must_use]
+    pub fn tried(&self) -> Vec<ServerId> {
+        self.runs.iter().map(|run| run.server.clone()).collect()
+    }
+
+    /// Returns the run that is under way.
+    #[must_use]
+    pub fn open_run(&self) -> Option<&RunTrack> {
+        self.runs.iter().find(|run| !run.stage.is_over())
+    }
+
+    /// Returns whether the request has run.
+    #[must_use]
+    pub fn run_state(&self) -> RunState {
+        let may_have_run = |run: &RunTrack| !matches!(run.stage, RunStage::NotRun | RunStage::Unsent);
+        if self.runs.iter().any(may_have_run) { RunState::Unknown } else { RunState::NotRun }
+    }
+
+    /// Returns whether the route's limits let the request be sent once more.
+    #[must_use]
+    pub fn may_send_again(&self) -> bool {
+        let unsent = self.runs.iter().filter(|run| run.stage == RunStage::Unsent).count();
+        let sent = self.runs.len() - unsent;
+        let repeats = self.run_state() == RunState::NotRun || self.route.kind.may_repeat();
+        repeats && sent < self.route.attempt_limit as usize && unsent < Self::UNSENT_LIMIT
+    }
+}
--- /dev/null
+++ b/src/gateway/run_order.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+/// An order to send a request to a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunOrder {
+    /// The request.
+    pub request: RequestNumber,
+    /// The attempt within the request.
+    pub attempt: AttemptId,
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether the request may run at most once.
+    pub repeat: RepeatRule,
+    /// Whether the answer is a stream of events.
+    pub is_stream: bool,
+    /// The time that the server has.
+    pub time_left: Millis,
+    /// The model that is to answer, where the router chooses it.
+    pub model: Option<ModelId>,
+    /// The rank of the request in the engine's queue.
+    pub rank: Option<u8>,
+    /// The team that the request belongs to.
+    pub team: Option<TeamId>,
+    /// The last event that the caller has; the server goes on after it.
+    pub after_event: Option<u64>,
+}
--- /dev/null
+++ b/src/gateway/server_book.rs
@@ -0,0 +1,96 @@
+use super::*;
+
+/// The backend servers by id.
+#[derive(Clone, Debug, Default)]
+pub struct ServerBook {
+    servers: BTreeMap<ServerId, BackendServer>,
+}
+
+/// What a change in the list has done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServerNews {
+    /// A server is new, or has started again.
+    Joined,
+    /// A server takes no more work.
+    Leaving,
+    /// Nothing that matters.
+    Same,
+}
+
+impl ServerBook {
+    /// Returns a server.
+    #[must_use]
+    pub fn get(&self, id: &ServerId) -> Option<&BackendServer> {
+        self.servers.get(id)
+    }
+
+    /// Returns a server to change it.
+    pub fn get_mut(&mut self, id: &ServerId) -> Option<&mut BackendServer> {
+        self.servers.get_mut(id)
+    }
+
+    /// Returns the servers of a pool that may get new work.
+    pub fn open<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a BackendServer> {
+        self.servers.values().filter(move |server| server.is_open() && server.entry.pool == *pool)
+    }
+
+    /// Returns the number of servers that may get new work.
+    #[must_use]
+    pub fn open_count(&self) -> usize {
+        self.servers.values().filter(|server| server.is_open()).count()
+    }
+
+    /// Takes in what a server has said of itself.
+    pub fn said(&mut self, entry: ServerEntry) -> ServerNews {
+        let is_restart = self.servers.get(&entry.id).is_none_or(|known| {
+            known.entry.address != entry.address || known.entry.born < entry.born
+        });
+        if is_restart {
+            self.servers.insert(entry.id.clone(), BackendServer::new(entry));
+            return ServerNews::Joined;
+        }
+        let Some(known) = self.servers.get_mut(&entry.id) else { return ServerNews::Same };
+        if known.entry.born > entry.born {
+            return ServerNews::Same;
+        }
+        let was_open = known.is_open();
+        known.entry = entry;
+        known.removed = None;
+        match (was_open, known.is_open()) {
+            (true, false) => ServerNews::Leaving,
+            (false, true) => ServerNews::Joined,
+            _ => ServerNews::Same,
+        }
+    }
+
+    /// Takes in that a server's entry was removed.
+    pub fn removed(&mut self, now: Millis, id: &ServerId) -> ServerNews {
+        let Some(known) = self.servers.get_mut(id) else { return ServerNews::Same };
+        let was_open = known.is_open();
+        known.removed = known.removed.or(Some(now));
+        if was_open { ServerNews::Leaving } else { ServerNews::Same }
+    }
+
+    /// Removes all servers that are not among those listed, as after a new start of the list.
+    pub fn retain_listed(&mut self, now: Millis, listed: &BTreeSet<ServerId>) -> Vec<ServerId> {
+        let missing = self.servers.values_mut().filter(|server| {
+            server.removed.is_none() && !listed.contains(&server.entry.id)
+        });
+        let mut gone = Vec::new();
+        for server in missing {
+            server.removed = Some(now);
+            gone.push(server.entry.id.clone());
+        }
+        gone
+    }
+
+    /// Forgets servers that were removed long ago and have no requests.
+    pub fn forget_removed(&mut self, now: Millis) {
+        /// Longer than any request; later entries of the same id count as new servers.
+        const KEEP_MS: u64 = 60_000;
+        self.servers.retain(|_, server| {
+            let is_old = server.removed.is_some_and(|at| now.since(at).0 > KEEP_MS);
+            !is_old || server.in_flight > 0
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,10 +42,12 @@
 pub mod control;
 pub mod document;
 pub mod driver;
+pub mod gateway;
 pub mod health;
 pub mod ids;
 pub mod peer;
 pub mod placement;
+pub mod platform;
 pub mod ports;
 pub mod routing;
 pub mod session;
@@ -56,7 +58,7 @@
 
 use {
     admission::*, billing::*, claim::*, configuration::*, control::*, document::*, driver::*,
-    health::*, ids::*, peer::*, placement::*, ports::*, routing::*, session::*, settings::*,
+    gateway::*, health::*, ids::*, peer::*, placement::*, platform::*, ports::*, routing::*, session::*, settings::*,
     traffic::*, units::*,
 };
 
--- /dev/null
+++ b/src/platform/answer_headers.rs
@@ -0,0 +1,77 @@
+//! The headers of backend servers' answers.
+
+use super::*;
+use http::{HeaderMap, HeaderValue, header};
+
+const CALLER_ID: &str = "x-attempt-id";
+const SIGNATURE: &str = "x-response-signature";
+const NOT_RUN: &str = "x-not-executed";
+const LOAD: &str = "x-server-load";
+const CONFIDENCE: &str = "x-confidence";
+
+/// What the head of a server's answer says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// What the core is told.
+    pub head: AnswerHead,
+    /// The caller's id of the request that the answer belongs to.
+    pub caller_id: Option<SmolStr>,
+    /// Whether the server has signed the answer.
+    pub is_signed: bool,
+    /// Why the server has not run the request, if it says so.
+    pub not_run: Option<NotRunCause>,
+    /// Whether the connection may be used again.
+    pub keeps: bool,
+    /// The time for which the server keeps an idle connection.
+    pub idle_limit: Option<Millis>,
+}
+
+/// Reads the head of a server's answer.
+#[must_use]
+pub fn read_answer(status: http::StatusCode, headers: &HeaderMap) -> AnswerFacts {
+    let status = status.as_u16();
+    let says_not_run = headers.contains_key(NOT_RUN) || status == 421;
+    let not_run = says_not_run.then_some(match status {
+        421 => NotRunCause::Misdirected,
+        400 => NotRunCause::Rejected,
+        _ => NotRunCause::Full,
+    });
+    let confidence = text(headers, CONFIDENCE).and_then(|value| value.trim().parse::<f64>().ok());
+    AnswerFacts {
+        head: AnswerHead {
+            status,
+            load: text(headers, LOAD).and_then(load),
+            confidence: confidence.map(|confidence| confidence.clamp(0.0, 100.0) as u8),
+        },
+        caller_id: text(headers, CALLER_ID).map(SmolStr::new),
+        is_signed: headers.contains_key(SIGNATURE),
+        not_run,
+        keeps: !closes(headers),
+        idle_limit: text(headers, "keep-alive").and_then(idle_limit),
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut names = values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+    names.any(|name| name.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Reads "running, waiting, slots" and, on shared machines, the slowdown in percent.
+fn load(value: &str) -> Option<LoadSample> {
+    let numbers: Vec<u32> =
+        value.split(',').map(|number| number.trim().parse::<f64>().ok().map(|number| number as u32)).collect::<Option<_>>()?;
+    let [running, waiting, slots, rest @ ..] = numbers.as_slice() else { return None };
+    let slowdown = rest.first().copied().unwrap_or(LoadSample::USUAL_SLOWDOWN);
+    Some(LoadSample { running: *running, waiting: *waiting, slots: *slots, slowdown })
+}
+
+/// Reads the seconds of `timeout=N`.
+fn idle_limit(value: &str) -> Option<Millis> {
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse::<u64>().ok().map(|seconds| Millis(seconds * 1_000))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).map(HeaderValue::to_str)?.ok()
+}
--- /dev/null
+++ b/src/platform/http_store.rs
@@ -0,0 +1,282 @@
+//! The client of the platform's store.
+
+use super::*;
+use base64::Engine;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+
+/// Calls the platform's store over HTTP.
+pub struct HttpStore {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireAppended {
+    end: Offset,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireMoved {
+    end: Offset,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireTrimmed {
+    first: Offset,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireNewest {
+    items: Vec<WireItem>,
+    more: bool,
+    end: Offset,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireItem {
+    key: SmolStr,
+    value: String,
+}
+
+impl HttpStore {
+    /// Longer than an answer takes on a slow day (50 to 60 times 4 ms), shorter than the bounds
+    /// that depend on one (2 s).
+    const CALL_TIMEOUT_MS: u64 = 1_200;
+    const CONNECT_TIMEOUT_MS: u64 = 800;
+    /// The time after which a connection without traffic is probed, and between two probes.
+    const PROBE_MS: u64 = 1_000;
+    const PROBE_COUNT: u32 = 2;
+    const IDLE_MS: u64 = 10_000;
+    /// Twice the largest page of the store (1 MB) in base64.
+    const ANSWER_LIMIT_BYTES: usize = 3 * 1_024 * 1_024;
+
+    /// Returns a client of the store at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        let probe = Duration::from_millis(Self::PROBE_MS);
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(Self::CONNECT_TIMEOUT_MS)));
+        connector.set_keepalive(Some(probe));
+        connector.set_keepalive_interval(Some(probe));
+        connector.set_keepalive_retries(Some(Self::PROBE_COUNT));
+        let client = Client::builder(hyper_util::rt::TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_millis(Self::IDLE_MS))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { address, client }
+    }
+
+    async fn call(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Millis,
+    ) -> Result<(http::StatusCode, Bytes), StoreError> {
+        let malformed = |cause: &dyn Display| StoreError::Malformed { cause: cause.to_string().into() };
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| malformed(&error))?;
+        let timeout = Duration::from_millis(Self::CALL_TIMEOUT_MS) + wait.duration();
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|error| {
+                let cause = SmolStr::new(error.to_string());
+                if error.is_connect() { StoreError::Unreachable { cause } } else { StoreError::Lost { cause } }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), Self::ANSWER_LIMIT_BYTES).collect().await;
+            let body = body.map_err(|error| StoreError::Lost { cause: error.to_string().into() })?;
+            Ok((status, body.to_bytes()))
+        };
+        tokio::time::timeout(timeout, exchange)
+            .await
+            .map_err(|_| StoreError::Lost { cause: "no answer in time".into() })?
+    }
+
+    async fn get(&self, path: &str, wait: Millis) -> Result<Bytes, StoreError> {
+        let (status, body) = self.call(http::Method::GET, path, Vec::new(), wait).await?;
+        match status.as_u16() {
+            200 => Ok(body),
+            410 => Err(StoreError::Trimmed { first: parse::<WireTrimmed>(&body)?.first }),
+            status => Err(StoreError::Refused { status }),
+        }
+    }
+
+    async fn read_newest(
+        &self,
+        stream: StoreStream,
+        after: Option<SmolStr>,
+    ) -> Result<NewestPage, StoreError> {
+        let mut path = format!("/-/log-newest?topic={}&part=0", topic(stream));
+        if let Some(after) = after {
+            path.push_str("&after=");
+            path.push_str(&escape(&after));
+        }
+        let body = self.get(&path, Millis(0)).await?;
+        let wire: WireNewest = parse(&body)?;
+        let mut page = NewestPage { end: wire.end, ..NewestPage::default() };
+        if wire.more {
+            page.more_after = wire.items.last().map(|item| item.key.clone());
+        }
+        for item in wire.items {
+            let value = base64::engine::general_purpose::STANDARD.decode(&item.value);
+            let record = match value {
+                Ok(value) => keyed_record(stream, &item.key, &value),
+                Err(error) => {
+                    Some(StoreRecord::Unreadable { key: item.key, cause: error.to_string().into() })
+                }
+            };
+            page.records.extend(record);
+        }
+        Ok(page)
+    }
+
+    async fn read_page(
+        &self,
+        stream: StoreStream,
+        from: Offset,
+        wait: Millis,
+    ) -> Result<StorePage, StoreError> {
+        let path =
+            format!("/-/log-read?topic={}&part=0&from={from}&wait_ms={}", topic(stream), wait.0);
+        let body = self.get(&path, wait).await?;
+        let malformed = |cause: &str| StoreError::Malformed { cause: cause.into() };
+        let (end, rest) = body.split_first_chunk::<8>().ok_or_else(|| malformed("it is too short"))?;
+        let (_first, rest) = rest.split_first_chunk::<8>().ok_or_else(|| malformed("it is too short"))?;
+        let frames = read_frames(rest).map_err(|error| malformed(&error.to_string()))?;
+        let next = Offset(from.0 + frames.len() as u64);
+        let records = frames.into_iter().enumerate().filter_map(|(index, frame)| {
+            let offset = Offset(from.0 + index as u64);
+            if stream.is_keyed() { keyed_frame(stream, offset, frame) } else { Some(plain_record(offset, frame)) }
+        });
+        Ok(StorePage { records: records.collect(), next, end: Offset(u64::from_be_bytes(*end)) })
+    }
+
+    async fn append_record(
+        &self,
+        record: &StoreRecord,
+        at: Option<Offset>,
+    ) -> Result<Offset, StoreError> {
+        let (stream, content) = content(record)?;
+        let mut body = Vec::new();
+        write_frame(&mut body, &content);
+        let mut path = format!("/-/log-append?topic={}&part=0", topic(stream));
+        if let Some(at) = at {
+            path.push_str(&format!("&at={at}"));
+        }
+        let (status, body) = self.call(http::Method::POST, &path, body, Millis(0)).await?;
+        match status.as_u16() {
+            200 => Ok(parse::<WireAppended>(&body)?.end),
+            412 => Err(StoreError::Moved { end: parse::<WireMoved>(&body)?.end }),
+            status => Err(StoreError::Refused { status }),
+        }
+    }
+}
+
+impl RecordStore for HttpStore {
+    fn newest<'a>(
+        &'a self,
+        stream: StoreStream,
+        after: Option<SmolStr>,
+    ) -> BoxFuture<'a, Result<NewestPage, StoreError>> {
+        Box::pin(self.read_newest(stream, after))
+    }
+
+    fn read(
+        &self,
+        stream: StoreStream,
+        from: Offset,
+        wait: Millis,
+    ) -> BoxFuture<'_, Result<StorePage, StoreError>> {
+        Box::pin(self.read_page(stream, from, wait))
+    }
+
+    fn append<'a>(
+        &'a self,
+        record: &'a StoreRecord,
+        at: Option<Offset>,
+    ) -> BoxFuture<'a, Result<Offset, StoreError>> {
+        Box::pin(self.append_record(record, at))
+    }
+}
+
+/// Returns the topic of a stream. A name that begins with "keyed." keeps the newest of each key.
+const fn topic(stream: StoreStream) -> &'static str {
+    match stream {
+        StoreStream::Operators => "keyed.op",
+        StoreStream::Servers => "keyed.servers",
+        StoreStream::Rollouts => "keyed.status",
+        StoreStream::Evidence => "guavapass.evidence",
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    operator_records::parse(body).map_err(|cause| StoreError::Malformed { cause })
+}
+
+/// Escapes a key for a query.
+fn escape(key: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
+    let escaped = |byte: u8| if plain(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") };
+    key.bytes().map(escaped).collect()
+}
+
+fn keyed_frame(stream: StoreStream, offset: Offset, frame: &[u8]) -> Option<StoreRecord> {
+    let parts = frame
+        .split_first()
+        .and_then(|(length, rest)| rest.split_at_checked(usize::from(*length)))
+        .and_then(|(key, value)| Some((std::str::from_utf8(key).ok()?, value)));
+    match parts {
+        Some((key, value)) => keyed_record(stream, key, value),
+        None => {
+            let key = format!("{stream} at offset {offset}").into();
+            Some(StoreRecord::Unreadable { key, cause: "it has no key that can be read".into() })
+        }
+    }
+}
+
+fn keyed_record(stream: StoreStream, key: &str, value: &[u8]) -> Option<StoreRecord> {
+    match stream {
+        StoreStream::Operators if value.is_empty() => None,
+        StoreStream::Operators => read_operator_record(key, value),
+        StoreStream::Servers => Some(read_server_record(key, value)),
+        StoreStream::Rollouts => read_rollout_record(key, value),
+        StoreStream::Evidence => None,
+    }
+}
+
+fn plain_record(offset: Offset, frame: &[u8]) -> StoreRecord {
+    rmp_serde::from_slice(frame).map_or_else(
+        |error| StoreRecord::Unreadable {
+            key: format!("evidence at offset {offset}").into(),
+            cause: error.to_string().into(),
+        },
+        StoreRecord::Evidence,
+    )
+}
+
+/// Returns the stream of a record that entry VMs write, and its bytes there.
+fn content(record: &StoreRecord) -> Result<(StoreStream, Vec<u8>), StoreError> {
+    match record {
+        StoreRecord::Rollout(record) => {
+            let key = rollout_key(record);
+            let mut content = vec![key.len() as u8];
+            content.extend_from_slice(key.as_bytes());
+            content.extend_from_slice(&write_rollout_record(record));
+            Ok((StoreStream::Rollouts, content))
+        }
+        StoreRecord::Evidence(evidence) => rmp_serde::to_vec(evidence)
+            .map(|content| (StoreStream::Evidence, content))
+            .map_err(|error| StoreError::Malformed { cause: error.to_string().into() }),
+        StoreRecord::Configuration(_)
+        | StoreRecord::Order(_)
+        | StoreRecord::Server(_)
+        | StoreRecord::Unreadable { .. } => {
+            Err(StoreError::Malformed { cause: "entry VMs do not write such a record".into() })
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/operator_records.rs
@@ -0,0 +1,172 @@
+//! What operators publish.
+
+use super::*;
+
+const CONFIGURATION_KEY: &str = "config";
+const ROLLOUT_PREFIX: &str = "rollout/";
+
+#[derive(Debug, Deserialize)]
+struct WireConfiguration {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireRoute {
+    name: SmolStr,
+    host: SmolStr,
+    path_prefix: SmolStr,
+    kind: SmolStr,
+    timeout_ms: f64,
+    /// Not a latency that is aimed at, but the time within which an answer earns its full credit.
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    sizes: Vec<ModelId>,
+    service: Option<PoolId>,
+    #[serde(default)]
+    traffic_split: Vec<WireSplit>,
+    max_attempts: Option<u32>,
+    /// Not whether the route is reachable from outside, but whether it needs no key.
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireSplit {
+    service: PoolId,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireService {
+    name: PoolId,
+    #[serde(default)]
+    max_connections: u32,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireEngine {
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    kv_capacity_tokens: u64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct WireLimits {
+    max_header_bytes: Option<u64>,
+    max_body_bytes: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireTenant {
+    name: TeamId,
+    api_keys: Vec<SmolStr>,
+    priority: Option<u8>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireRollout {
+    service: PoolId,
+    target: SmolStr,
+    duration_s: f64,
+}
+
+/// Reads a record that an operator has written; none if its key is not one that matters here.
+#[must_use]
+pub fn read_operator_record(key: &str, value: &[u8]) -> Option<StoreRecord> {
+    let record = if key == CONFIGURATION_KEY {
+        read_configuration(value)
+    } else if key.starts_with(ROLLOUT_PREFIX) {
+        read_rollout(value)
+    } else {
+        return None;
+    };
+    let unreadable = |cause: SmolStr| StoreRecord::Unreadable { key: key.into(), cause };
+    Some(record.unwrap_or_else(unreadable))
+}
+
+fn read_configuration(value: &[u8]) -> Result<StoreRecord, SmolStr> {
+    let wire: WireConfiguration = parse(value)?;
+    let routes = wire.routes.into_iter().map(route).collect::<Result<Vec<_>, _>>()?;
+    let mut keys = BTreeMap::new();
+    for tenant in wire.tenants {
+        for key in tenant.api_keys {
+            let holder = KeyHolder { team: tenant.name.clone(), rank: tenant.priority };
+            keys.insert(key, holder);
+        }
+    }
+    let document = GatewayDocument {
+        revision: Revision(wire.version),
+        routes: RouteTable::new(routes),
+        pools: wire.services.into_iter().map(pool).collect(),
+        keys,
+        body_limit: ByteSize(wire.limits.max_body_bytes.unwrap_or(u64::MAX)),
+        head_limit: ByteSize(wire.limits.max_header_bytes.unwrap_or(u64::MAX)),
+    };
+    Ok(StoreRecord::Configuration(Arc::new(document)))
+}
+
+fn pool(wire: WireService) -> (PoolId, PoolShape) {
+    let engine = wire.engine.map(|engine| EngineShape {
+        slots: engine.slots,
+        cache_tokens: Tokens(engine.kv_capacity_tokens),
+    });
+    (wire.name, PoolShape { connection_limit: wire.max_connections, engine })
+}
+
+fn route(wire: WireRoute) -> Result<RouteEntry, SmolStr> {
+    let kind = match wire.kind.as_str() {
+        "safe" => RouteKind::Idempotent,
+        "unsafe" => RouteKind::Once,
+        "streaming" => RouteKind::Stream { resumable: wire.resumable },
+        other => return Err(format!("the route {} has the unknown kind {other:?}", wire.name).into()),
+    };
+    let mut pools: Vec<PoolWeight> = wire
+        .traffic_split
+        .into_iter()
+        .map(|split| PoolWeight { pool: split.service, weight: split.weight })
+        .collect();
+    if pools.is_empty() {
+        let service = wire.service.ok_or_else(|| format!("the route {} has no service", wire.name))?;
+        pools.push(PoolWeight { pool: service, weight: 1.0 });
+    }
+    let timeout = Millis(wire.timeout_ms as u64);
+    Ok(RouteEntry {
+        name: wire.name,
+        host: wire.host.to_ascii_lowercase().into(),
+        prefix: wire.path_prefix,
+        kind,
+        timeout,
+        objective: wire.target_latency_ms.map_or(timeout, |objective| Millis(objective as u64)),
+        attempt_limit: wire.max_attempts.unwrap_or(1).max(1),
+        rank: wire.priority,
+        keyless: wire.public,
+        pools,
+        models: wire.sizes,
+    })
+}
+
+fn read_rollout(value: &[u8]) -> Result<StoreRecord, SmolStr> {
+    let wire: WireRollout = parse(value)?;
+    Ok(StoreRecord::Order(RolloutOrder {
+        pool: wire.service,
+        target: wire.target,
+        duration: Millis((wire.duration_s * 1_000.0) as u64),
+    }))
+}
+
+pub(super) fn parse<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, SmolStr> {
+    serde_json::from_slice(value).map_err(|error| error.to_string().into())
+}
--- /dev/null
+++ b/src/platform/refusals.rs
@@ -0,0 +1,21 @@
+//! Refusals as the platform's callers read them.
+
+use super::*;
+use http::{HeaderValue, header};
+
+/// Returns the response of a refusal. Callers take fractions of a second in `Retry-After`.
+#[must_use]
+pub fn refusal_response(refusal: &Refusal, request: RequestNumber) -> WebResponse {
+    let mut response = reply::json(refusal.code.status(), &reply::refusal_body(refusal));
+    let headers = response.headers_mut();
+    headers.insert("guavapass-run", HeaderValue::from_static(refusal.run.as_str()));
+    reply::insert_text(headers, "guavapass-request", &request.to_string());
+    if let Some(retry_after) = refusal.retry_after {
+        let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
+        reply::insert_text(headers, "retry-after", &seconds);
+    }
+    if matches!(refusal.code, RefusalCode::TooLarge | RefusalCode::HeadTooLarge) {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- /dev/null
+++ b/src/platform/rollout_records.rs
@@ -0,0 +1,56 @@
+//! The states of roll-outs, as operators read them.
+
+use super::*;
+
+const KEY_PREFIX: &str = "rollout/";
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRolloutState {
+    service: PoolId,
+    target: SmolStr,
+    state: WireState,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum WireState {
+    Running,
+    Completed,
+    RolledBack,
+}
+
+/// Returns the key of a pool's roll-out.
+pub(super) fn rollout_key(record: &RolloutRecord) -> String {
+    format!("{KEY_PREFIX}{}", record.pool)
+}
+
+/// Returns the value of a roll-out's record.
+pub(super) fn write_rollout_record(record: &RolloutRecord) -> Vec<u8> {
+    let state = match record.state {
+        RolloutState::Running => WireState::Running,
+        RolloutState::Completed => WireState::Completed,
+        RolloutState::Withdrawn => WireState::RolledBack,
+    };
+    let (service, target) = (record.pool.clone(), record.target.clone());
+    serde_json::to_vec(&WireRolloutState { service, target, state }).unwrap_or_default()
+}
+
+/// Reads the state of a roll-out; none if the key is not one of a roll-out.
+pub(super) fn read_rollout_record(key: &str, value: &[u8]) -> Option<StoreRecord> {
+    if !key.starts_with(KEY_PREFIX) || value.is_empty() {
+        return None;
+    }
+    let wire: Result<WireRolloutState, SmolStr> = operator_records::parse(value);
+    Some(match wire {
+        Ok(wire) => StoreRecord::Rollout(RolloutRecord {
+            pool: wire.service,
+            target: wire.target,
+            state: match wire.state {
+                WireState::Running => RolloutState::Running,
+                WireState::Completed => RolloutState::Completed,
+                WireState::RolledBack => RolloutState::Withdrawn,
+            },
+        }),
+        Err(cause) => StoreRecord::Unreadable { key: key.into(), cause },
+    })
+}
--- /dev/null
+++ b/src/platform/server_records.rs
@@ -0,0 +1,53 @@
+//! The entries that backend servers write of themselves.
+
+use super::*;
+
+#[derive(Debug, Deserialize)]
+struct WireServer {
+    service: PoolId,
+    address: SocketAddr,
+    zone: DataCentreId,
+    #[serde(default)]
+    version: SmolStr,
+    #[serde(default)]
+    slots: u32,
+    state: WireState,
+    born: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// Reads a server's entry; one without a value has been removed.
+#[must_use]
+pub fn read_server_record(key: &str, value: &[u8]) -> StoreRecord {
+    let change = read_change(key, value)
+        .unwrap_or_else(|cause| ServerChange::Unreadable { key: key.into(), cause });
+    StoreRecord::Server(change)
+}
+
+fn read_change(key: &str, value: &[u8]) -> Result<ServerChange, SmolStr> {
+    let id = key.parse::<ServerId>().map_err(|error| SmolStr::new(error.to_string()))?;
+    if value.is_empty() {
+        return Ok(ServerChange::Removed(id));
+    }
+    let wire: WireServer = operator_records::parse(value)?;
+    let state = match wire.state {
+        WireState::Ready => MemberState::Live,
+        WireState::Draining => MemberState::Leaving,
+    };
+    Ok(ServerChange::Said(Box::new(ServerEntry {
+        id,
+        pool: wire.service,
+        address: wire.address,
+        data_centre: wire.zone,
+        software: wire.version,
+        slots: wire.slots,
+        state,
+        born: wire.born.map(Millis),
+    })))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 use super::*;
 
 mod callers;
+mod gateway_settings;
 mod listener;
 mod logging;
 mod secret;
@@ -14,6 +15,7 @@
 
 pub use {
     callers::CallerSettings,
+    gateway_settings::{GatewaySettings, RouteListener, StatusListener},
     listener::ListenerSettings,
     logging::{LogFormat, LogSettings},
     secret::Secret,
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -14,11 +14,16 @@
 mod caller_listener;
 mod caller_request;
 mod exchange;
+mod event_framer;
 mod exchange_count;
 mod forward;
+mod gateway_desk;
+mod gateway_exchange;
 mod operator_desk;
 mod peer_desk;
-mod reply;
+pub(crate) mod reply;
+mod server_links;
+mod server_run;
 mod sse_scanner;
 mod upstream;
 
@@ -27,8 +32,10 @@
     answer_store::{AnswerStore, StoredAnswer},
     caller_desk::CallerDesk,
     caller_listener::{CallerConnection, CallerListener, ConnectionTable},
+    event_framer::{EventFramer, FramedEvent},
     exchange_count::ExchangeCount,
     forward::FORWARD_PATH,
+    gateway_desk::{GatewayDesk, GatewayFlags, GatewayShared, RoutedCall},
     operator_desk::{OPERATOR_PATH, OperatorDesk},
     peer_desk::{PEER_PATH, PeerDesk},
     sse_scanner::SseScanner,
@@ -36,10 +43,13 @@
 
 use {
     attempt_event::AttemptEvent,
-    caller_desk::DeskShared,
+    caller_desk::{DeskShared, read_body},
     caller_request::{CallerRequest, RequestError},
     exchange::CallerExchange,
     exchange_count::CountedBody,
+    gateway_exchange::GatewayExchange,
+    server_links::ServerLink,
+    server_run::{RunPart, ServerRun},
 };
 
 /// A request as xitca-web hands it over.
--- /dev/null
+++ b/src/traffic/gateway_exchange.rs
@@ -0,0 +1,209 @@
+//! The exchange with one caller of a route.
+
+use super::*;
+use std::io;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+
+/// Obeys the control thread's directives and passes the answer on.
+pub(super) struct GatewayExchange {
+    desk: Arc<GatewayShared>,
+    call: Arc<RoutedCall>,
+    number: RequestNumber,
+    directives: UnboundedReceiver<GatewayDirective>,
+    connection: Arc<CallerConnection>,
+    runs: Vec<(AttemptId, Receiver<RunPart>)>,
+    delivering: Option<Receiver<RunPart>>,
+    is_answered: bool,
+}
+
+/// What happens next in an exchange.
+enum Step {
+    Directive(Option<GatewayDirective>),
+    Part(RunPart),
+    CallerGone,
+}
+
+impl GatewayExchange {
+    /// The events of a stream that wait for a slow caller.
+    const PART_LIMIT: usize = 16;
+
+    pub(super) fn new(
+        desk: Arc<GatewayShared>,
+        call: Arc<RoutedCall>,
+        number: RequestNumber,
+        directives: UnboundedReceiver<GatewayDirective>,
+        connection: Arc<CallerConnection>,
+    ) -> Self {
+        connection.begin();
+        Self {
+            desk,
+            call,
+            number,
+            directives,
+            connection,
+            runs: Vec::new(),
+            delivering: None,
+            is_answered: false,
+        }
+    }
+
+    /// Runs the exchange up to its response.
+    pub(super) async fn respond(mut self) -> WebResponse {
+        let mut head = None;
+        loop {
+            match self.step().await {
+                Step::Directive(Some(GatewayDirective::Refuse(refusal))) => {
+                    self.is_answered = true;
+                    return refusal_response(&refusal, self.number);
+                }
+                Step::Directive(None | Some(GatewayDirective::BreakOff)) => {
+                    self.is_answered = true;
+                    let message = "This entry VM ended before the request did.";
+                    let refusal = Refusal::not_run(RefusalCode::BadGateway, message)
+                        .with_run(RunState::Unknown);
+                    return refusal_response(&refusal, self.number);
+                }
+                Step::Directive(Some(directive)) => self.obey(directive),
+                Step::Part(RunPart::Head(parts)) => head = Some(parts),
+                Step::Part(RunPart::Body(body)) => {
+                    self.is_answered = true;
+                    return Self::response(head, ResponseBody::bytes(body));
+                }
+                Step::Part(RunPart::Event(event)) => return self.stream(head, Some(event)),
+                Step::Part(RunPart::End) => {
+                    self.is_answered = true;
+                    return self.stream(head, None);
+                }
+                Step::CallerGone => return reply::plain(499, ""),
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let connection = Arc::clone(&self.connection);
+        tokio::select! {
+            biased;
+            step = self.next_step() => step,
+            () = connection.closed() => Step::CallerGone,
+        }
+    }
+
+    async fn next_step(&mut self) -> Step {
+        loop {
+            let Some(parts) = &mut self.delivering else {
+                return Step::Directive(self.directives.recv().await);
+            };
+            tokio::select! {
+                biased;
+                part = parts.recv() => match part {
+                    Some(part) => return Step::Part(part),
+                    None => self.delivering = None,
+                },
+                directive = self.directives.recv() => {
+                    // The control thread forgets a request whose last part is on its way.
+                    let Some(directive) = directive else {
+                        let part = parts.recv().await;
+                        return part.map_or(Step::Directive(None), Step::Part);
+                    };
+                    return Step::Directive(Some(directive));
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, directive: GatewayDirective) {
+        match directive {
+            GatewayDirective::Start(order) => self.start(*order),
+            GatewayDirective::Deliver(attempt) => {
+                let found = self.runs.iter().position(|(id, _)| *id == attempt);
+                self.delivering = found.map(|index| self.runs.swap_remove(index).1);
+            }
+            GatewayDirective::Cancel(attempt) => self.runs.retain(|(id, _)| *id != attempt),
+            GatewayDirective::Refuse(_) | GatewayDirective::BreakOff => {}
+        }
+    }
+
+    fn start(&mut self, order: RunOrder) {
+        let (sender, receiver) = tokio::sync::mpsc::channel(Self::PART_LIMIT);
+        self.runs.push((order.attempt, receiver));
+        let (call, desk) = (Arc::clone(&self.call), Arc::clone(&self.desk));
+        let run = ServerRun { order, call, desk, parts: sender };
+        tokio::spawn(run.run());
+    }
+
+    /// Returns the server's answer as it came, less what concerns one connection only.
+    fn response(head: Option<Box<http::response::Parts>>, body: ResponseBody) -> WebResponse {
+        let mut response = http::Response::new(body);
+        let Some(head) = head else { return reply::plain(502, "") };
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+        reply::strip_hop_headers(response.headers_mut());
+        response
+    }
+
+    /// Returns the response of a stream, whose body goes on with the exchange.
+    fn stream(
+        self,
+        head: Option<Box<http::response::Parts>>,
+        first: Option<Bytes>,
+    ) -> WebResponse {
+        let start = first.map(|first| (first, self));
+        let parts = futures_util::stream::unfold(StreamTurn::from(start), |turn| async move {
+            match turn {
+                StreamTurn::First(event, exchange) => Some((Ok(event), StreamTurn::Next(exchange))),
+                StreamTurn::Next(mut exchange) => match exchange.next_event().await {
+                    Ok(Some(event)) => Some((Ok(event), StreamTurn::Next(exchange))),
+                    Ok(None) => None,
+                    Err(error) => Some((Err(error), StreamTurn::Over)),
+                },
+                StreamTurn::Over => None,
+            }
+        });
+        Self::response(head, ResponseBody::boxed(StreamDataBody::new(parts)))
+    }
+
+    /// Returns the next event of a stream, none at its end, or an error if it breaks off.
+    async fn next_event(&mut self) -> Result<Option<Bytes>, io::Error> {
+        let broken = || io::Error::from(io::ErrorKind::ConnectionAborted);
+        loop {
+            match self.step().await {
+                Step::Part(RunPart::Event(event)) => return Ok(Some(event)),
+                Step::Part(RunPart::End) => {
+                    self.is_answered = true;
+                    return Ok(None);
+                }
+                // The head of a run that goes on with the stream.
+                Step::Part(RunPart::Head(_)) => {}
+                Step::Part(RunPart::Body(_)) => return Err(broken()),
+                Step::Directive(Some(GatewayDirective::BreakOff)) => {
+                    self.is_answered = true;
+                    return Err(broken());
+                }
+                Step::Directive(None) | Step::CallerGone => return Err(broken()),
+                Step::Directive(Some(directive)) => self.obey(directive),
+            }
+        }
+    }
+}
+
+/// What the body of a stream yields next.
+enum StreamTurn {
+    First(Bytes, GatewayExchange),
+    Next(GatewayExchange),
+    Over,
+}
+
+impl From<Option<(Bytes, GatewayExchange)>> for StreamTurn {
+    fn from(start: Option<(Bytes, GatewayExchange)>) -> Self {
+        start.map_or(Self::Over, |(event, exchange)| Self::First(event, exchange))
+    }
+}
+
+impl Drop for GatewayExchange {
+    fn drop(&mut self) {
+        self.connection.end();
+        if !self.is_answered {
+            self.desk.handle.send(GatewayEvent::CallerGone { request: self.number });
+        }
+    }
+}
--- a/src/traffic/reply.rs
+++ b/src/traffic/reply.rs
@@ -4,7 +4,7 @@
 use http::{HeaderValue, header};
 
 /// Returns a JSON response.
-pub(super) fn json(status: u16, body: &impl Serialize) -> WebResponse {
+pub(crate) fn json(status: u16, body: &impl Serialize) -> WebResponse {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let mut response = plain(status, bytes);
     let json = HeaderValue::from_static("application/json");
@@ -13,14 +13,14 @@
 }
 
 /// Returns a response with a body and no content type.
-pub(super) fn plain(status: u16, body: impl Into<Bytes>) -> WebResponse {
+pub(crate) fn plain(status: u16, body: impl Into<Bytes>) -> WebResponse {
     let mut response = http::Response::new(ResponseBody::bytes(body.into()));
     *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
     response
 }
 
 /// Returns the body of a refusal.
-pub(super) fn refusal_body(refusal: &Refusal) -> serde_json::Value {
+pub(crate) fn refusal_body(refusal: &Refusal) -> serde_json::Value {
     let mut error = serde_json::json!({
         "code": refusal.code.as_str(),
         "message": refusal.message,
@@ -32,7 +32,7 @@
 }
 
 /// Returns the response of a refusal.
-pub(super) fn refusal(refusal: &Refusal, request: &RequestId) -> WebResponse {
+pub(crate) fn refusal(refusal: &Refusal, request: &RequestId) -> WebResponse {
     let mut response = json(refusal.code.status(), &refusal_body(refusal));
     let headers = response.headers_mut();
     headers.insert("guavapass-run", HeaderValue::from_static(refusal.run.as_str()));
@@ -47,14 +47,14 @@
 }
 
 /// Inserts a header whose value is text.
-pub(super) fn insert_text(headers: &mut http::HeaderMap, name: &'static str, text: &str) {
+pub(crate) fn insert_text(headers: &mut http::HeaderMap, name: &'static str, text: &str) {
     if let Ok(value) = HeaderValue::from_str(text) {
         headers.insert(name, value);
     }
 }
 
 /// Removes the headers that concern one connection only.
-pub(super) fn strip_hop_headers(headers: &mut http::HeaderMap) {
+pub(crate) fn strip_hop_headers(headers: &mut http::HeaderMap) {
     const HOP_HEADERS: [header::HeaderName; 7] = [
         header::CONNECTION,
         header::TRANSFER_ENCODING,
--- /dev/null
+++ b/src/traffic/server_links.rs
@@ -0,0 +1,114 @@
+//! The connections of one traffic thread to backend servers.
+
+use super::*;
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use tokio::task::AbortHandle;
+
+/// A connection to a backend server; closes when it is dropped.
+pub(super) struct ServerLink {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried a request before.
+    pub(super) is_kept: bool,
+    task: AbortHandle,
+}
+
+impl Drop for ServerLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct IdleLink {
+    link: ServerLink,
+    ends: Instant,
+}
+
+thread_local! {
+    static IDLE: RefCell<FxHashMap<ServerId, Vec<IdleLink>>> = RefCell::default();
+}
+
+impl ServerLink {
+    /// The time in which a server in reach accepts a connection: many times the way there and back
+    /// (3 ms), short against the shortest objective (100 ms) that a second try may still meet.
+    const CONNECT_TIMEOUT_MS: u64 = 250;
+    /// The time after which a connection without traffic is probed, and between two probes.
+    const PROBE_MS: u64 = 1_000;
+    /// The probes without an answer after which a connection is given up.
+    const PROBE_COUNT: u32 = 2;
+    /// The time that a server keeps an idle connection if it does not say.
+    const DEFAULT_IDLE_MS: u64 = 2_000;
+    /// How long before the server an idle connection is given up here.
+    const IDLE_MARGIN_MS: u64 = 1_000;
+    /// The idle connections kept to one server.
+    const IDLE_LIMIT: usize = 16;
+
+    /// Returns an idle connection to a server.
+    pub(super) fn take(server: &ServerId) -> Option<Self> {
+        let now = Instant::now();
+        IDLE.with_borrow_mut(|idle| {
+            let links = idle.get_mut(server)?;
+            links.retain(|kept| kept.ends > now && !kept.link.sender.is_closed());
+            Some(links.pop()?.link)
+        })
+    }
+
+    /// Opens a connection.
+    pub(super) async fn open(address: SocketAddr) -> Option<Self> {
+        let timeout = Duration::from_millis(Self::CONNECT_TIMEOUT_MS);
+        let connect = tokio::net::TcpStream::connect(address);
+        let stream = tokio::time::timeout(timeout, connect).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        Self::probe_when_silent(&stream);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let task = tokio::spawn(connection).abort_handle();
+        Some(Self { sender, is_kept: false, task })
+    }
+
+    /// Lets the system close a connection whose other end has fallen silent.
+    fn probe_when_silent(stream: &tokio::net::TcpStream) {
+        let probe = Duration::from_millis(Self::PROBE_MS);
+        let keepalive = socket2::TcpKeepalive::new()
+            .with_time(probe)
+            .with_interval(probe)
+            .with_retries(Self::PROBE_COUNT);
+        let socket = socket2::SockRef::from(stream);
+        let timeout = probe * (Self::PROBE_COUNT + 1);
+        let set = socket
+            .set_tcp_keepalive(&keepalive)
+            .and_then(|()| socket.set_tcp_user_timeout(Some(timeout)));
+        if let Err(error) = set {
+            tracing::debug!(%error, "a connection is not probed");
+        }
+    }
+
+    /// Keeps a connection for the next request to its server.
+    pub(super) fn put_back(mut self, server: &ServerId, idle_limit: Option<Millis>) {
+        let limit = idle_limit.unwrap_or(Millis(Self::DEFAULT_IDLE_MS));
+        let limit = limit.since(Millis(Self::IDLE_MARGIN_MS));
+        if limit == Millis(0) || self.sender.is_closed() {
+            return;
+        }
+        self.is_kept = true;
+        let ends = Instant::now() + limit.duration();
+        IDLE.with_borrow_mut(|idle| {
+            let links = idle.entry(server.clone()).or_default();
+            if links.len() < Self::IDLE_LIMIT {
+                links.push(IdleLink { link: self, ends });
+            }
+        });
+    }
+
+    /// Closes the idle connections that are no longer of use.
+    pub(super) fn sweep() {
+        let now = Instant::now();
+        IDLE.with_borrow_mut(|idle| {
+            idle.retain(|_, links| {
+                links.retain(|kept| kept.ends > now && !kept.link.sender.is_closed());
+                !links.is_empty()
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/traffic/server_run.rs
@@ -0,0 +1,213 @@
+//! One run of a route's request at a backend server.
+
+use super::*;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::sync::mpsc::Sender;
+
+/// What a run passes on to its exchange.
+#[derive(Debug)]
+pub(super) enum RunPart {
+    /// The head of an answer.
+    Head(Box<http::response::Parts>),
+    /// The whole body of an answer that is not a stream.
+    Body(Bytes),
+    /// An event of a stream.
+    Event(Bytes),
+    /// The end of a stream that is whole.
+    End,
+}
+
+/// One run, as a task of its own.
+pub(super) struct ServerRun {
+    pub(super) order: RunOrder,
+    pub(super) call: Arc<RoutedCall>,
+    pub(super) desk: Arc<GatewayShared>,
+    pub(super) parts: Sender<RunPart>,
+}
+
+/// Why a run has no whole answer, before it is told to the core.
+struct RunFault {
+    fault: AttemptFault,
+    last_event: Option<u64>,
+}
+
+impl From<AttemptFault> for RunFault {
+    fn from(fault: AttemptFault) -> Self {
+        Self { fault, last_event: None }
+    }
+}
+
+impl ServerRun {
+    /// How much longer than its server's time a run may last that nobody waits for any more.
+    const GRACE_MS: u64 = 500;
+
+    /// Runs and reports the end. A run that may not be repeated goes on when its caller has gone.
+    pub(super) async fn run(self) {
+        let parts = self.parts.clone();
+        let limit = self.order.time_left + Millis(Self::GRACE_MS);
+        let ended = tokio::select! {
+            ended = self.exchange() => ended,
+            () = parts.closed(), if self.order.repeat == RepeatRule::Repeatable => {
+                Err(AttemptFault::Cancelled.into())
+            }
+            () = tokio::time::sleep(limit.duration()) => Err(AttemptFault::Silent.into()),
+        };
+        let outcome = ended.unwrap_or_else(|RunFault { fault, last_event }| {
+            RunOutcome::Broken { fault, last_event }
+        });
+        self.report(RunReport::Ended(outcome));
+    }
+
+    fn report(&self, report: RunReport) {
+        let (request, attempt) = (self.order.request, self.order.attempt);
+        self.desk.handle.send(GatewayEvent::Run { request, attempt, report });
+    }
+
+    async fn exchange(&self) -> Result<RunOutcome, RunFault> {
+        let unsent = RunOutcome::NotRun { cause: NotRunCause::Unreachable, load: None };
+        let Some((link, response)) = self.send().await? else { return Ok(unsent) };
+        let (head, body) = response.into_parts();
+        let facts = read_answer(head.status, &head.headers);
+        if facts.caller_id.as_deref() != Some(self.call.caller_id.as_str()) {
+            return Err(AttemptFault::Malformed.into());
+        }
+        if let Some(cause) = facts.not_run {
+            if self.collect(body).await.is_ok() && facts.keeps {
+                link.put_back(&self.order.server, facts.idle_limit);
+            }
+            return Ok(RunOutcome::NotRun { cause, load: facts.head.load });
+        }
+        if head.status.is_success() && !facts.is_signed {
+            return Err(AttemptFault::Malformed.into());
+        }
+        let outcome = if self.order.is_stream && head.status.is_success() {
+            self.pass_stream(head, body, facts.head).await?
+        } else {
+            self.pass_whole(head, body, facts.head).await?
+        };
+        if facts.keeps {
+            link.put_back(&self.order.server, facts.idle_limit);
+        }
+        Ok(outcome)
+    }
+
+    /// Sends the request; returns nothing if no byte of it was sent.
+    async fn send(&self) -> Result<Option<(ServerLink, http::Response<Incoming>)>, AttemptFault> {
+        let mut request = self.upstream_request().ok_or(AttemptFault::Malformed)?;
+        let may_be_kept = self.order.repeat == RepeatRule::Repeatable;
+        let mut kept = if may_be_kept { ServerLink::take(&self.order.server) } else { None };
+        loop {
+            let link = match kept.take() {
+                Some(link) => Some(link),
+                None => ServerLink::open(self.order.address).await,
+            };
+            let Some(mut link) = link else { return Ok(None) };
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(Some((link, response))),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if link.is_kept => request = unsent,
+                    Some(_) => return Ok(None),
+                    None => return Err(AttemptFault::Closed),
+                },
+            }
+        }
+    }
+
+    fn upstream_request(&self) -> Option<http::Request<Full<Bytes>>> {
+        let mut request = http::Request::builder()
+            .method(self.call.head.method.clone())
+            .uri(self.call.head.uri.path_and_query()?.as_str())
+            .body(Full::new(self.call.body.clone()))
+            .ok()?;
+        *request.headers_mut() = run_headers(&self.call.head.headers, &self.order);
+        Some(request)
+    }
+
+    async fn collect(&self, mut body: Incoming) -> Result<Bytes, AttemptFault> {
+        let mut bytes = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else { continue };
+            if bytes.len() + data.len() > self.desk.answer_limit.0 as usize {
+                return Err(AttemptFault::TooLong);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.into())
+    }
+
+    async fn pass_whole(
+        &self,
+        head: http::response::Parts,
+        body: Incoming,
+        facts: AnswerHead,
+    ) -> Result<RunOutcome, RunFault> {
+        let body = self.collect(body).await?;
+        self.pass(RunPart::Head(Box::new(head))).await?;
+        self.pass(RunPart::Body(body)).await?;
+        Ok(RunOutcome::Whole { head: facts })
+    }
+
+    async fn pass_stream(
+        &self,
+        head: http::response::Parts,
+        body: Incoming,
+        facts: AnswerHead,
+    ) -> Result<RunOutcome, RunFault> {
+        let mut last_event = self.order.after_event;
+        self.pass_events(head, body, facts, &mut last_event)
+            .await
+            .map_err(|fault| RunFault { fault, last_event })
+    }
+
+    async fn pass_events(
+        &self,
+        head: http::response::Parts,
+        mut body: Incoming,
+        facts: AnswerHead,
+        last_event: &mut Option<u64>,
+    ) -> Result<RunOutcome, AttemptFault> {
+        /// Many times the size of an event; a stream without an end of event is none.
+        const EVENT_LIMIT_BYTES: usize = 256 * 1_024;
+        let mut framer = EventFramer::default();
+        let mut head = Some(head);
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else { continue };
+            framer.feed(&data);
+            while let Some(event) = framer.next_event() {
+                if event.id.is_some() && event.id <= *last_event {
+                    continue;
+                }
+                self.begin(&mut head, facts).await?;
+                let id = event.id;
+                self.pass(RunPart::Event(event.bytes)).await?;
+                *last_event = id.or(*last_event);
+            }
+            if framer.held_bytes() > EVENT_LIMIT_BYTES {
+                return Err(AttemptFault::Malformed);
+            }
+        }
+        if !framer.is_at_boundary() {
+            return Err(AttemptFault::Truncated);
+        }
+        self.begin(&mut head, facts).await?;
+        self.pass(RunPart::End).await?;
+        Ok(RunOutcome::Whole { head: facts })
+    }
+
+    /// Reports that a stream has begun, once, and passes its head on.
+    async fn begin(
+        &self,
+        head: &mut Option<http::response::Parts>,
+        facts: AnswerHead,
+    ) -> Result<(), AttemptFault> {
+        let Some(head) = head.take() else { return Ok(()) };
+        self.report(RunReport::Began { head: facts });
+        self.pass(RunPart::Head(Box::new(head))).await
+    }
+
+    /// Passes a part on; waits while the caller is slow.
+    async fn pass(&self, part: RunPart) -> Result<(), AttemptFault> {
+        self.parts.send(part).await.map_err(|_| AttemptFault::Cancelled)
+    }
+}
