--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -31,7 +31,9 @@
         match stream {
             StoreStream::Operators => self.lease.renew(sent),
             StoreStream::Servers => self.end_listing(now, is_newest),
-            StoreStream::Rollouts => self.rollout_end = self.feeds[&stream].end(),
+            StoreStream::Rollouts => {
+                self.rollout_end = self.feeds.get(&stream).and_then(StoreFeed::end);
+            }
             StoreStream::Evidence => {}
         }
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -134,6 +134,14 @@
         state.is_delivered = true;
         let pool = state.pool.clone();
         let took = now.since(run.started);
+        tracing::info!(
+            request = request.0,
+            attempt = attempt.0,
+            took_ms = took.0,
+            expected_ms = run.expected.0,
+            confidence = head.confidence,
+            "first event"
+        );
         let mut alone = false;
         if let Some(server) = self.servers.get_mut(&run.server) {
             alone = server.unread <= run.unread;
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -69,6 +69,13 @@
         let Some((link, response)) = self.send().await? else { return Ok(unsent) };
         let (head, body) = response.into_parts();
         let facts = read_answer(head.status, &head.headers);
+        tracing::debug!(
+            request = self.order.request.0,
+            attempt = self.order.attempt.0,
+            status = head.status.as_u16(),
+            headers = ?head.headers,
+            "answer head"
+        );
         if facts.caller_id.as_deref() != Some(self.call.caller_id.as_str()) {
             return Err(AttemptFault::Malformed.into());
         }
@@ -174,6 +181,7 @@
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else { continue };
             framer.feed(&data);
+            tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
                 if event.id.is_some() && event.id <= *last_event {
                     continue;
