Take no streams late after the order to end; count second sends in a sliding window

Idle connections now close 2.5 s after the order, and streams that still arrive are refused with a true 'not run' and 50 ms to come back, to another VM. The budget of second sends was a bucket capped at 4, which throttles a burst whose answers come together; a sliding window holds the same bound (test budget_bounds_second_sends failed before).

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -8,6 +8,7 @@
     pub(super) handle: GatewayHandle,
     pub(super) store: Arc<dyn RecordStore>,
     pub(super) flags: Arc<GatewayFlags>,
+    pub(super) connections: Arc<ConnectionTable>,
     pub(super) metrics: PageClient,
     pub(super) mailboxes: FxHashMap<RequestNumber, GatewayMailbox>,
     pub(super) swept: Millis,
@@ -95,6 +96,7 @@
             }
             GatewayCommand::Read(read) => self.read(read),
             GatewayCommand::Append { record, at } => self.append(record, at),
+            GatewayCommand::HangUpIdle => self.connections.hang_up_idle(),
             GatewayCommand::Stop => return ControlFlow::Break(()),
         }
         ControlFlow::Continue(())
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -44,7 +44,9 @@
         let flags = Arc::new(GatewayFlags::default());
         let page = MetricPage::default();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let connections = Arc::new(ConnectionTable::default());
         let control = {
+            let connections = Arc::clone(&connections);
             let (handle, flags, metrics) = (handle.clone(), Arc::clone(&flags), page.client());
             std::thread::Builder::new().name("control".into()).spawn(move || {
                 runtime.block_on(async move {
@@ -52,13 +54,21 @@
                     let mailboxes = FxHashMap::default();
                     let swept = Millis(0);
                     let thread = GatewayThread {
-                        gateway, clock, inbox, handle, store, flags, metrics, mailboxes, swept,
+                        gateway,
+                        clock,
+                        inbox,
+                        handle,
+                        store,
+                        flags,
+                        connections,
+                        metrics,
+                        mailboxes,
+                        swept,
                     };
                     thread.run().await;
                 });
             })?
         };
-        let connections = Arc::new(ConnectionTable::default());
         let limit = settings.callers.answer_limit_bytes;
         let desk =
             GatewayDesk::new(handle.clone(), flags, limit, Arc::clone(&connections), page);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod pool_pace;
 mod reads;
 mod record_store;
+mod resend_budget;
 mod rollout_order;
 mod rollout_track;
 mod rollouts;
@@ -57,6 +58,7 @@
     place_choice::{Place, PlaceWish, SoftwareRule, choose_place},
     pool_pace::PoolPace,
     record_store::RecordStore,
+    resend_budget::ResendBudget,
     rollout_order::{EvidenceRecord, RolloutOrder, RolloutRecord, RolloutState},
     rollout_track::{RolloutTrack, VersionSide},
     route_entry::{PoolWeight, RouteEntry, RouteKind},
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -13,9 +13,6 @@
     /// The time after which a caller may come back that was refused because this VM knows too
     /// little; another VM may serve it at once.
     const ELSEWHERE_MS: u64 = 50;
-    /// The part of the permitted share of second sends that is used; the rest is for requests that
-    /// a bound counts in another window than this VM.
-    const RESEND_PART: f64 = 0.85;
     /// The longest time that a request waits whose caller names none.
     const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -52,6 +49,10 @@
             return Err(Refusal::not_run(RefusalCode::NotFound, message));
         };
         let route = Arc::clone(route);
+        if route.kind.is_stream() && self.is_too_late_for_streams(now) {
+            let message = "This entry VM is ending and has no time for a stream; ask again.";
+            return Err(Self::elsewhere(message));
+        }
         if route.keyless || document.keys.is_empty() {
             let rank = route.rank;
             return Ok(Admission { route, team: None, rank });
@@ -81,9 +82,8 @@
         let wait = arrival.deadline.unwrap_or(Millis(Self::DEFAULT_DEADLINE_MS));
         let ends = now + wait.min(route.timeout);
         let model = if arrival.any_model { route.models.first().cloned() } else { None };
-        let share = self.bounds.resend_share.get() * Self::RESEND_PART;
-        let share = Share::new(share).unwrap_or(Share::ZERO);
-        self.budgets.entry(pool.clone()).or_insert_with(AttemptBudget::resends).earn(share);
+        let window = self.bounds.resend_window_ms;
+        self.budgets.entry(pool.clone()).or_default().earn(now, window);
         let last_event = arrival.last_event;
         let state = RoutedRequest {
             arrival,
--- a/src/gateway/gateway_bounds.rs
+++ b/src/gateway/gateway_bounds.rs
@@ -12,6 +12,8 @@
     pub shutdown_ms: Millis,
     /// The share of second sends among the requests of a pool, over all entry VMs.
     pub resend_share: Share,
+    /// The window over which second sends are counted.
+    pub resend_window_ms: Millis,
     /// The share of a pool's requests that a version may get while it is brought in.
     pub exposure_share: Share,
 }
@@ -24,6 +26,7 @@
             drain_ms: Millis(2_000),
             shutdown_ms: Millis(8_000),
             resend_share: Share::new(0.2).unwrap_or(Share::ZERO),
+            resend_window_ms: Millis(10_000),
             exposure_share: Share::new(0.1).unwrap_or(Share::ZERO),
         }
     }
--- a/src/gateway/gateway_command.rs
+++ b/src/gateway/gateway_command.rs
@@ -40,6 +40,8 @@
         /// The end that the stream has to have.
         at: Option<Offset>,
     },
+    /// Close the callers' connections on which no request is under way.
+    HangUpIdle,
     /// End the process.
     Stop,
 }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -17,7 +17,7 @@
     pub(super) evidence_next: Millis,
     pub(super) requests: FxHashMap<RequestNumber, RoutedRequest>,
     pub(super) ends: BTreeSet<(Millis, RequestNumber)>,
-    pub(super) budgets: BTreeMap<PoolId, AttemptBudget>,
+    pub(super) budgets: BTreeMap<PoolId, ResendBudget>,
     pub(super) ending: Option<Millis>,
     pub(super) random: rand_chacha::ChaCha8Rng,
     commands: Vec<GatewayCommand>,
@@ -116,6 +116,11 @@
         self.document.as_ref()
     }
 
+    /// Returns whether a stream that arrives now could be cut by the end of the process.
+    pub(super) fn is_too_late_for_streams(&self, now: Millis) -> bool {
+        self.ending.is_some_and(|told| now.since(told).0 >= Self::BALANCER_LAG_MS)
+    }
+
     /// Returns whether requests with keys may be served.
     pub(super) fn is_fresh(&self, now: Millis) -> bool {
         /// For clocks that run at slightly unlike paces.
@@ -142,6 +147,9 @@
 
     fn advance_shutdown(&mut self, now: Millis) {
         let Some(told) = self.ending else { return };
+        if now.since(told).0 >= Self::BALANCER_LAG_MS {
+            self.emit(GatewayCommand::HangUpIdle);
+        }
         let is_idle = self.requests.is_empty() && now.since(told).0 >= Self::BALANCER_LAG_MS;
         let last = self.bounds.shutdown_ms.since(Millis(Self::END_MARGIN_MS));
         if is_idle || now.since(told) >= last {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -5,6 +5,9 @@
 impl Gateway {
     /// The time below which a server cannot answer any more.
     const LEAST_TIME_MS: u64 = 20;
+    /// The part of the permitted share of second sends that is used; the rest is for requests that
+    /// a bound counts in another window than this VM.
+    const RESEND_PART: f64 = 0.85;
     /// The time after which a caller may come back when a pool has no server to offer.
     const NO_SERVER_MS: u64 = 300;
 
@@ -206,7 +209,7 @@
         let due = state.received + state.route.objective;
         let is_on_time = now + place.expected < due;
         let prognosis = AnswerPrognosis { confidence, is_on_time };
-        if !prognosis.is_worth_more() || !self.take_resend(&state.pool.clone()) {
+        if !prognosis.is_worth_more() || !self.take_resend(now, &larger.pool) {
             return false;
         }
         self.drop_open_run(request);
@@ -217,8 +220,10 @@
         true
     }
 
-    fn take_resend(&mut self, pool: &PoolId) -> bool {
-        self.budgets.entry(pool.clone()).or_insert_with(AttemptBudget::resends).take()
+    fn take_resend(&mut self, now: Millis, pool: &PoolId) -> bool {
+        let window = self.bounds.resend_window_ms;
+        let share = self.bounds.resend_share.get() * Self::RESEND_PART;
+        self.budgets.entry(pool.clone()).or_default().take(now, window, share)
     }
 
     fn on_ended(
@@ -355,7 +360,7 @@
         let is_unsent = state.runs.iter().all(|run| run.stage == RunStage::Unsent);
         let refusal = Self::failure_refusal(state);
         let pool = state.pool.clone();
-        if !is_unsent && !self.take_resend(&pool) {
+        if !is_unsent && !self.take_resend(now, &pool) {
             tracing::info!(request = request.0, "not sent again: the budget is used up");
             return Err(refusal);
         }
--- a/src/health/attempt_budget.rs
+++ b/src/health/attempt_budget.rs
@@ -26,13 +26,6 @@
         Self { level: 10.0, highest: 20.0 }
     }
 
-    /// Returns a budget of second sends of a route's requests. All entry VMs share a reserve, so each
-    /// keeps little of it.
-    #[must_use]
-    pub const fn resends() -> Self {
-        Self { level: 2.0, highest: 4.0 }
-    }
-
     /// Adds the share of an extra attempt that a first attempt earns.
     pub fn earn(&mut self, share: Share) {
         self.level = (self.level + share.get()).min(self.highest);
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -59,6 +59,7 @@
             ("bounds.key_removal_ms", bounds.key_removal_ms),
             ("bounds.drain_ms", bounds.drain_ms),
             ("bounds.shutdown_ms", bounds.shutdown_ms),
+            ("bounds.resend_window_ms", bounds.resend_window_ms),
         ];
         for (field, found) in lengths {
             if found.0 < Self::LEAST_BOUND_MS {
--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -96,6 +96,13 @@
         open.for_each(|connection| connection.hang_up.notify_one());
     }
 
+    /// Closes the connections on which no request is under way.
+    pub fn hang_up_idle(&self) {
+        let Ok(connections) = self.connections.lock() else { return };
+        let idle = connections.values().filter_map(Weak::upgrade).filter(|open| !open.is_busy());
+        idle.for_each(|connection| connection.hang_up.notify_one());
+    }
+
     /// Returns the connection of a caller.
     #[must_use]
     pub fn get(&self, address: &SocketAddr) -> Option<Arc<CallerConnection>> {
--- /dev/null
+++ b/tests/support/gateway_world.rs
@@ -0,0 +1,271 @@
+//! A gateway core with a configuration and backend servers, driven by hand.
+
+use guavapass::{
+    control::{Refusal, VmIdentity},
+    gateway::*,
+    ids::{AttemptId, Incarnation, ModelId, Offset, PoolId, RequestNumber, Revision, ServerId, TeamId},
+    ports::MemberState,
+    units::{ByteSize, Millis, Share, Tokens},
+};
+use smol_str::SmolStr;
+use std::{collections::BTreeMap, sync::Arc};
+
+pub const KEY: &str = "key-of-plaza";
+pub const ENGINES: &str = "engines";
+pub const BOOKINGS: &str = "bookings";
+
+/// A core, its time, and what it has asked for.
+pub struct GatewayWorld {
+    pub gateway: Gateway,
+    pub now: Millis,
+    pub commands: Vec<GatewayCommand>,
+    requests: u64,
+}
+
+pub fn text<T: std::str::FromStr>(name: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    name.parse().unwrap()
+}
+
+pub fn identity(vm: &str) -> VmIdentity {
+    VmIdentity { vm: text(vm), incarnation: Incarnation(1), data_centre: text("norte") }
+}
+
+pub fn bounds() -> GatewayBounds {
+    GatewayBounds {
+        key_removal_ms: Millis(5_000),
+        drain_ms: Millis(2_000),
+        shutdown_ms: Millis(8_000),
+        resend_share: Share::new(0.9).unwrap(),
+        resend_window_ms: Millis(10_000),
+        exposure_share: Share::new(0.15).unwrap(),
+    }
+}
+
+pub fn route(prefix: &str, kind: RouteKind, pool: &str) -> RouteEntry {
+    RouteEntry {
+        name: prefix.trim_matches('/').into(),
+        host: "plaza.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Millis(6_000),
+        objective: Millis(2_000),
+        attempt_limit: 3,
+        rank: 1,
+        keyless: false,
+        pools: vec![PoolWeight { pool: text(pool), weight: 1.0 }],
+        models: Vec::new(),
+    }
+}
+
+pub fn document(revision: u64) -> GatewayDocument {
+    let stream = RouteKind::Stream { resumable: true };
+    let mut sized = route("/sized/", stream, ENGINES);
+    sized.models = vec![text("small"), text("middle"), text("large")];
+    let mut free = route("/free/", RouteKind::Idempotent, BOOKINGS);
+    free.keyless = true;
+    let routes = vec![
+        sized,
+        free,
+        route("/plan/", stream, ENGINES),
+        route("/frail/", RouteKind::Stream { resumable: false }, ENGINES),
+        route("/book/", RouteKind::Once, BOOKINGS),
+        route("/slot/", RouteKind::Idempotent, BOOKINGS),
+    ];
+    let holder = KeyHolder { team: text::<TeamId>("plaza"), rank: None };
+    GatewayDocument {
+        revision: Revision(revision),
+        routes: RouteTable::new(routes),
+        pools: BTreeMap::new(),
+        keys: BTreeMap::from([(SmolStr::new(KEY), holder)]),
+        body_limit: ByteSize(1_000_000),
+        head_limit: ByteSize(16_384),
+    }
+}
+
+pub fn server(id: &str, pool: &str, software: &str) -> ServerEntry {
+    let number: u16 = id.bytes().map(u16::from).sum();
+    ServerEntry {
+        id: text(id),
+        pool: text(pool),
+        address: ([127, 0, 0, 1], number).into(),
+        data_centre: text("norte"),
+        software: software.into(),
+        slots: 8,
+        state: MemberState::Live,
+        born: None,
+    }
+}
+
+pub fn said(entry: ServerEntry) -> StoreRecord {
+    StoreRecord::Server(ServerChange::Said(Box::new(entry)))
+}
+
+impl GatewayWorld {
+    /// Returns a core that knows the configuration and three servers of each pool.
+    pub fn new() -> Self {
+        let mut world = Self::empty();
+        world.tick(0);
+        let document = StoreRecord::Configuration(Arc::new(document(1)));
+        world.newest(StoreStream::Operators, vec![document]);
+        let mut servers = Vec::new();
+        for number in 1..=3 {
+            servers.push(said(server(&format!("e{number}"), ENGINES, "v1")));
+            servers.push(said(server(&format!("b{number}"), BOOKINGS, "v1")));
+        }
+        world.newest(StoreStream::Servers, servers);
+        world
+    }
+
+    /// Returns a core that knows nothing.
+    pub fn empty() -> Self {
+        let gateway = Gateway::new(identity("front-1"), bounds());
+        Self { gateway, now: Millis(1_000), commands: Vec::new(), requests: 0 }
+    }
+
+    pub fn handle(&mut self, event: GatewayEvent) {
+        let commands = self.gateway.handle(self.now, event);
+        self.commands.extend(commands);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, ms: u64) {
+        self.now = self.now + Millis(ms);
+        self.handle(GatewayEvent::Tick);
+    }
+
+    /// Lets time pass in small steps, while the store answers that there is nothing new.
+    pub fn run_in_touch(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            self.tick(100);
+            self.quiet(StoreStream::Operators);
+        }
+    }
+
+    pub fn newest(&mut self, stream: StoreStream, records: Vec<StoreRecord>) {
+        let page = NewestPage { records, end: Offset(10), more_after: None };
+        self.handle(GatewayEvent::Read { stream, answer: FeedAnswer::Newest(Ok(page)) });
+    }
+
+    pub fn page(&mut self, stream: StoreStream, records: Vec<StoreRecord>) {
+        let page = StorePage { records, next: Offset(11), end: Offset(11) };
+        self.handle(GatewayEvent::Read { stream, answer: FeedAnswer::From(Ok(page)) });
+    }
+
+    pub fn quiet(&mut self, stream: StoreStream) {
+        self.page(stream, Vec::new());
+    }
+
+    /// Lets a request of a path arrive.
+    pub fn arrive(&mut self, path: &str) -> RequestNumber {
+        self.arrive_with(path, |_| {})
+    }
+
+    pub fn arrive_with(
+        &mut self,
+        path: &str,
+        change: impl FnOnce(&mut RoutedArrival),
+    ) -> RequestNumber {
+        self.requests += 1;
+        let request = RequestNumber(self.requests);
+        let is_engine = !path.starts_with("/book") && !path.starts_with("/slot");
+        let part = |id, tokens| PromptPart { id, tokens: Tokens(tokens) };
+        let parts = vec![part(7, 8_000), part(1_000 + self.requests, 1_000)];
+        let mut arrival = RoutedArrival {
+            request,
+            caller_id: format!("call-{}", self.requests).into(),
+            host: "plaza.example".into(),
+            path: path.into(),
+            key: Some(KEY.into()),
+            deadline: Some(Millis(6_000)),
+            session: None,
+            any_model: path.starts_with("/sized"),
+            prompt_tokens: Tokens(if is_engine { 9_000 } else { 0 }),
+            output_limit: Tokens(100),
+            parts: if is_engine { parts } else { Vec::new() },
+            last_event: None,
+            fingerprint: self.requests,
+        };
+        change(&mut arrival);
+        self.handle(GatewayEvent::Arrived(Box::new(arrival)));
+        request
+    }
+
+    pub fn began(&mut self, request: RequestNumber, attempt: u64, confidence: Option<u8>) {
+        let head = AnswerHead { status: 200, load: None, confidence };
+        self.report(request, attempt, RunReport::Began { head });
+    }
+
+    pub fn whole(&mut self, request: RequestNumber, attempt: u64, status: u16) {
+        let head = AnswerHead { status, load: None, confidence: None };
+        self.report(request, attempt, RunReport::Ended(RunOutcome::Whole { head }));
+    }
+
+    pub fn not_run(&mut self, request: RequestNumber, attempt: u64, cause: NotRunCause) {
+        let outcome = RunOutcome::NotRun { cause, load: None };
+        self.report(request, attempt, RunReport::Ended(outcome));
+    }
+
+    pub fn broken(&mut self, request: RequestNumber, attempt: u64, last_event: Option<u64>) {
+        let fault = guavapass::control::AttemptFault::Closed;
+        let outcome = RunOutcome::Broken { fault, last_event };
+        self.report(request, attempt, RunReport::Ended(outcome));
+    }
+
+    pub fn report(&mut self, request: RequestNumber, attempt: u64, report: RunReport) {
+        self.handle(GatewayEvent::Run { request, attempt: AttemptId(attempt), report });
+    }
+
+    /// Returns the orders to send a request.
+    pub fn starts(&self, request: RequestNumber) -> Vec<&RunOrder> {
+        let starts = self.commands.iter().filter_map(|command| match command {
+            GatewayCommand::Start(order) if order.request == request => Some(order.as_ref()),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    /// Returns the final refusal of a request.
+    pub fn refusal(&self, request: RequestNumber) -> Option<&Refusal> {
+        self.commands.iter().find_map(|command| match command {
+            GatewayCommand::Refuse { request: refused, refusal } if *refused == request => {
+                Some(refusal)
+            }
+            _ => None,
+        })
+    }
+
+    pub fn is_delivered(&self, request: RequestNumber, attempt: u64) -> bool {
+        let wanted = GatewayCommand::Deliver { request, attempt: AttemptId(attempt) };
+        self.commands.contains(&wanted)
+    }
+
+    pub fn is_broken_off(&self, request: RequestNumber) -> bool {
+        self.commands.contains(&GatewayCommand::BreakOff { request })
+    }
+
+    /// Returns the appends of roll-out records.
+    pub fn rollout_appends(&self) -> Vec<(RolloutState, Option<Offset>)> {
+        let appends = self.commands.iter().filter_map(|command| match command {
+            GatewayCommand::Append { record: StoreRecord::Rollout(record), at } => {
+                Some((record.state, *at))
+            }
+            _ => None,
+        });
+        appends.collect()
+    }
+}
+
+pub fn pool(name: &str) -> PoolId {
+    text(name)
+}
+
+pub fn server_id(name: &str) -> ServerId {
+    text(name)
+}
+
+pub fn model(name: &str) -> ModelId {
+    text(name)
+}
