--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -97,7 +97,7 @@
             is_stream: state.route.kind.is_stream(),
             time_left: state.ends.since(now),
             model: state.model.clone(),
-            rank: is_engine.then_some(state.rank),
+            rank: is_engine.then(|| Self::engine_rank(state)),
             team: state.team.clone(),
             after_event: state.last_event,
         };
@@ -116,6 +116,15 @@
         self.emit(GatewayCommand::Start(Box::new(order)));
     }
 
+    /// Returns the rank of a request in an engine's queue. Short work goes first: a larger model
+    /// takes many times as long to read a prompt, and what waits behind it would be late too.
+    fn engine_rank(state: &RoutedRequest) -> u8 {
+        /// Behind all ranks of routes and teams.
+        const LARGE_MODEL_RANK: u8 = 5;
+        let is_large = state.model.is_some() && state.model.as_ref() != state.route.models.first();
+        if is_large { LARGE_MODEL_RANK + state.rank } else { state.rank }
+    }
+
     fn pace(&self, state: &RoutedRequest) -> PoolPace {
         let is_engine = !state.arrival.parts.is_empty();
         let unknown = if is_engine { PoolPace::engine() } else { PoolPace::service() };
