Escalate by pressure: cached prompts and the most doubtful answers first

Change: what reading a prompt costs those behind it rises with the wait of larger models' first events, relative to the objective.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 mod admit;
 mod answer_tally;
 mod backend_server;
+mod engine_pressure;
 mod gateway_bounds;
 mod gateway_command;
 mod gateway_core;
@@ -47,6 +48,7 @@
 pub use {
     answer_tally::AnswerTally,
     backend_server::BackendServer,
+    engine_pressure::EnginePressure,
     gateway_bounds::GatewayBounds,
     gateway_command::GatewayCommand,
     gateway_core::Gateway,
--- a/src/gateway/model_choice.rs
+++ b/src/gateway/model_choice.rs
@@ -14,6 +14,10 @@
     pub confidence: u8,
     /// Whether the larger model's first event is expected within the objective.
     pub is_on_time: bool,
+    /// How long larger models keep callers waiting now, as a part of what they accept.
+    pub pressure: f64,
+    /// The part of the prompt that the larger model has to read.
+    pub unread_part: f64,
 }
 
 impl AnswerPrognosis {
@@ -26,6 +30,9 @@
     /// What the larger model costs, as a share of a good answer's worth.
     const LARGE_COST: f64 = 0.12;
 
+    /// What reading a whole prompt costs the requests behind it, at a pressure of one.
+    const READING_COST: f64 = 0.6;
+
     /// Returns how likely the answer at hand is good.
     #[must_use]
     pub fn good_share(&self) -> f64 {
@@ -38,6 +45,7 @@
     #[must_use]
     pub fn is_worth_more(&self) -> bool {
         let larger = if self.is_on_time { 1.0 } else { Self::LATE_WORTH };
-        larger - Self::LARGE_COST > self.good_share()
+        let reading = Self::READING_COST * self.pressure * self.unread_part;
+        larger - Self::LARGE_COST - reading > self.good_share()
     }
 }
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -91,6 +91,12 @@
         failed.map(|run| run.server.clone()).collect()
     }
 
+    /// Returns whether a larger model than the smallest is to answer, by the router's choice.
+    #[must_use]
+    pub fn is_large(&self) -> bool {
+        self.model.is_some() && self.model.as_ref() != self.route.models.first()
+    }
+
     /// Returns the parts of the prompt as a cache keeps them: a part for each model.
     #[must_use]
     pub fn cached_parts(&self) -> Vec<PromptPart> {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -121,8 +121,7 @@
     fn engine_rank(state: &RoutedRequest) -> u8 {
         /// Behind all ranks of routes and teams.
         const LARGE_MODEL_RANK: u8 = 5;
-        let is_large = state.model.is_some() && state.model.as_ref() != state.route.models.first();
-        if is_large { LARGE_MODEL_RANK + state.rank } else { state.rank }
+        if state.is_large() { LARGE_MODEL_RANK + state.rank } else { state.rank }
     }
 
     fn pace(&self, state: &RoutedRequest) -> PoolPace {
@@ -183,6 +182,10 @@
             pace.learn_prompt(run.unread, took.0 as f64);
         }
         self.note_pace(&pool, &run, took);
+        if let Some(state) = self.requests.get(&request).filter(|state| state.is_large()) {
+            let objective = state.route.objective;
+            self.pressures.entry(pool).or_default().note(took, objective);
+        }
         if self.escalate(now, request, attempt, head.confidence) {
             return;
         }
@@ -217,7 +220,10 @@
         let Some((place, side)) = self.find_place(now, &larger) else { return false };
         let due = state.received + state.route.objective;
         let is_on_time = now + place.expected < due;
-        let prognosis = AnswerPrognosis { confidence, is_on_time };
+        let prompt: u64 = state.arrival.parts.iter().map(|part| part.tokens.0).sum();
+        let unread_part = place.unread / prompt.max(1) as f64;
+        let pressure = self.pressure(now, &state.pool);
+        let prognosis = AnswerPrognosis { confidence, is_on_time, pressure, unread_part };
         if !prognosis.is_worth_more() || !self.take_resend(now, &larger.pool) {
             return false;
         }
@@ -229,6 +235,18 @@
         true
     }
 
+    /// Returns how long larger models keep callers of a pool waiting.
+    fn pressure(&self, now: Millis, pool: &PoolId) -> f64 {
+        let awaited = self.requests.values().filter(|state| state.pool == *pool);
+        let awaited = awaited.filter(|state| state.is_large()).filter_map(|state| {
+            let run = state.open_run().filter(|run| run.stage == RunStage::Waiting)?;
+            Some(EnginePressure::part(now.since(run.started), state.route.objective))
+        });
+        let (count, sum) = awaited.fold((0, 0.0), |(count, sum), part| (count + 1, sum + part));
+        let known = self.pressures.get(pool).copied().unwrap_or_default();
+        known.level(sum / f64::from(count.max(1)))
+    }
+
     fn take_resend(&mut self, now: Millis, pool: &PoolId) -> bool {
         let window = self.bounds.resend_window_ms;
         let share = self.bounds.resend_share.get() * Self::RESEND_PART;
