--- a/src/gateway/model_choice.rs
+++ b/src/gateway/model_choice.rs
@@ -31,7 +31,7 @@
     const LARGE_COST: f64 = 0.12;
 
     /// What reading a whole prompt costs the requests behind it, at a pressure of one.
-    const READING_COST: f64 = 0.6;
+    const READING_COST: f64 = 1.0;
 
     /// Returns how likely the answer at hand is good.
     #[must_use]
