Let one VM of a data centre read the store for the others

Change: the VM that ranks first in a data centre reads; the others ask it, with the lease counted from when its read was sent, and go back to the store as soon as it does not answer or is not fresh. Records carry their offset, so that what is known of a key never goes back whatever the source.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -18,6 +18,7 @@
 mod metric_page;
 mod metrics;
 mod peer_client;
+mod relay_client;
 
 pub use {
     control_handle::{ControlHandle, ControlInput},
@@ -36,4 +37,5 @@
     errands::ErrandRunner,
     gateway_thread::GatewayThread,
     peer_client::PeerClient,
+    relay_client::RelayClient,
 };
--- a/src/driver/gateway_handle.rs
+++ b/src/driver/gateway_handle.rs
@@ -8,6 +8,8 @@
     Event(GatewayEvent),
     /// A request, and where its directives go.
     Request(Box<RoutedArrival>, GatewayMailbox),
+    /// Another entry VM's question, and where its answer goes.
+    Poll(Box<RelayPoll>, tokio::sync::oneshot::Sender<RelayAnswer>),
     /// The thread ends at once.
     Halt,
 }
@@ -45,6 +47,13 @@
         let _ = self.events.send(GatewayInput::Event(event));
     }
 
+    /// Asks on behalf of another entry VM; no answer if the control thread has ended.
+    pub async fn poll(&self, poll: RelayPoll) -> Option<RelayAnswer> {
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let _ = self.events.send(GatewayInput::Poll(Box::new(poll), sender));
+        receiver.await.ok()
+    }
+
     /// Ends the control thread at once.
     pub fn halt(&self) {
         let _ = self.events.send(GatewayInput::Halt);
--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -12,6 +12,9 @@
     pub(super) metrics: PageClient,
     pub(super) mailboxes: FxHashMap<RequestNumber, GatewayMailbox>,
     pub(super) swept: Millis,
+    pub(super) relay: Arc<RelayClient>,
+    pub(super) polls: FxHashMap<CallId, tokio::sync::oneshot::Sender<RelayAnswer>>,
+    pub(super) calls: u64,
 }
 
 impl GatewayThread {
@@ -40,6 +43,12 @@
                     self.mailboxes.insert(arrival.request, mailbox);
                     self.handle(GatewayEvent::Arrived(arrival))
                 }
+                Some(GatewayInput::Poll(poll, sender)) => {
+                    self.calls += 1;
+                    let call = CallId(self.calls);
+                    self.polls.insert(call, sender);
+                    self.handle(GatewayEvent::Polled { call, poll })
+                }
                 Some(GatewayInput::Halt) | None => ControlFlow::Break(()),
             };
         }
@@ -96,6 +105,12 @@
             }
             GatewayCommand::Read(read) => self.read(read),
             GatewayCommand::Append { record, at } => self.append(record, at),
+            GatewayCommand::AskPeer { address, poll } => self.ask(address, poll),
+            GatewayCommand::AnswerPeer { call, answer } => {
+                if let Some(sender) = self.polls.remove(&call) {
+                    let _ = sender.send(*answer);
+                }
+            }
             GatewayCommand::HangUpIdle => self.connections.hang_up_idle(),
             GatewayCommand::Stop => return ControlFlow::Break(()),
         }
@@ -124,6 +139,14 @@
         });
     }
 
+    fn ask(&self, address: SocketAddr, poll: RelayPoll) {
+        let (relay, handle) = (Arc::clone(&self.relay), self.handle.clone());
+        tokio::spawn(async move {
+            let answer = relay.ask(address, &poll).await.map(Box::new);
+            handle.send(GatewayEvent::PeerAnswered { purpose: poll.purpose, answer });
+        });
+    }
+
     fn append(&self, record: StoreRecord, at: Option<Offset>) {
         let (store, handle) = (Arc::clone(&self.store), self.handle.clone());
         self.metrics.count("store_appends");
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -32,6 +32,8 @@
     ) -> Result<Self, VmError> {
         let callers = listen(settings.callers.listen)?;
         let status = listen(settings.status.listen)?;
+        let peers = settings.peers.as_ref().map(|peers| listen(peers.listen)).transpose()?;
+        let peer_address = peers.as_ref().map(TcpListener::local_addr).transpose()?;
         let addresses = (callers.local_addr()?, status.local_addr()?);
         let clock = Clock::start();
         let identity = VmIdentity {
@@ -39,7 +41,12 @@
             incarnation: Incarnation(clock.unix().0),
             data_centre: settings.data_centre.clone(),
         };
-        let gateway = Gateway::new(identity, settings.bounds);
+        let mut gateway = Gateway::new(identity.clone(), settings.bounds);
+        if let (Some(address), Some(relay)) = (peer_address, &settings.peers) {
+            let VmIdentity { vm, incarnation, data_centre } = identity;
+            let card = PeerCard { vm, incarnation, data_centre, address };
+            gateway.set_relay(card, relay.seeds.clone());
+        }
         let (handle, inbox) = GatewayHandle::new();
         let flags = Arc::new(GatewayFlags::default());
         let page = MetricPage::default();
@@ -64,6 +71,9 @@
                         metrics,
                         mailboxes,
                         swept,
+                        relay: Arc::new(RelayClient::new()),
+                        polls: FxHashMap::default(),
+                        calls: 0,
                     };
                     thread.run().await;
                 });
@@ -74,7 +84,7 @@
             GatewayDesk::new(handle.clone(), flags, limit, Arc::clone(&connections), page);
         let exchanges = desk.exchanges();
         let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
-        let server = serve(listener, status, desk)?;
+        let server = serve(listener, [Some(status), peers], desk)?;
         Ok(Self {
             handle,
             control: Some(control),
@@ -124,7 +134,7 @@
 
 fn serve(
     callers: CallerListener,
-    status: TcpListener,
+    others: [Option<TcpListener>; 2],
     desk: GatewayDesk,
 ) -> io::Result<ServerThread> {
     let desk = Arc::new(desk);
@@ -136,9 +146,11 @@
         .worker_threads(GatewayVm::TRAFFIC_THREADS)
         .disable_signal()
         .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
-        .listen(callers)?
-        .listen(status)?
-        .run();
+        .listen(callers)?;
+    for listener in others.into_iter().flatten() {
+        server = server.listen(listener)?;
+    }
+    let mut server = server.run();
     let handle = server.handle()?;
     let thread = std::thread::Builder::new().name("serve_routes".into()).spawn(move || {
         if let Err(error) = server.wait() {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,7 +8,8 @@
 //!
 //! A request passes through these steps: it is admitted ([`admit`]), sent to a server ([`runs`]),
 //! and each run ends in an answer that is delivered or in a fault, after which it is sent once more
-//! or refused. The store is followed in [`reads`]; roll-outs are led in [`rollouts`].
+//! or refused. The store is followed in [`reads`], or through another VM in [`relay`]; roll-outs are
+//! led in [`rollouts`].
 
 use super::*;
 
@@ -27,7 +28,11 @@
 mod place_choice;
 mod pool_pace;
 mod reads;
+mod record_book;
 mod record_store;
+mod relay;
+mod relay_message;
+mod relay_peers;
 mod resend_budget;
 mod rollout_order;
 mod rollout_track;
@@ -59,7 +64,10 @@
     model_choice::AnswerPrognosis,
     place_choice::{Place, PlaceWish, SoftwareRule, choose_place},
     pool_pace::PoolPace,
+    record_book::{KeptRecord, RecordBook},
     record_store::RecordStore,
+    relay_message::{FeedAge, PeerCard, PollPurpose, RelayAnswer, RelayPoll},
+    relay_peers::RelayPeers,
     resend_budget::ResendBudget,
     rollout_order::{EvidenceRecord, RolloutOrder, RolloutRecord, RolloutState},
     rollout_track::{RolloutTrack, VersionSide},
@@ -75,3 +83,5 @@
     store_feed::{FeedAnswer, FeedRead, FeedStep, StoreFeed},
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
 };
+
+use relay::RelayState;
--- a/src/gateway/gateway_command.rs
+++ b/src/gateway/gateway_command.rs
@@ -40,6 +40,20 @@
         /// The end that the stream has to have.
         at: Option<Offset>,
     },
+    /// Ask another entry VM for what it has read from the store.
+    AskPeer {
+        /// The address of its listener for other entry VMs.
+        address: SocketAddr,
+        /// The question.
+        poll: RelayPoll,
+    },
+    /// Answer another entry VM.
+    AnswerPeer {
+        /// The call to answer.
+        call: CallId,
+        /// The answer.
+        answer: Box<RelayAnswer>,
+    },
     /// Close the callers' connections on which no request is under way.
     HangUpIdle,
     /// End the process.
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -9,6 +9,8 @@
     pub(super) lease: KnowledgeLease,
     pub(super) feeds: BTreeMap<StoreStream, StoreFeed>,
     pub(super) listed: Option<BTreeSet<ServerId>>,
+    pub(super) records: RecordBook,
+    pub(super) relay: RelayState,
     pub(super) servers: ServerBook,
     pub(super) paces: BTreeMap<(PoolId, Option<ModelId>), PoolPace>,
     pub(super) pressures: BTreeMap<PoolId, EnginePressure>,
@@ -35,10 +37,9 @@
     #[must_use]
     pub fn new(identity: VmIdentity, bounds: GatewayBounds) -> Self {
         let seed = xxh3_64(identity.vm.as_str().as_bytes()) ^ identity.incarnation.0;
-        // Two reads after each other, and the way of the second, stay below the bound.
-        let operator_wait = Millis(bounds.key_removal_ms.0 / 4);
-        let server_pause = Millis(bounds.drain_ms.0 / 2);
+        let operator_wait = Self::operator_wait_of(&bounds);
         let operators = StoreFeed::new(StoreStream::Operators, operator_wait, Millis(0));
+        let server_pause = Self::server_pause_of(&bounds);
         let servers = StoreFeed::new(StoreStream::Servers, Millis(0), server_pause);
         Self {
             identity,
@@ -50,6 +51,8 @@
                 (StoreStream::Servers, servers),
             ]),
             listed: Some(BTreeSet::new()),
+            records: RecordBook::default(),
+            relay: RelayState::default(),
             servers: ServerBook::default(),
             paces: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -66,6 +69,26 @@
         }
     }
 
+    /// Returns how long the store may wait for something that operators publish: two reads after
+    /// each other, and the way of the second, stay below the bound.
+    const fn operator_wait_of(bounds: &GatewayBounds) -> Millis {
+        Millis(bounds.key_removal_ms.0 / 4)
+    }
+
+    /// Returns the pause between two reads of the list of servers: one that fails can be repeated,
+    /// and a reader that has stopped be noticed, within the bound.
+    const fn server_pause_of(bounds: &GatewayBounds) -> Millis {
+        Millis(bounds.drain_ms.0 * 9 / 20)
+    }
+
+    pub(super) const fn operator_wait(&self) -> Millis {
+        Self::operator_wait_of(&self.bounds)
+    }
+
+    pub(super) const fn server_pause(&self) -> Millis {
+        Self::server_pause_of(&self.bounds)
+    }
+
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: GatewayEvent) -> Vec<GatewayCommand> {
         match event {
@@ -77,10 +100,15 @@
             }
             GatewayEvent::Read { stream, answer } => self.on_read(now, stream, &answer),
             GatewayEvent::Appended { record, result } => self.on_appended(now, &record, &result),
+            GatewayEvent::Polled { call, poll } => self.on_poll(now, call, *poll),
+            GatewayEvent::PeerAnswered { purpose, answer } => {
+                self.on_peer_answer(now, purpose, answer.map(|answer| *answer));
+            }
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
         self.end_overdue(now);
         self.lead_rollouts(now);
+        self.run_relay(now);
         self.read_feeds(now);
         self.advance_shutdown(now);
         std::mem::take(&mut self.commands)
@@ -95,7 +123,8 @@
         let read = self.feeds.values().filter_map(StoreFeed::next).min();
         let leads = self.rollouts.values().any(|track| track.state == RolloutState::Running);
         let look = (leads || self.ending.is_some()).then(|| now + Millis(LOOK_MS));
-        [end, read, look].into_iter().flatten().min().unwrap_or(Millis::MAX)
+        let relay = self.relay_next();
+        [end, read, look, relay].into_iter().flatten().min().unwrap_or(Millis::MAX)
     }
 
     /// Returns whether the VM takes new work: it knows a configuration that keyed requests may be
--- a/src/gateway/gateway_document.rs
+++ b/src/gateway/gateway_document.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// The configuration of routes that operators have published.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewayDocument {
     /// The revision, which only rises.
     pub revision: Revision,
@@ -18,7 +18,7 @@
 }
 
 /// What is published of a pool.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PoolShape {
     /// The connections that one server takes from all callers.
     pub connection_limit: u32,
@@ -27,7 +27,7 @@
 }
 
 /// What is published of model engines.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineShape {
     /// The requests that an engine runs at the same time.
     pub slots: u32,
@@ -36,7 +36,7 @@
 }
 
 /// The team that holds a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyHolder {
     /// The team.
     pub team: TeamId,
--- a/src/gateway/gateway_event.rs
+++ b/src/gateway/gateway_event.rs
@@ -35,6 +35,20 @@
         /// The stream's end, or why that is not known.
         result: Result<Offset, StoreError>,
     },
+    /// Another entry VM asks for what this one has read from the store.
+    Polled {
+        /// The call to answer.
+        call: CallId,
+        /// The question.
+        poll: Box<RelayPoll>,
+    },
+    /// Another entry VM was asked.
+    PeerAnswered {
+        /// What it was asked for.
+        purpose: PollPurpose,
+        /// The answer; none if there was none in time.
+        answer: Option<Box<RelayAnswer>>,
+    },
     /// The process was told to end after its work.
     Shutdown,
 }
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -30,7 +30,10 @@
         let FeedStep::Caught { sent } = step else { return };
         match stream {
             StoreStream::Operators => self.lease.renew(sent),
-            StoreStream::Servers => self.end_listing(now, is_newest),
+            StoreStream::Servers => {
+                self.note_servers_read(sent);
+                self.end_listing(now, is_newest);
+            }
             StoreStream::Rollouts => {
                 self.rollout_end = self.feeds.get(&stream).and_then(StoreFeed::end);
             }
@@ -61,14 +64,21 @@
             return;
         }
         let Some(listed) = self.listed.take() else { return };
+        let end = self.feeds.get(&StoreStream::Servers).and_then(StoreFeed::end);
         for server in self.servers.retain_listed(now, &listed) {
             tracing::info!(%server, "server not listed any more");
+            let record = StoreRecord::Server(ServerChange::Removed(server));
+            self.records.take(&KeptRecord { offset: end.unwrap_or_default(), record });
         }
     }
 
-    fn take_records(&mut self, now: Millis, records: &[StoreRecord]) {
-        for record in records {
-            match record {
+    pub(super) fn take_records(&mut self, now: Millis, records: &[KeptRecord]) {
+        for kept in records {
+            self.note_listed(&kept.record);
+            if kept.record.key().is_some() && !self.records.take(kept) {
+                continue;
+            }
+            match &kept.record {
                 StoreRecord::Configuration(document) => self.take_document(document),
                 StoreRecord::Order(order) => self.take_order(now, order),
                 StoreRecord::Server(change) => self.take_server(now, change),
@@ -80,7 +90,23 @@
             }
         }
         if !records.is_empty() {
-            self.servers.forget_removed(now);
+            for server in self.servers.forget_removed(now) {
+                self.records.forget_server(&server);
+            }
+        }
+    }
+
+    /// Notes the servers that a new reading of the list names.
+    fn note_listed(&mut self, record: &StoreRecord) {
+        let Some(listed) = &mut self.listed else { return };
+        match record {
+            StoreRecord::Server(ServerChange::Said(entry)) => {
+                listed.insert(entry.id.clone());
+            }
+            StoreRecord::Server(ServerChange::Removed(id)) => {
+                listed.remove(id);
+            }
+            _ => {}
         }
     }
 
@@ -102,9 +128,6 @@
     fn take_server(&mut self, now: Millis, change: &ServerChange) {
         match change {
             ServerChange::Said(entry) => {
-                if let Some(listed) = &mut self.listed {
-                    listed.insert(entry.id.clone());
-                }
                 let (server, pool) = (entry.id.clone(), entry.pool.clone());
                 let news = self.servers.said(entry.as_ref().clone());
                 let software = &entry.software;
@@ -115,9 +138,6 @@
                 }
             }
             ServerChange::Removed(server) => {
-                if let Some(listed) = &mut self.listed {
-                    listed.remove(server);
-                }
                 if self.servers.removed(now, server) == ServerNews::Leaving {
                     tracing::info!(%server, "server removed");
                 }
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,263 @@
+//! Reading the store once for a data centre.
+//!
+//! Each call to the store has a price, and within a data centre messages have none. So the entry
+//! VMs of a data centre let the one that ranks first read the store, and ask it for what has
+//! changed. An answer tells how old the reading is, and the lease on what operators publish starts
+//! where that reading was sent. A VM whose reader does not answer at once, or has not heard from
+//! the store lately, reads the store itself; so does each VM at its start, and one that knows no
+//! other. Nothing is agreed upon: two readers only cost calls, and two VMs that ask each other see
+//! their answers age and go back to the store.
+
+use super::*;
+
+/// What a VM does to learn what the store has.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RelayState {
+    pub(super) card: Option<PeerCard>,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) peers: RelayPeers,
+    /// The VM that this one relies on instead of the store.
+    pub(super) reader: Option<VmId>,
+    known: Option<(PeerName, u64)>,
+    asked: Option<(PeerCard, Millis)>,
+    next: Millis,
+    greetings: u32,
+    greet_next: Millis,
+    waiting: Vec<WaitingPoll>,
+    servers_read: Option<Millis>,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingPoll {
+    call: CallId,
+    poll: RelayPoll,
+    arrived: Millis,
+}
+
+impl Gateway {
+    /// How long a reader holds an answer back for a change. Short, because a VM whose reader has
+    /// stopped learns of it only by the missing answer.
+    const RELAY_WAIT_MS: u64 = 400;
+    /// The pause between two polls after one that failed, or led to no reader.
+    const RELAY_PAUSE_MS: u64 = 500;
+    /// The pauses between the greetings of a seed: the first ones find VMs that start together.
+    const GREETINGS_MS: [u64; 4] = [300, 1_500, 4_000, 20_000];
+    /// How much older than the pause between two reads a reader's list of servers may be.
+    const SERVERS_SLACK_MS: u64 = 350;
+
+    /// Lets this VM ask others, and be asked.
+    pub fn set_relay(&mut self, card: PeerCard, seeds: Vec<SocketAddr>) {
+        self.relay.seeds = seeds.into_iter().filter(|seed| *seed != card.address).collect();
+        self.relay.card = Some(card);
+    }
+
+    /// Returns when the relay has something to do.
+    pub(super) fn relay_next(&self) -> Option<Millis> {
+        self.relay.card.as_ref()?;
+        let held = self.relay.waiting.iter().map(|waiting| waiting.arrived + waiting.poll.wait);
+        let ask = self.relay.asked.is_none().then_some(self.relay.next);
+        let greet = (!self.relay.seeds.is_empty()).then_some(self.relay.greet_next);
+        held.chain(ask).chain(greet).min()
+    }
+
+    pub(super) fn run_relay(&mut self, now: Millis) {
+        self.answer_polls(now);
+        self.greet_seed(now);
+        self.ask_reader(now);
+    }
+
+    /// Asks the VM that reads the store, once this VM knows everything from the store itself.
+    fn ask_reader(&mut self, now: Millis) {
+        if self.relay.asked.is_some() || now < self.relay.next || self.relay.card.is_none() {
+            return;
+        }
+        if !self.knows_all() {
+            self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
+            return;
+        }
+        let Some(card) = self.relay.peers.reader(now, &self.identity).cloned() else {
+            self.read_store_again(now, "this VM ranks first");
+            self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
+            return;
+        };
+        let is_reader = self.relay.reader.as_ref() == Some(&card.vm);
+        let wait = if is_reader { Millis(Self::RELAY_WAIT_MS) } else { Millis(0) };
+        let Some(from) = self.relay.card.clone() else { return };
+        let known = self.relay.known.clone().filter(|(name, _)| {
+            name.vm == card.vm && name.incarnation == card.incarnation
+        });
+        let evidence = self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
+        let evidence = evidence.collect();
+        let poll = RelayPoll { from, purpose: PollPurpose::Records, known, wait, evidence };
+        self.relay.asked = Some((card.clone(), now));
+        self.emit(GatewayCommand::AskPeer { address: card.address, poll });
+    }
+
+    fn knows_all(&self) -> bool {
+        let knows_servers =
+            self.feeds.get(&StoreStream::Servers).is_some_and(StoreFeed::is_following);
+        self.document.is_some() && knows_servers
+    }
+
+    /// Tells a seed about this VM, and learns the VMs of its data centre.
+    fn greet_seed(&mut self, now: Millis) {
+        if now < self.relay.greet_next || self.relay.seeds.is_empty() {
+            return;
+        }
+        let Some(from) = self.relay.card.clone() else { return };
+        let turn = self.relay.greetings as usize;
+        let last = Self::GREETINGS_MS.len() - 1;
+        self.relay.greetings += 1;
+        self.relay.greet_next = now + Millis(Self::GREETINGS_MS[turn.min(last)]);
+        self.relay.peers.forget_silent(now);
+        let address = self.relay.seeds[turn % self.relay.seeds.len()];
+        let (known, wait) = (None, Millis(0));
+        let purpose = PollPurpose::Greeting;
+        let poll = RelayPoll { from, purpose, known, wait, evidence: Vec::new() };
+        self.emit(GatewayCommand::AskPeer { address, poll });
+    }
+
+    /// Takes in another VM's question.
+    pub(super) fn on_poll(&mut self, now: Millis, call: CallId, poll: RelayPoll) {
+        self.relay.peers.heard(now, &poll.from);
+        for evidence in &poll.evidence {
+            if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
+                track.take_follower(evidence);
+            }
+        }
+        self.relay.waiting.push(WaitingPoll { call, poll, arrived: now });
+    }
+
+    /// Answers the questions for which there is a change, or whose wait is over.
+    fn answer_polls(&mut self, now: Millis) {
+        let change = self.records.last_change();
+        let own = PeerName { vm: self.identity.vm.clone(), incarnation: self.identity.incarnation };
+        let is_due = |waiting: &WaitingPoll| {
+            let known = waiting.poll.known.as_ref().filter(|(name, _)| *name == own);
+            let has_news = known.is_none_or(|(_, known)| *known < change);
+            let is_greeting = waiting.poll.purpose == PollPurpose::Greeting;
+            is_greeting || has_news || now.since(waiting.arrived) >= waiting.poll.wait
+        };
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.relay.waiting).into_iter().partition(is_due);
+        self.relay.waiting = waiting;
+        for waiting in due {
+            self.answer_poll(now, &own, waiting);
+        }
+    }
+
+    fn answer_poll(&mut self, now: Millis, own: &PeerName, waiting: WaitingPoll) {
+        let Some(from) = self.relay.card.clone() else { return };
+        let WaitingPoll { call, poll, arrived } = waiting;
+        let known = poll.known.filter(|(name, _)| name == own).map_or(0, |(_, change)| change);
+        let records = match poll.purpose {
+            PollPurpose::Records => self.records.since(known),
+            PollPurpose::Greeting => Vec::new(),
+        };
+        let answer = RelayAnswer {
+            from,
+            change: self.records.last_change(),
+            records,
+            held: now.since(arrived),
+            operators: self.feed_age(now, StoreStream::Operators),
+            servers: self.feed_age(now, StoreStream::Servers),
+            cards: self.relay.peers.of(&poll.from.data_centre),
+        };
+        self.emit(GatewayCommand::AnswerPeer { call, answer: Box::new(answer) });
+    }
+
+    fn feed_age(&self, now: Millis, stream: StoreStream) -> Option<FeedAge> {
+        let end = self.feeds.get(&stream)?.end()?;
+        let age = match stream {
+            StoreStream::Operators => self.lease.age(now)?,
+            _ => now.since(self.relay.servers_read?),
+        };
+        Some(FeedAge { age, end })
+    }
+
+    /// Notes when the newest read of the list of servers was sent.
+    pub(super) fn note_servers_read(&mut self, sent: Millis) {
+        self.relay.servers_read = self.relay.servers_read.max(Some(sent));
+    }
+
+    /// Takes in another VM's answer.
+    pub(super) fn on_peer_answer(
+        &mut self,
+        now: Millis,
+        purpose: PollPurpose,
+        result: Option<RelayAnswer>,
+    ) {
+        let asked = match purpose {
+            PollPurpose::Records => self.relay.asked.take(),
+            PollPurpose::Greeting => None,
+        };
+        if let Some(answer) = &result {
+            self.relay.peers.heard(now, &answer.from);
+            let others = answer.cards.iter().filter(|card| card.vm != self.identity.vm);
+            for card in others {
+                self.relay.peers.heard(now, card);
+            }
+        }
+        let Some((card, sent)) = asked else { return };
+        match result {
+            Some(answer) if self.is_fresh_answer(&answer) => self.follow(now, sent, &answer),
+            Some(_) => self.leave_reader(now, &card.vm, "its reading of the store is old"),
+            None => self.leave_reader(now, &card.vm, "it does not answer"),
+        }
+    }
+
+    /// Returns whether a VM has heard from the store lately enough to be relied on.
+    fn is_fresh_answer(&self, answer: &RelayAnswer) -> bool {
+        let (Some(operators), Some(servers)) = (answer.operators, answer.servers) else {
+            return false;
+        };
+        let pause = self.server_pause();
+        let operators_limit = Millis(self.operator_wait().0 * 2 + Self::SERVERS_SLACK_MS);
+        servers.age <= pause + Millis(Self::SERVERS_SLACK_MS) && operators.age <= operators_limit
+    }
+
+    fn follow(&mut self, now: Millis, sent: Millis, answer: &RelayAnswer) {
+        let from = &answer.from;
+        if self.relay.reader.as_ref() != Some(&from.vm) {
+            tracing::info!(reader = %from.vm, "another VM reads the store for this one");
+            self.relay.reader = Some(from.vm.clone());
+        }
+        let name = PeerName { vm: from.vm.clone(), incarnation: from.incarnation };
+        self.relay.known = Some((name, answer.change));
+        self.relay.next = now;
+        self.take_records(now, &answer.records);
+        let answered = sent + answer.held;
+        if let Some(operators) = answer.operators {
+            self.lease.renew(answered.since(operators.age));
+            self.pause_feed(StoreStream::Operators, operators.end);
+        }
+        if let Some(servers) = answer.servers {
+            self.note_servers_read(answered.since(servers.age));
+            self.pause_feed(StoreStream::Servers, servers.end);
+        }
+        self.feeds.remove(&StoreStream::Rollouts);
+        self.feeds.remove(&StoreStream::Evidence);
+    }
+
+    fn pause_feed(&mut self, stream: StoreStream, end: Offset) {
+        if let Some(feed) = self.feeds.get_mut(&stream) {
+            feed.pause_at(end);
+        }
+    }
+
+    fn leave_reader(&mut self, now: Millis, reader: &VmId, reason: &'static str) {
+        self.relay.peers.failed(now, reader);
+        self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
+        self.read_store_again(now, reason);
+    }
+
+    /// Goes back to reading the store.
+    fn read_store_again(&mut self, now: Millis, reason: &'static str) {
+        let Some(reader) = self.relay.reader.take() else { return };
+        tracing::info!(%reader, reason, "this VM reads the store itself again");
+        for feed in self.feeds.values_mut() {
+            feed.resume(now);
+        }
+        self.follow_rollouts();
+    }
+}
--- /dev/null
+++ b/src/gateway/relay_message.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+/// How other entry VMs reach one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerCard {
+    /// The entry VM.
+    pub vm: VmId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The address of its listener for other entry VMs.
+    pub address: SocketAddr,
+}
+
+/// What a poll is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PollPurpose {
+    /// To tell of the asker and learn the entry VMs of its data centre.
+    Greeting,
+    /// To get what has changed in the store.
+    Records,
+}
+
+/// A question for what another entry VM has read from the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RelayPoll {
+    /// Who asks.
+    pub from: PeerCard,
+    /// What it is for.
+    pub purpose: PollPurpose,
+    /// The start of the asked VM whose changes are known, and the last of them.
+    pub known: Option<(PeerName, u64)>,
+    /// How long the answer may wait for a change.
+    pub wait: Millis,
+    /// What the asker has seen of versions that are brought in.
+    pub evidence: Vec<EvidenceRecord>,
+}
+
+/// How fresh a VM's reading of a stream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedAge {
+    /// The time since the newest read was sent that reached the stream's end.
+    pub age: Millis,
+    /// The offset to read next.
+    pub end: Offset,
+}
+
+/// What an entry VM has read from the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RelayAnswer {
+    /// Who answers.
+    pub from: PeerCard,
+    /// The last change that the records reach to.
+    pub change: u64,
+    /// The records that have changed.
+    pub records: Vec<KeptRecord>,
+    /// How long the answer was held back. The age of a feed counts from the answer, which was given
+    /// at least this long after the poll was sent.
+    pub held: Millis,
+    /// How fresh what operators publish is.
+    pub operators: Option<FeedAge>,
+    /// How fresh the list of backend servers is.
+    pub servers: Option<FeedAge>,
+    /// The entry VMs of the asker's data centre.
+    pub cards: Vec<PeerCard>,
+}
--- a/src/gateway/rollout_order.rs
+++ b/src/gateway/rollout_order.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// An operator's order to bring in a version of a pool's software.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutOrder {
     /// The pool.
     pub pool: PoolId,
@@ -12,7 +12,7 @@
 }
 
 /// How far a roll-out is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RolloutState {
     /// The version gets a share of the requests.
     Running,
@@ -31,7 +31,7 @@
 }
 
 /// A roll-out's state as it lies in the store, for all entry VMs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutRecord {
     /// The pool.
     pub pool: PoolId,
--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -29,7 +29,9 @@
     /// Whether the store has a record of the state.
     pub is_recorded: bool,
     own: AnswerTally,
-    reported: AnswerTally,
+    reported: u32,
+    /// What the VMs have seen for which this one reads the store.
+    followers: BTreeMap<(VmId, Incarnation), AnswerTally>,
     others: BTreeMap<(VmId, Incarnation), AnswerTally>,
     old: AnswerTally,
     old_pace: f64,
@@ -65,7 +67,8 @@
             state: RolloutState::Running,
             is_recorded: false,
             own: AnswerTally { good: 0, bad: 0 },
-            reported: AnswerTally { good: 0, bad: 0 },
+            reported: 0,
+            followers: BTreeMap::new(),
             others: BTreeMap::new(),
             old: AnswerTally { good: 0, bad: 0 },
             old_pace: 1.0,
@@ -134,10 +137,42 @@
         self.others.insert((evidence.vm.clone(), evidence.incarnation), tally);
     }
 
+    /// Takes in what a VM has seen for which this one reads the store.
+    pub fn take_follower(&mut self, evidence: &EvidenceRecord) {
+        if evidence.target == self.order.target {
+            let tally = AnswerTally { good: evidence.good, bad: evidence.bad };
+            self.followers.insert((evidence.vm.clone(), evidence.incarnation), tally);
+        }
+    }
+
+    /// Returns what this VM has seen, if it has seen anything bad.
+    #[must_use]
+    pub fn own_evidence(&self, identity: &VmIdentity) -> Option<EvidenceRecord> {
+        let is_over = self.state.is_final() && self.is_recorded;
+        let has_any = !is_over && self.own.bad > 0;
+        has_any.then(|| self.evidence(identity, self.own))
+    }
+
+    /// Returns what this VM and its followers have seen.
+    fn gathered(&self) -> AnswerTally {
+        self.followers.values().fold(self.own, |sum, tally| sum + *tally)
+    }
+
+    fn evidence(&self, identity: &VmIdentity, tally: AnswerTally) -> EvidenceRecord {
+        EvidenceRecord {
+            vm: identity.vm.clone(),
+            incarnation: identity.incarnation,
+            pool: self.order.pool.clone(),
+            target: self.order.target.clone(),
+            good: tally.good,
+            bad: tally.bad,
+        }
+    }
+
     /// Returns what all VMs have seen, as far as is known.
     #[must_use]
     pub fn sum(&self) -> AnswerTally {
-        self.others.values().fold(self.own, |sum, tally| sum + *tally)
+        self.others.values().fold(self.gathered(), |sum, tally| sum + *tally)
     }
 
     /// Returns whether the evidence speaks against the version.
@@ -156,18 +191,12 @@
 
     /// Returns the evidence to tell the other VMs, if there are new bad answers.
     pub fn report(&mut self, identity: &VmIdentity) -> Option<EvidenceRecord> {
-        if self.own.bad <= self.reported.bad {
+        let gathered = self.gathered();
+        if gathered.bad <= self.reported {
             return None;
         }
-        self.reported = self.own;
-        Some(EvidenceRecord {
-            vm: identity.vm.clone(),
-            incarnation: identity.incarnation,
-            pool: self.order.pool.clone(),
-            target: self.order.target.clone(),
-            good: self.own.good,
-            bad: self.own.bad,
-        })
+        self.reported = gathered.bad;
+        Some(self.evidence(identity, gathered))
     }
 
     /// Returns the state's record for the store.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -53,11 +53,21 @@
         let (pool, target) = (&order.pool, &order.target);
         tracing::info!(%pool, %target, duration_ms = order.duration.0, "roll-out ordered");
         self.rollouts.insert(order.pool.clone(), RolloutTrack::new(now, order.clone()));
+        self.follow_rollouts();
+    }
+
+    /// Follows the records of roll-outs, if one is under way and this VM reads the store itself.
+    pub(super) fn follow_rollouts(&mut self) {
+        let is_over = |track: &RolloutTrack| track.state.is_final() && track.is_recorded;
+        if self.relay.reader.is_some() || self.rollouts.values().all(is_over) {
+            return;
+        }
         for stream in [StoreStream::Rollouts, StoreStream::Evidence] {
             let wait = Millis(Self::ROLLOUT_WAIT_MS);
-            self.feeds.insert(stream, StoreFeed::new(stream, wait, Millis(0)));
+            let feed = || StoreFeed::new(stream, wait, Millis(0));
+            self.feeds.entry(stream).or_insert_with(feed);
         }
-        self.rollout_end = None;
+        self.rollout_end = self.feeds[&StoreStream::Rollouts].end();
     }
 
     pub(super) fn take_rollout(&mut self, record: &RolloutRecord) {
@@ -149,7 +159,8 @@
         } else {
             None
         };
-        let evidence = if is_final || now < self.evidence_next {
+        let is_told_by_reader = self.relay.reader.is_some();
+        let evidence = if is_final || is_told_by_reader || now < self.evidence_next {
             None
         } else {
             track.report(&self.identity)
@@ -170,7 +181,8 @@
         if self.rollout_append.is_some_and(|sent| now.since(sent).0 < AGAIN_MS) {
             return;
         }
-        let Some(at) = self.rollout_end else { return };
+        let is_reading = self.feeds.contains_key(&StoreStream::Rollouts);
+        let Some(at) = self.rollout_end.filter(|_| is_reading) else { return };
         self.rollout_append = Some(now);
         self.emit(GatewayCommand::Append { record: StoreRecord::Rollout(record), at: Some(at) });
     }
--- a/src/gateway/route_entry.rs
+++ b/src/gateway/route_entry.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// How often the requests of a route may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Any number of times.
     Idempotent,
@@ -29,7 +29,7 @@
 }
 
 /// A pool's part of a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PoolWeight {
     /// The pool.
     pub pool: PoolId,
@@ -38,7 +38,7 @@
 }
 
 /// A route that operators have published.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteEntry {
     /// The name, for logs.
     pub name: SmolStr,
--- a/src/gateway/route_table.rs
+++ b/src/gateway/route_table.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Finds the route of a request.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
     hosts: BTreeMap<SmolStr, Vec<Arc<RouteEntry>>>,
 }
--- a/src/gateway/server_book.rs
+++ b/src/gateway/server_book.rs
@@ -84,13 +84,17 @@
         gone
     }
 
-    /// Forgets servers that were removed long ago and have no requests.
-    pub fn forget_removed(&mut self, now: Millis) {
+    /// Forgets servers that were removed long ago and have no requests, and returns them.
+    pub fn forget_removed(&mut self, now: Millis) -> Vec<ServerId> {
         /// Longer than any request; later entries of the same id count as new servers.
         const KEEP_MS: u64 = 60_000;
-        self.servers.retain(|_, server| {
+        let is_old = |server: &BackendServer| {
             let is_old = server.removed.is_some_and(|at| now.since(at).0 > KEEP_MS);
-            !is_old || server.in_flight > 0
-        });
+            is_old && server.in_flight == 0
+        };
+        let gone = self.servers.values().filter(|server| is_old(server));
+        let gone: Vec<ServerId> = gone.map(|server| server.entry.id.clone()).collect();
+        self.servers.retain(|_, server| !is_old(server));
+        gone
     }
 }
--- a/src/gateway/server_entry.rs
+++ b/src/gateway/server_entry.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// What a backend server has said of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// The server.
     pub id: ServerId,
@@ -22,7 +22,7 @@
 }
 
 /// A change in the list of backend servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ServerChange {
     /// A server has said something of itself.
     Said(Box<ServerEntry>),
--- a/src/gateway/store_feed.rs
+++ b/src/gateway/store_feed.rs
@@ -67,6 +67,7 @@
     sent: Option<Millis>,
     next: Millis,
     failures: u32,
+    is_paused: bool,
 }
 
 impl StoreFeed {
@@ -83,13 +84,13 @@
         } else {
             FeedStage::Following { from: Offset(0) }
         };
-        Self { stream, stage, wait, pause, sent: None, next: Millis(0), failures: 0 }
+        Self { stream, stage, wait, pause, sent: None, next: Millis(0), failures: 0, is_paused: false }
     }
 
     /// Returns the time of the next read; none while one is under way.
     #[must_use]
     pub const fn next(&self) -> Option<Millis> {
-        if self.sent.is_some() { None } else { Some(self.next) }
+        if self.sent.is_some() || self.is_paused { None } else { Some(self.next) }
     }
 
     /// Returns whether the newest records of all keys have been read once.
@@ -118,9 +119,25 @@
         self.next = self.next.min(now);
     }
 
+    /// Reads no more; the records up to an offset come from elsewhere.
+    pub const fn pause_at(&mut self, end: Offset) {
+        self.is_paused = true;
+        if let FeedStage::Following { from } = &mut self.stage
+            && from.0 < end.0
+        {
+            *from = end;
+        }
+    }
+
+    /// Reads again.
+    pub fn resume(&mut self, now: Millis) {
+        self.is_paused = false;
+        self.next = now;
+    }
+
     /// Returns the read that is due, if any, and notes that it is sent.
     pub fn read(&mut self, now: Millis) -> Option<FeedRead> {
-        if self.sent.is_some() || now < self.next {
+        if self.sent.is_some() || self.is_paused || now < self.next {
             return None;
         }
         self.sent = Some(now);
@@ -166,7 +183,8 @@
 
     fn take_page(&mut self, now: Millis, sent: Millis, page: &StorePage) -> FeedStep {
         self.failures = 0;
-        self.stage = FeedStage::Following { from: page.next };
+        let known = self.end().unwrap_or_default();
+        self.stage = FeedStage::Following { from: page.next.max(known) };
         let is_caught = page.next >= page.end;
         self.next = if is_caught { now + self.pause } else { now };
         if is_caught { FeedStep::Caught { sent } } else { FeedStep::Behind }
--- a/src/gateway/store_record.rs
+++ b/src/gateway/store_record.rs
@@ -33,7 +33,7 @@
 }
 
 /// A record of one of the streams.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreRecord {
     /// A configuration.
     Configuration(Arc<GatewayDocument>),
@@ -54,11 +54,30 @@
     },
 }
 
+impl StoreRecord {
+    /// Returns the key of which the newest record counts; none of a record that says nothing.
+    #[must_use]
+    pub fn key(&self) -> Option<SmolStr> {
+        Some(match self {
+            Self::Configuration(_) => "configuration".into(),
+            Self::Order(order) => format!("order/{}", order.pool).into(),
+            Self::Server(ServerChange::Said(entry)) => format!("server/{}", entry.id).into(),
+            Self::Server(ServerChange::Removed(id)) => format!("server/{id}").into(),
+            Self::Rollout(record) => format!("rollout/{}", record.pool).into(),
+            Self::Evidence(evidence) => {
+                let EvidenceRecord { vm, incarnation, pool, .. } = evidence;
+                format!("evidence/{vm}/{incarnation}/{pool}").into()
+            }
+            Self::Server(ServerChange::Unreadable { .. }) | Self::Unreadable { .. } => return None,
+        })
+    }
+}
+
 /// The newest record of each key of a stream, or one page of them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NewestPage {
     /// The records.
-    pub records: Vec<StoreRecord>,
+    pub records: Vec<KeptRecord>,
     /// The offset after the last record when the page was made.
     pub end: Offset,
     /// The key to go on after, if there are more.
@@ -69,7 +88,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StorePage {
     /// The records.
-    pub records: Vec<StoreRecord>,
+    pub records: Vec<KeptRecord>,
     /// The offset to read next.
     pub next: Offset,
     /// The offset after the stream's last record.
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -37,6 +37,7 @@
 struct WireItem {
     key: SmolStr,
     value: String,
+    offset: Offset,
 }
 
 impl HttpStore {
@@ -130,7 +131,7 @@
                     Some(StoreRecord::Unreadable { key: item.key, cause: error.to_string().into() })
                 }
             };
-            page.records.extend(record);
+            page.records.extend(record.map(|record| KeptRecord { offset: item.offset, record }));
         }
         Ok(page)
     }
@@ -151,7 +152,11 @@
         let next = Offset(from.0 + frames.len() as u64);
         let records = frames.into_iter().enumerate().filter_map(|(index, frame)| {
             let offset = Offset(from.0 + index as u64);
-            if stream.is_keyed() { keyed_frame(stream, offset, frame) } else { Some(plain_record(offset, frame)) }
+            let record = match stream.is_keyed() {
+                true => keyed_frame(stream, offset, frame),
+                false => Some(plain_record(offset, frame)),
+            };
+            record.map(|record| KeptRecord { offset, record })
         });
         Ok(StorePage { records: records.collect(), next, end: Offset(u64::from_be_bytes(*end)) })
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,7 +15,7 @@
 
 pub use {
     callers::CallerSettings,
-    gateway_settings::{GatewaySettings, RouteListener, StatusListener},
+    gateway_settings::{GatewaySettings, RelayListener, RouteListener, StatusListener},
     listener::ListenerSettings,
     logging::{LogFormat, LogSettings},
     secret::Secret,
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -12,6 +12,9 @@
     pub callers: RouteListener,
     /// The listener for the balancer's questions and for metrics.
     pub status: StatusListener,
+    /// The listener for other entry VMs; without it, this VM reads the store by itself.
+    #[serde(default)]
+    pub peers: Option<RelayListener>,
     /// The platform's store.
     pub store: PlatformSettings,
     /// The bounds that the operators have set.
@@ -33,6 +36,17 @@
     pub answer_limit_bytes: ByteSize,
 }
 
+/// The listener for other entry VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelayListener {
+    /// The address to listen on, by which other entry VMs reach this one.
+    pub listen: SocketAddr,
+    /// Such addresses of other entry VMs, to find the rest by.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// The listener for the balancer's questions and for metrics.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -35,7 +35,7 @@
     event_framer::{EventFramer, FramedEvent},
     exchange_count::ExchangeCount,
     forward::FORWARD_PATH,
-    gateway_desk::{GatewayDesk, GatewayFlags, GatewayShared, RoutedCall},
+    gateway_desk::{GatewayDesk, GatewayFlags, GatewayShared, RELAY_PATH, RoutedCall},
     operator_desk::{OPERATOR_PATH, OperatorDesk},
     peer_desk::{PEER_PATH, PeerDesk},
     sse_scanner::SseScanner,
--- a/src/traffic/gateway_desk.rs
+++ b/src/traffic/gateway_desk.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The path at which entry VMs ask each other.
+pub const RELAY_PATH: &str = "/guavapass/v1/relay";
+
 /// Serves the callers of routes.
 #[derive(Clone)]
 pub struct GatewayDesk {
@@ -65,6 +68,8 @@
 impl GatewayDesk {
     /// The path of the counters and histograms.
     pub const METRICS_PATH: &'static str = "/metrics";
+    /// The largest question of another entry VM.
+    const POLL_LIMIT: ByteSize = ByteSize(64 * 1_024);
     /// The longest time that a body takes to arrive.
     const BODY_TIMEOUT_MS: u64 = 10_000;
 
@@ -100,6 +105,7 @@
         let connection = self.shared.connections.get(request.body().socket_addr());
         let mut response = match connection {
             Some(connection) => self.take(request, connection).await,
+            None if request.uri().path() == RELAY_PATH => self.relay(request).await,
             None => self.status(&request),
         };
         if self.shared.state.is_ending.load(Ordering::Relaxed) {
@@ -121,6 +127,28 @@
         }
     }
 
+    /// Answers another entry VM.
+    async fn relay(&self, request: WebRequest) -> WebResponse {
+        let (_, body) = request.into_parts();
+        let (_, body) = body.replace_body(());
+        let Ok(body) = read_body(body, Self::POLL_LIMIT).await else {
+            return reply::plain(400, "The body cannot be read.\n");
+        };
+        let Ok(poll) = rmp_serde::from_slice(&body) else {
+            return reply::plain(400, "The body is not a poll.\n");
+        };
+        let Some(answer) = self.shared.handle.poll(poll).await else {
+            return reply::plain(503, "This entry VM is ending.\n");
+        };
+        match rmp_serde::to_vec(&answer) {
+            Ok(body) => reply::plain(200, body),
+            Err(error) => {
+                tracing::error!(%error, "an answer to an entry VM cannot be encoded");
+                reply::plain(500, "")
+            }
+        }
+    }
+
     async fn take(
         &self,
         request: WebRequest,
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -20,6 +20,7 @@
     pub now: Millis,
     pub commands: Vec<GatewayCommand>,
     requests: u64,
+    offset: u64,
 }
 
 pub fn text<T: std::str::FromStr>(name: &str) -> T
@@ -122,7 +123,7 @@
     /// Returns a core that knows nothing.
     pub fn empty() -> Self {
         let gateway = Gateway::new(identity("front-1"), bounds());
-        Self { gateway, now: Millis(1_000), commands: Vec::new(), requests: 0 }
+        Self { gateway, now: Millis(1_000), commands: Vec::new(), requests: 0, offset: 10 }
     }
 
     pub fn handle(&mut self, event: GatewayEvent) {
@@ -145,15 +146,28 @@
     }
 
     pub fn newest(&mut self, stream: StoreStream, records: Vec<StoreRecord>) {
-        let page = NewestPage { records, end: Offset(10), more_after: None };
+        let records = self.keep(records);
+        let page = NewestPage { records, end: Offset(self.offset), more_after: None };
         self.handle(GatewayEvent::Read { stream, answer: FeedAnswer::Newest(Ok(page)) });
     }
 
     pub fn page(&mut self, stream: StoreStream, records: Vec<StoreRecord>) {
-        let page = StorePage { records, next: Offset(11), end: Offset(11) };
+        let records = self.keep(records);
+        let end = Offset(self.offset);
+        let page = StorePage { records, next: end, end };
         self.handle(GatewayEvent::Read { stream, answer: FeedAnswer::From(Ok(page)) });
     }
 
+    /// Gives records the offsets after the last ones.
+    pub fn keep(&mut self, records: Vec<StoreRecord>) -> Vec<KeptRecord> {
+        let mut kept = Vec::new();
+        for record in records {
+            kept.push(KeptRecord { offset: Offset(self.offset), record });
+            self.offset += 1;
+        }
+        kept
+    }
+
     pub fn quiet(&mut self, stream: StoreStream) {
         self.page(stream, Vec::new());
     }
