Share what VMs have sent to the servers, through the readers

Change: polls carry what a VM has sent, answers the sum of all others; readers exchange the sums of their data centres each 100 ms.

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -105,7 +105,7 @@
             }
             GatewayCommand::Read(read) => self.read(read),
             GatewayCommand::Append { record, at } => self.append(record, at),
-            GatewayCommand::AskPeer { address, poll } => self.ask(address, poll),
+            GatewayCommand::AskPeer { peer, address, poll } => self.ask(peer, address, poll),
             GatewayCommand::AnswerPeer { call, answer } => {
                 if let Some(sender) = self.polls.remove(&call) {
                     let _ = sender.send(*answer);
@@ -139,11 +139,11 @@
         });
     }
 
-    fn ask(&self, address: SocketAddr, poll: RelayPoll) {
+    fn ask(&self, peer: Option<VmId>, address: SocketAddr, poll: RelayPoll) {
         let (relay, handle) = (Arc::clone(&self.relay), self.handle.clone());
         tokio::spawn(async move {
             let answer = relay.ask(address, &poll).await.map(Box::new);
-            handle.send(GatewayEvent::PeerAnswered { purpose: poll.purpose, answer });
+            handle.send(GatewayEvent::PeerAnswered { peer, purpose: poll.purpose, answer });
         });
     }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,6 +46,8 @@
 mod runs;
 mod server_book;
 mod server_entry;
+mod sent_load;
+mod shared_loads;
 mod store_error;
 mod store_feed;
 mod store_record;
@@ -79,6 +81,8 @@
     run_report::{AnswerHead, NotRunCause, RunOutcome, RunReport},
     server_book::{ServerBook, ServerNews},
     server_entry::{ServerChange, ServerEntry},
+    sent_load::{LoadSum, SentLoad, ServerTag},
+    shared_loads::SharedLoads,
     store_error::StoreError,
     store_feed::{FeedAnswer, FeedRead, FeedStep, StoreFeed},
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -11,6 +11,8 @@
     pub in_flight: u32,
     /// The time that the prompts take that it has yet to read for this VM, in milliseconds.
     pub backlog_ms: f64,
+    /// What other VMs have sent to it; none if they have not told.
+    pub others: Option<SentLoad>,
     /// The newest load that it has told.
     pub load: Option<DatedLoad>,
     /// The share of its recent answers that were failures.
@@ -45,6 +47,7 @@
             removed: None,
             in_flight: 0,
             backlog_ms: 0.0,
+            others: None,
             load: None,
             fail_share: 0.0,
             avoid_until: Millis(0),
@@ -111,6 +114,9 @@
     /// Returns the requests that it is expected to have, those of other VMs included.
     #[must_use]
     pub fn expected_requests(&self, now: Millis) -> f64 {
+        if let Some(others) = self.others {
+            return f64::from(self.in_flight + others.requests);
+        }
         let Some(load) = self.load else { return f64::from(self.in_flight) };
         let told = load.sample.running + load.sample.waiting;
         let others = f64::from(told.saturating_sub(load.own));
@@ -118,9 +124,25 @@
         f64::from(self.in_flight) + others * (-age / Self::LOAD_MEMORY_MS).exp()
     }
 
+    /// Returns the time that the prompts take that it has yet to read, in milliseconds.
+    #[must_use]
+    pub fn expected_backlog(&self) -> f64 {
+        let others = self.others.unwrap_or_default();
+        self.backlog_ms + f64::from(others.backlog_ms)
+    }
+
+    /// Returns what this VM has sent to it.
+    #[must_use]
+    pub fn own_load(&self) -> SentLoad {
+        SentLoad { backlog_ms: self.backlog_ms as u32, requests: self.in_flight }
+    }
+
     /// Returns the requests that wait in its queue, as far as is known.
     #[must_use]
     pub fn expected_waiting(&self, now: Millis) -> f64 {
+        if self.others.is_some() {
+            return 0.0;
+        }
         let Some(load) = self.load else { return 0.0 };
         let age = now.since(load.at).0 as f64;
         f64::from(load.sample.waiting) * (-age / Self::LOAD_MEMORY_MS).exp()
--- a/src/gateway/gateway_command.rs
+++ b/src/gateway/gateway_command.rs
@@ -42,6 +42,8 @@
     },
     /// Ask another entry VM for what it has read from the store.
     AskPeer {
+        /// The VM, if its name is known.
+        peer: Option<VmId>,
         /// The address of its listener for other entry VMs.
         address: SocketAddr,
         /// The question.
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -31,7 +31,7 @@
     /// second and takes out a VM after two misses.
     const BALANCER_LAG_MS: u64 = 2_500;
     /// The time before the process is killed at which it ends by itself.
-    const END_MARGIN_MS: u64 = 400;
+    const END_MARGIN_MS: u64 = 1_000;
 
     /// Returns a core that knows nothing yet.
     #[must_use]
@@ -101,8 +101,8 @@
             GatewayEvent::Read { stream, answer } => self.on_read(now, stream, &answer),
             GatewayEvent::Appended { record, result } => self.on_appended(now, &record, &result),
             GatewayEvent::Polled { call, poll } => self.on_poll(now, call, *poll),
-            GatewayEvent::PeerAnswered { purpose, answer } => {
-                self.on_peer_answer(now, purpose, answer.map(|answer| *answer));
+            GatewayEvent::PeerAnswered { peer, purpose, answer } => {
+                self.on_peer_answer(now, peer, purpose, answer.map(|answer| *answer));
             }
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
--- a/src/gateway/gateway_event.rs
+++ b/src/gateway/gateway_event.rs
@@ -44,6 +44,8 @@
     },
     /// Another entry VM was asked.
     PeerAnswered {
+        /// The VM, if its name is known.
+        peer: Option<VmId>,
         /// What it was asked for.
         purpose: PollPurpose,
         /// The answer; none if there was none in time.
--- a/src/gateway/place_choice.rs
+++ b/src/gateway/place_choice.rs
@@ -119,7 +119,7 @@
     let waiting = server.expected_waiting(now);
     let slots = f64::from(server.entry.slots.max(1));
     let over = (requests - slots + 1.0).max(0.0).max(waiting);
-    let reading = server.backlog_ms + unread * wish.pace.token_ms;
+    let reading = server.expected_backlog() + unread * wish.pace.token_ms;
     let work = reading + requests * wish.pace.neighbour_ms;
     (work + over * wish.pace.queue_ms) * server.slowdown(now)
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,6 +24,10 @@
     greetings: u32,
     greet_next: Millis,
     waiting: Vec<WaitingPoll>,
+    loads: SharedLoads,
+    exchange_next: Millis,
+    /// The VMs of other data centres that are being asked.
+    exchanging: BTreeSet<VmId>,
     servers_read: Option<Millis>,
 }
 
@@ -37,7 +41,9 @@
 impl Gateway {
     /// How long a reader holds an answer back for a change. Short, because a VM whose reader has
     /// stopped learns of it only by the missing answer.
-    const RELAY_WAIT_MS: u64 = 400;
+    const RELAY_WAIT_MS: u64 = 100;
+    /// The pause between two exchanges of loads with another data centre.
+    const EXCHANGE_MS: u64 = 100;
     /// The pause between two polls after one that failed, or led to no reader.
     const RELAY_PAUSE_MS: u64 = 500;
     /// The pauses between the greetings of a seed: the first ones find VMs that start together.
@@ -57,13 +63,42 @@
         let held = self.relay.waiting.iter().map(|waiting| waiting.arrived + waiting.poll.wait);
         let ask = self.relay.asked.is_none().then_some(self.relay.next);
         let greet = (!self.relay.seeds.is_empty()).then_some(self.relay.greet_next);
-        held.chain(ask).chain(greet).min()
+        let exchange = self.relay.reader.is_none().then_some(self.relay.exchange_next);
+        held.chain(ask).chain(greet).chain(exchange).min()
     }
 
     pub(super) fn run_relay(&mut self, now: Millis) {
         self.answer_polls(now);
         self.greet_seed(now);
         self.ask_reader(now);
+        self.exchange_loads(now);
+    }
+
+    /// Exchanges loads with the readers of other data centres, if this VM reads the store itself.
+    fn exchange_loads(&mut self, now: Millis) {
+        if self.relay.reader.is_some() || now < self.relay.exchange_next {
+            return;
+        }
+        self.relay.exchange_next = now + Millis(Self::EXCHANGE_MS);
+        self.servers.note_others(&self.relay.loads.others(now));
+        let Some(from) = self.relay.card.clone() else { return };
+        let partners = self.relay.peers.exchange_partners(now, &self.identity.data_centre);
+        let loads = self.relay.loads.of_centre(now, &self.servers.own_loads());
+        for card in partners {
+            if !self.relay.exchanging.insert(card.vm.clone()) {
+                continue;
+            }
+            let poll = RelayPoll {
+                from: from.clone(),
+                purpose: PollPurpose::Loads,
+                known: None,
+                wait: Millis(0),
+                evidence: Vec::new(),
+                loads: loads.clone(),
+            };
+            let (address, peer) = (card.address, card.vm);
+            self.emit(GatewayCommand::AskPeer { peer: Some(peer), address, poll });
+        }
     }
 
     /// Asks the VM that reads the store, once this VM knows everything from the store itself.
@@ -88,9 +123,11 @@
         });
         let evidence = self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
         let evidence = evidence.collect();
-        let poll = RelayPoll { from, purpose: PollPurpose::Records, known, wait, evidence };
+        let (purpose, loads) = (PollPurpose::Records, self.servers.own_loads());
+        let poll = RelayPoll { from, purpose, known, wait, evidence, loads };
         self.relay.asked = Some((card.clone(), now));
-        self.emit(GatewayCommand::AskPeer { address: card.address, poll });
+        let (address, peer) = (card.address, Some(card.vm));
+        self.emit(GatewayCommand::AskPeer { peer, address, poll });
     }
 
     fn knows_all(&self) -> bool {
@@ -113,13 +150,20 @@
         let address = self.relay.seeds[turn % self.relay.seeds.len()];
         let (known, wait) = (None, Millis(0));
         let purpose = PollPurpose::Greeting;
-        let poll = RelayPoll { from, purpose, known, wait, evidence: Vec::new() };
-        self.emit(GatewayCommand::AskPeer { address, poll });
+        let (evidence, loads) = (Vec::new(), LoadSum::default());
+        let poll = RelayPoll { from, purpose, known, wait, evidence, loads };
+        self.emit(GatewayCommand::AskPeer { peer: None, address, poll });
     }
 
     /// Takes in another VM's question.
-    pub(super) fn on_poll(&mut self, now: Millis, call: CallId, poll: RelayPoll) {
+    pub(super) fn on_poll(&mut self, now: Millis, call: CallId, mut poll: RelayPoll) {
         self.relay.peers.heard(now, &poll.from);
+        let loads = std::mem::take(&mut poll.loads);
+        match poll.purpose {
+            PollPurpose::Records => self.relay.loads.take_follower(now, &poll.from.vm, loads),
+            PollPurpose::Loads => self.relay.loads.take_centre(now, &poll.from.data_centre, loads),
+            PollPurpose::Greeting => {}
+        }
         for evidence in &poll.evidence {
             if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
                 track.take_follower(evidence);
@@ -135,8 +179,8 @@
         let is_due = |waiting: &WaitingPoll| {
             let known = waiting.poll.known.as_ref().filter(|(name, _)| *name == own);
             let has_news = known.is_none_or(|(_, known)| *known < change);
-            let is_greeting = waiting.poll.purpose == PollPurpose::Greeting;
-            is_greeting || has_news || now.since(waiting.arrived) >= waiting.poll.wait
+            let is_plain = waiting.poll.purpose != PollPurpose::Records;
+            is_plain || has_news || now.since(waiting.arrived) >= waiting.poll.wait
         };
         let (due, waiting): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.relay.waiting).into_iter().partition(is_due);
@@ -152,7 +196,17 @@
         let known = poll.known.filter(|(name, _)| name == own).map_or(0, |(_, change)| change);
         let records = match poll.purpose {
             PollPurpose::Records => self.records.since(known),
-            PollPurpose::Greeting => Vec::new(),
+            PollPurpose::Greeting | PollPurpose::Loads => Vec::new(),
+        };
+        let own_loads = self.servers.own_loads();
+        let loads = match poll.purpose {
+            PollPurpose::Records => self.relay.loads.all_but(now, &own_loads, &poll.from.vm),
+            PollPurpose::Loads => self.relay.loads.of_centre(now, &own_loads),
+            PollPurpose::Greeting => LoadSum::default(),
+        };
+        let cards = match poll.purpose {
+            PollPurpose::Greeting => self.relay.peers.for_greeting(&poll.from.data_centre),
+            PollPurpose::Records | PollPurpose::Loads => Vec::new(),
         };
         let answer = RelayAnswer {
             from,
@@ -161,7 +215,9 @@
             held: now.since(arrived),
             operators: self.feed_age(now, StoreStream::Operators),
             servers: self.feed_age(now, StoreStream::Servers),
-            cards: self.relay.peers.of(&poll.from.data_centre),
+            loads,
+            reads_store: self.relay.reader.is_none(),
+            cards,
         };
         self.emit(GatewayCommand::AnswerPeer { call, answer: Box::new(answer) });
     }
@@ -184,13 +240,10 @@
     pub(super) fn on_peer_answer(
         &mut self,
         now: Millis,
+        peer: Option<VmId>,
         purpose: PollPurpose,
         result: Option<RelayAnswer>,
     ) {
-        let asked = match purpose {
-            PollPurpose::Records => self.relay.asked.take(),
-            PollPurpose::Greeting => None,
-        };
         if let Some(answer) = &result {
             self.relay.peers.heard(now, &answer.from);
             let others = answer.cards.iter().filter(|card| card.vm != self.identity.vm);
@@ -198,7 +251,26 @@
                 self.relay.peers.heard(now, card);
             }
         }
-        let Some((card, sent)) = asked else { return };
+        match (purpose, peer) {
+            (PollPurpose::Records, _) => self.on_records(now, result),
+            (PollPurpose::Loads, Some(peer)) => self.on_loads(now, &peer, result),
+            (PollPurpose::Loads, None) | (PollPurpose::Greeting, _) => {}
+        }
+    }
+
+    fn on_loads(&mut self, now: Millis, peer: &VmId, result: Option<RelayAnswer>) {
+        self.relay.exchanging.remove(peer);
+        match result {
+            Some(answer) if answer.reads_store => {
+                let centre = &answer.from.data_centre;
+                self.relay.loads.take_centre(now, centre, answer.loads);
+            }
+            _ => self.relay.peers.failed(now, peer),
+        }
+    }
+
+    fn on_records(&mut self, now: Millis, result: Option<RelayAnswer>) {
+        let Some((card, sent)) = self.relay.asked.take() else { return };
         match result {
             Some(answer) if self.is_fresh_answer(&answer) => self.follow(now, sent, &answer),
             Some(_) => self.leave_reader(now, &card.vm, "its reading of the store is old"),
@@ -225,6 +297,8 @@
         let name = PeerName { vm: from.vm.clone(), incarnation: from.incarnation };
         self.relay.known = Some((name, answer.change));
         self.relay.next = now;
+        self.relay.loads.take_reader(now, answer.loads.clone());
+        self.servers.note_others(&answer.loads);
         self.take_records(now, &answer.records);
         let answered = sent + answer.held;
         if let Some(operators) = answer.operators {
@@ -254,6 +328,7 @@
     /// Goes back to reading the store.
     fn read_store_again(&mut self, now: Millis, reason: &'static str) {
         let Some(reader) = self.relay.reader.take() else { return };
+        self.relay.exchange_next = now;
         tracing::info!(%reader, reason, "this VM reads the store itself again");
         for feed in self.feeds.values_mut() {
             feed.resume(now);
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -20,6 +20,8 @@
     Greeting,
     /// To get what has changed in the store.
     Records,
+    /// To exchange what two data centres have sent to the backend servers.
+    Loads,
 }
 
 /// A question for what another entry VM has read from the store.
@@ -35,6 +37,8 @@
     pub wait: Millis,
     /// What the asker has seen of versions that are brought in.
     pub evidence: Vec<EvidenceRecord>,
+    /// What the asker has sent to the backend servers, or its data centre for [`PollPurpose::Loads`].
+    pub loads: LoadSum,
 }
 
 /// How fresh a VM's reading of a stream is.
@@ -62,6 +66,11 @@
     pub operators: Option<FeedAge>,
     /// How fresh the list of backend servers is.
     pub servers: Option<FeedAge>,
-    /// The entry VMs of the asker's data centre.
+    /// What all others have sent to the backend servers, or the data centre of who answers for
+    /// [`PollPurpose::Loads`].
+    pub loads: LoadSum,
+    /// Whether who answers reads the store itself.
+    pub reads_store: bool,
+    /// For [`PollPurpose::Greeting`], the entry VMs of the asker's data centre and some of others.
     pub cards: Vec<PeerCard>,
 }
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -44,25 +44,55 @@
         self.peers.retain(|_, track| now.since(track.heard).0 < Self::FORGET_MS);
     }
 
-    /// Returns the cards of a data centre.
+    /// Returns the VMs of a data centre, and of each other one those that rank first.
     #[must_use]
-    pub fn of(&self, data_centre: &DataCentreId) -> Vec<PeerCard> {
-        let tracks = self.peers.values().filter(|track| track.card.data_centre == *data_centre);
-        tracks.map(|track| track.card.clone()).collect()
+    pub fn for_greeting(&self, data_centre: &DataCentreId) -> Vec<PeerCard> {
+        /// Enough that one is left when another has just ended.
+        const OF_OTHERS: usize = 2;
+        let mut centres: BTreeMap<&DataCentreId, Vec<&PeerCard>> = BTreeMap::new();
+        for track in self.peers.values() {
+            centres.entry(&track.card.data_centre).or_default().push(&track.card);
+        }
+        let mut cards = Vec::new();
+        for (centre, mut known) in centres {
+            known.sort_by_key(|card| Self::rank(&card.vm));
+            let limit = if centre == data_centre { known.len() } else { OF_OTHERS };
+            cards.extend(known.into_iter().take(limit).cloned());
+        }
+        cards
+    }
+
+    /// Returns the VMs to exchange loads with: of each data centre with a later name, the one that
+    /// ranks first among those that answer.
+    #[must_use]
+    pub fn exchange_partners(&self, now: Millis, own: &DataCentreId) -> Vec<PeerCard> {
+        let mut first: BTreeMap<&DataCentreId, &PeerCard> = BTreeMap::new();
+        for track in self.peers.values().filter(|track| now >= track.avoid_until) {
+            let card = &track.card;
+            let best = first.entry(&card.data_centre).or_insert(card);
+            if Self::rank(&card.vm) < Self::rank(&best.vm) {
+                *best = card;
+            }
+        }
+        let later = first.into_iter().filter(|(centre, _)| *centre > own);
+        later.map(|(_, card)| card.clone()).collect()
+    }
+
+    fn rank(vm: &VmId) -> u64 {
+        xxh3_64(vm.as_str().as_bytes())
     }
 
     /// Returns the VM of a data centre that reads the store for the others: the one that ranks
     /// first among those that answer. None if that is the VM itself.
     #[must_use]
     pub fn reader(&self, now: Millis, own: &VmIdentity) -> Option<&PeerCard> {
-        let rank = |vm: &VmId| xxh3_64(vm.as_str().as_bytes());
-        let own_rank = rank(&own.vm);
+        let own_rank = Self::rank(&own.vm);
         let fit = self.peers.values().filter(|track| {
             track.card.data_centre == own.data_centre
                 && track.card.vm != own.vm
                 && now >= track.avoid_until
-                && rank(&track.card.vm) < own_rank
+                && Self::rank(&track.card.vm) < own_rank
         });
-        fit.min_by_key(|track| rank(&track.card.vm)).map(|track| &track.card)
+        fit.min_by_key(|track| Self::rank(&track.card.vm)).map(|track| &track.card)
     }
 }
--- a/src/gateway/server_book.rs
+++ b/src/gateway/server_book.rs
@@ -40,6 +40,23 @@
         self.servers.values().filter(|server| server.is_open()).count()
     }
 
+    /// Returns what this VM has sent to the servers.
+    #[must_use]
+    pub fn own_loads(&self) -> LoadSum {
+        let mut sum = LoadSum::default();
+        for (id, server) in &self.servers {
+            sum.add(ServerTag::from(id), server.own_load());
+        }
+        sum
+    }
+
+    /// Notes what other VMs have sent to the servers.
+    pub fn note_others(&mut self, others: &LoadSum) {
+        for (id, server) in &mut self.servers {
+            server.others = Some(others.of(ServerTag::from(id)));
+        }
+    }
+
     /// Takes in what a server has said of itself.
     pub fn said(&mut self, entry: ServerEntry) -> ServerNews {
         let is_restart = self.servers.get(&entry.id).is_none_or(|known| {
