Leave silent servers sooner

Connections are probed after 0.7 s without traffic and given up after 1.5 s without acknowledgement; idempotent calls go elsewhere once they are late (tests idempotent_server_silent, once_server_silent).

--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -20,6 +20,8 @@
     pub(super) evidence_next: Millis,
     pub(super) requests: FxHashMap<RequestNumber, RoutedRequest>,
     pub(super) ends: BTreeSet<(Millis, RequestNumber)>,
+    /// When the patience with the run of a request is over.
+    pub(super) patiences: BTreeSet<(Millis, RequestNumber)>,
     pub(super) budgets: BTreeMap<PoolId, ResendBudget>,
     pub(super) ending: Option<Millis>,
     pub(super) random: rand_chacha::ChaCha8Rng,
@@ -62,6 +64,7 @@
             evidence_next: Millis(0),
             requests: FxHashMap::default(),
             ends: BTreeSet::new(),
+            patiences: BTreeSet::new(),
             budgets: BTreeMap::new(),
             ending: None,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
@@ -107,6 +110,7 @@
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
         self.end_overdue(now);
+        self.leave_silent(now);
         self.lead_rollouts(now);
         self.run_relay(now);
         self.read_feeds(now);
@@ -124,7 +128,8 @@
         let leads = self.rollouts.values().any(|track| track.state == RolloutState::Running);
         let look = (leads || self.ending.is_some()).then(|| now + Millis(LOOK_MS));
         let relay = self.relay_next();
-        [end, read, look, relay].into_iter().flatten().min().unwrap_or(Millis::MAX)
+        let patience = self.patiences.first().map(|(at, _)| *at);
+        [end, patience, read, look, relay].into_iter().flatten().min().unwrap_or(Millis::MAX)
     }
 
     /// Returns whether the VM takes new work: it knows a configuration that keyed requests may be
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -3,6 +3,8 @@
 use super::*;
 
 impl Gateway {
+    /// The multiple of the expected time after which a server counts as silent.
+    const PATIENCE: u64 = 4;
     /// The time below which a server cannot answer any more.
     const LEAST_TIME_MS: u64 = 20;
     /// The part of the permitted share of second sends that is used; the rest is for requests that
@@ -113,9 +115,48 @@
             model: state.model.clone(),
             is_dropped: false,
         });
+        if state.route.kind == RouteKind::Idempotent {
+            let patience = state.route.objective.max(Millis(place.expected.0 * Self::PATIENCE));
+            self.patiences.insert((now + patience, request));
+        }
         self.emit(GatewayCommand::Start(Box::new(order)));
     }
 
+    /// Sends calls elsewhere whose server has not answered within the objective. They are late
+    /// already; a server that is cut off or hangs would keep them until nobody waits any more.
+    pub(super) fn leave_silent(&mut self, now: Millis) {
+        while let Some((at, request)) = self.patiences.first().copied() {
+            if at > now {
+                return;
+            }
+            self.patiences.pop_first();
+            self.leave_silent_run(now, request);
+        }
+    }
+
+    fn leave_silent_run(&mut self, now: Millis, request: RequestNumber) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(run) = state.open_run().cloned() else { return };
+        let mut left = state.clone();
+        if let Some(run) = left.run_mut(run.attempt) {
+            run.stage = RunStage::Over;
+        }
+        let is_only = self.find_place(now, &left).is_none_or(|(place, _)| place.server == run.server);
+        if is_only || !left.may_send_again() || !self.take_resend(now, &left.pool) {
+            return;
+        }
+        self.drop_open_run(request);
+        if let Some(server) = self.servers.get_mut(&run.server) {
+            server.missed(now);
+        }
+        self.requests.insert(request, left);
+        let attempt = run.attempt;
+        self.emit(GatewayCommand::Cancel { request, attempt });
+        if let Err(refusal) = self.send(now, request, "the server is silent") {
+            self.refuse(now, request, refusal);
+        }
+    }
+
     /// Returns the rank of a request in an engine's queue. Short work goes first: a larger model
     /// takes many times as long to read a prompt, and what waits behind it would be late too.
     fn engine_rank(state: &RoutedRequest) -> u8 {
--- a/src/traffic/server_links.rs
+++ b/src/traffic/server_links.rs
@@ -34,10 +34,16 @@
     /// The time in which a server in reach accepts a connection: many times the way there and back
     /// (3 ms), short against the shortest objective (100 ms) that a second try may still meet.
     const CONNECT_TIMEOUT_MS: u64 = 250;
-    /// The time after which a connection without traffic is probed, and between two probes.
-    const PROBE_MS: u64 = 1_000;
+    /// The time after which a connection without traffic is probed: longer than most pauses of a
+    /// stream.
+    const PROBE_AFTER_MS: u64 = 700;
+    /// The time between two probes: twice the shortest time after which TCP sends again.
+    const PROBE_PAUSE_MS: u64 = 400;
     /// The probes without an answer after which a connection is given up.
     const PROBE_COUNT: u32 = 2;
+    /// The time after which a connection is given up on which what was sent is not acknowledged.
+    /// TCP sends three times in it; a stream that then goes on elsewhere may still be on time.
+    const UNACKNOWLEDGED_MS: u64 = 1_500;
     /// The time that a server keeps an idle connection if it does not say.
     const DEFAULT_IDLE_MS: u64 = 2_000;
     /// How long before the server an idle connection is given up here.
@@ -69,13 +75,12 @@
 
     /// Lets the system close a connection whose other end has fallen silent.
     fn probe_when_silent(stream: &tokio::net::TcpStream) {
-        let probe = Duration::from_millis(Self::PROBE_MS);
         let keepalive = socket2::TcpKeepalive::new()
-            .with_time(probe)
-            .with_interval(probe)
+            .with_time(Duration::from_millis(Self::PROBE_AFTER_MS))
+            .with_interval(Duration::from_millis(Self::PROBE_PAUSE_MS))
             .with_retries(Self::PROBE_COUNT);
         let socket = socket2::SockRef::from(stream);
-        let timeout = probe * (Self::PROBE_COUNT + 1);
+        let timeout = Duration::from_millis(Self::UNACKNOWLEDGED_MS);
         let set = socket
             .set_tcp_keepalive(&keepalive)
             .and_then(|()| socket.set_tcp_user_timeout(Some(timeout)));
@@ -94,6 +99,7 @@
         self.is_kept = true;
         let ends = Instant::now() + limit.duration();
         IDLE.with_borrow_mut(|idle| {
+            Self::sweep(idle, Instant::now());
             let links = idle.entry(server.clone()).or_default();
             if links.len() < Self::IDLE_LIMIT {
                 links.push(IdleLink { link: self, ends });
@@ -102,13 +108,10 @@
     }
 
     /// Closes the idle connections that are no longer of use.
-    pub(super) fn sweep() {
-        let now = Instant::now();
-        IDLE.with_borrow_mut(|idle| {
-            idle.retain(|_, links| {
-                links.retain(|kept| kept.ends > now && !kept.link.sender.is_closed());
-                !links.is_empty()
-            });
+    fn sweep(idle: &mut FxHashMap<ServerId, Vec<IdleLink>>, now: Instant) {
+        idle.retain(|_, links| {
+            links.retain(|kept| kept.ends > now && !kept.link.sender.is_closed());
+            !links.is_empty()
         });
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -348,3 +348,27 @@
     }
     assert_eq!(pauses, [100, 200, 400, 800, 800, 800]);
 }
+
+#[test]
+fn idempotent_server_silent() {
+    let mut world = GatewayWorld::new();
+    let request = world.arrive("/slot/1");
+    world.tick(1_999);
+    assert_eq!(world.starts(request).len(), 1);
+    world.tick(1);
+    let starts = world.starts(request);
+    assert_eq!(starts.len(), 2, "it is late already and goes elsewhere");
+    assert_ne!(starts[0].server, starts[1].server);
+    world.whole(request, 1, 200);
+    assert!(!world.is_delivered(request, 1), "the run that was left does not count any more");
+    world.whole(request, 2, 200);
+    assert!(world.is_delivered(request, 2));
+}
+
+#[test]
+fn once_server_silent() {
+    let mut world = GatewayWorld::new();
+    let request = world.arrive("/book/1");
+    world.tick(5_000);
+    assert_eq!(world.starts(request).len(), 1, "it may be running");
+}
