--- a/src/command/bills.rs
+++ b/src/command/bills.rs
@@ -49,7 +49,7 @@
     let since = matches.get_one::<Millis>("since");
     let since = since.map_or(Millis(0), |age| Clock::start().unix().since(*age));
     let (fold, rule) = runtime.block_on(async {
-        let log = HttpPlatform::new(*address);
+        let log = HttpStore::new(*address);
         let fold = read_bills(&log).await?;
         Ok::<_, PlatformError>((fold, read_rule(&log).await?))
     })?;
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -209,7 +209,7 @@
     ErrandRunner {
         runtime: runtime.handle().clone(),
         handle: handle.clone(),
-        log: platform.clone(),
+        log: Arc::new(HttpStore::new(settings.platform.address)),
         members: platform.clone(),
         loads: platform.clone(),
         ratings: platform,
--- a/src/driver/gateway_handle.rs
+++ b/src/driver/gateway_handle.rs
@@ -1,5 +1,7 @@
 use super::*;
-use tokio::sync::mpsc::{Receiver, Sender, UnboundedReceiver, UnboundedSender, error::TrySendError};
+use tokio::sync::mpsc::{
+    Receiver, Sender, UnboundedReceiver, UnboundedSender, error::TrySendError,
+};
 
 /// Something that another thread tells the gateway's control thread.
 #[derive(Debug)]
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -80,8 +80,7 @@
             })?
         };
         let limit = settings.callers.answer_limit_bytes;
-        let desk =
-            GatewayDesk::new(handle.clone(), flags, limit, Arc::clone(&connections), page);
+        let desk = GatewayDesk::new(handle.clone(), flags, limit, Arc::clone(&connections), page);
         let exchanges = desk.exchanges();
         let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
         let server = serve(listener, [Some(status), peers], desk)?;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,9 +44,9 @@
 mod run_order;
 mod run_report;
 mod runs;
+mod sent_load;
 mod server_book;
 mod server_entry;
-mod sent_load;
 mod shared_loads;
 mod store_error;
 mod store_feed;
@@ -79,9 +79,9 @@
     routed_request::{RoutedRequest, RunStage, RunTrack},
     run_order::RunOrder,
     run_report::{AnswerHead, NotRunCause, RunOutcome, RunReport},
+    sent_load::{LoadSum, SentLoad, ServerTag},
     server_book::{ServerBook, ServerNews},
     server_entry::{ServerChange, ServerEntry},
-    sent_load::{LoadSum, SentLoad, ServerTag},
     shared_loads::SharedLoads,
     store_error::StoreError,
     store_feed::{FeedAnswer, FeedRead, FeedStep, StoreFeed},
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -58,7 +58,8 @@
             return Ok(Admission { route, team: None, rank });
         }
         if !self.is_fresh(now) {
-            let message = "This entry VM is cut off from the store and cannot check keys; ask again.";
+            let message =
+                "This entry VM is cut off from the store and cannot check keys; ask again.";
             return Err(Self::elsewhere(message));
         }
         let holder = arrival.key.as_ref().and_then(|key| document.keys.get(key));
--- a/src/gateway/place_choice.rs
+++ b/src/gateway/place_choice.rs
@@ -67,15 +67,26 @@
 /// Returns the server that is expected to answer first.
 #[must_use]
 pub fn choose_place(now: Millis, book: &ServerBook, wish: &PlaceWish<'_>) -> Option<Place> {
-    let fit: Vec<&BackendServer> =
-        book.open(wish.pool).filter(|server| wish.software.allows(&server.entry.software)).collect();
+    let fit: Vec<&BackendServer> = book
+        .open(wish.pool)
+        .filter(|server| wish.software.allows(&server.entry.software))
+        .collect();
     let home = home(&fit, wish.parts);
-    let mean_fail = fit.iter().map(|server| server.fail_share).sum::<f64>() / fit.len().max(1) as f64;
+    let mean_fail =
+        fit.iter().map(|server| server.fail_share).sum::<f64>() / fit.len().max(1) as f64;
     let cost = |server: &&&BackendServer| expected_cost(now, server, wish, home, mean_fail);
     let untried = |server: &&&BackendServer| !wish.tried.contains(&server.entry.id);
     let reachable = |server: &&&BackendServer| server.is_reachable(now);
-    let best = fit.iter().filter(untried).filter(reachable).min_by(|left, right| cost(left).total_cmp(&cost(right)));
-    let server = best.or_else(|| fit.iter().filter(untried).min_by_key(|server| server.avoid_until))?;
+    let best = fit
+        .iter()
+        .filter(untried)
+        .filter(reachable)
+        .min_by(|left, right| cost(left).total_cmp(&cost(right)));
+    let server = best
+        .or_else(|| fit.iter().filter(untried).min_by_key(|server| server.avoid_until))
+        .or_else(|| {
+            fit.iter().filter(reachable).min_by(|left, right| cost(left).total_cmp(&cost(right)))
+        })?;
     Some(Place {
         server: server.entry.id.clone(),
         address: server.entry.address,
@@ -89,9 +100,13 @@
 fn home<'a>(servers: &[&'a BackendServer], parts: &[PromptPart]) -> Option<&'a ServerId> {
     let shared = parts.len().checked_sub(2).and_then(|last| parts.get(last))?;
     let rank = |server: &&&BackendServer| {
-        xxh3_64(server.entry.id.as_str().as_bytes()) .rotate_left(17) ^ shared.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)
+        xxh3_64(server.entry.id.as_str().as_bytes()).rotate_left(17)
+            ^ shared.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)
     };
-    servers.iter().max_by_key(|server| xxh3_64(&rank(server).to_le_bytes())).map(|server| &server.entry.id)
+    servers
+        .iter()
+        .max_by_key(|server| xxh3_64(&rank(server).to_le_bytes()))
+        .map(|server| &server.entry.id)
 }
 
 /// Returns the tokens of a prompt that a server has to read: those after the cached parts.
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -132,7 +132,9 @@
                 let news = self.servers.said(entry.as_ref().clone());
                 let software = &entry.software;
                 match news {
-                    ServerNews::Joined => tracing::info!(%server, %pool, %software, "server joined"),
+                    ServerNews::Joined => {
+                        tracing::info!(%server, %pool, %software, "server joined")
+                    }
                     ServerNews::Leaving => tracing::info!(%server, %pool, "server leaving"),
                     ServerNews::Same => {}
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -118,10 +118,13 @@
         let is_reader = self.relay.reader.as_ref() == Some(&card.vm);
         let wait = if is_reader { Millis(Self::RELAY_WAIT_MS) } else { Millis(0) };
         let Some(from) = self.relay.card.clone() else { return };
-        let known = self.relay.known.clone().filter(|(name, _)| {
-            name.vm == card.vm && name.incarnation == card.incarnation
-        });
-        let evidence = self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
+        let known = self
+            .relay
+            .known
+            .clone()
+            .filter(|(name, _)| name.vm == card.vm && name.incarnation == card.incarnation);
+        let evidence =
+            self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
         let evidence = evidence.collect();
         let (purpose, loads) = (PollPurpose::Records, self.servers.own_loads());
         let poll = RelayPoll { from, purpose, known, wait, evidence, loads };
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -94,7 +94,8 @@
     }
 
     pub(super) fn take_evidence(&mut self, evidence: &EvidenceRecord) {
-        let is_own = evidence.vm == self.identity.vm && evidence.incarnation == self.identity.incarnation;
+        let is_own =
+            evidence.vm == self.identity.vm && evidence.incarnation == self.identity.incarnation;
         let Some(track) = self.rollouts.get_mut(&evidence.pool) else { return };
         if !is_own && track.order.target == evidence.target {
             track.take(evidence);
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -114,7 +114,8 @@
     /// Returns whether the request has run.
     #[must_use]
     pub fn run_state(&self) -> RunState {
-        let may_have_run = |run: &RunTrack| !matches!(run.stage, RunStage::NotRun | RunStage::Unsent);
+        let may_have_run =
+            |run: &RunTrack| !matches!(run.stage, RunStage::NotRun | RunStage::Unsent);
         if self.runs.iter().any(may_have_run) { RunState::Unknown } else { RunState::NotRun }
     }
 
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -141,7 +141,8 @@
         if let Some(run) = left.run_mut(run.attempt) {
             run.stage = RunStage::Over;
         }
-        let is_only = self.find_place(now, &left).is_none_or(|(place, _)| place.server == run.server);
+        let is_only =
+            self.find_place(now, &left).is_none_or(|(place, _)| place.server == run.server);
         if is_only || !left.may_send_again() || !self.take_resend(now, &left.pool) {
             return;
         }
--- a/src/gateway/sent_load.rs
+++ b/src/gateway/sent_load.rs
@@ -10,9 +10,7 @@
 }
 
 /// A backend server in messages between entry VMs: a short hash of its id.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ServerTag(u32);
 
--- a/src/gateway/server_book.rs
+++ b/src/gateway/server_book.rs
@@ -90,9 +90,10 @@
 
     /// Removes all servers that are not among those listed, as after a new start of the list.
     pub fn retain_listed(&mut self, now: Millis, listed: &BTreeSet<ServerId>) -> Vec<ServerId> {
-        let missing = self.servers.values_mut().filter(|server| {
-            server.removed.is_none() && !listed.contains(&server.entry.id)
-        });
+        let missing = self
+            .servers
+            .values_mut()
+            .filter(|server| server.removed.is_none() && !listed.contains(&server.entry.id));
         let mut gone = Vec::new();
         for server in missing {
             server.removed = Some(now);
--- a/src/gateway/store_feed.rs
+++ b/src/gateway/store_feed.rs
@@ -84,7 +84,16 @@
         } else {
             FeedStage::Following { from: Offset(0) }
         };
-        Self { stream, stage, wait, pause, sent: None, next: Millis(0), failures: 0, is_paused: false }
+        Self {
+            stream,
+            stage,
+            wait,
+            pause,
+            sent: None,
+            next: Millis(0),
+            failures: 0,
+            is_paused: false,
+        }
     }
 
     /// Returns the time of the next read; none while one is under way.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,8 +58,8 @@
 
 use {
     admission::*, billing::*, claim::*, configuration::*, control::*, document::*, driver::*,
-    gateway::*, health::*, ids::*, peer::*, placement::*, platform::*, ports::*, routing::*, session::*, settings::*,
-    traffic::*, units::*,
+    gateway::*, health::*, ids::*, peer::*, placement::*, platform::*, ports::*, routing::*,
+    session::*, settings::*, traffic::*, units::*,
 };
 
 /// Runs the program with its arguments and returns its exit code.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,20 +9,31 @@
 mod answer_headers;
 mod http_store;
 mod operator_records;
+mod raw_page;
 mod refusals;
 mod request_headers;
 mod rollout_records;
 mod server_records;
 mod store_frames;
 
+/// The path at which the store takes records.
+pub const APPEND_PATH: &str = "/-/log-append";
+/// The path at which the store gives records in order.
+pub const READ_PATH: &str = "/-/log-read";
+/// The path at which the store gives the newest record of each key.
+pub const NEWEST_PATH: &str = "/-/log-newest";
+/// The start of the names of topics that keep the newest record of each key.
+pub const KEYED_PREFIX: &str = "keyed.";
+
 pub use {
     answer_headers::{AnswerFacts, read_answer},
     http_store::HttpStore,
     operator_records::read_operator_record,
+    raw_page::RawPage,
     refusals::refusal_response,
     request_headers::{HeadError, READY_PATH, read_arrival, run_headers},
     server_records::read_server_record,
-    store_frames::{FrameError, read_frames, write_frame},
+    store_frames::{FrameError, read_frames, read_keyed, write_frame, write_keyed},
 };
 
 use rollout_records::{read_rollout_record, rollout_key, write_rollout_record};
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -53,14 +53,17 @@
 
 fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
-    let mut names = values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+    let mut names =
+        values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
     names.any(|name| name.trim().eq_ignore_ascii_case("close"))
 }
 
 /// Reads "running, waiting, slots" and, on shared machines, the slowdown in percent.
 fn load(value: &str) -> Option<LoadSample> {
-    let numbers: Vec<u32> =
-        value.split(',').map(|number| number.trim().parse::<f64>().ok().map(|number| number as u32)).collect::<Option<_>>()?;
+    let numbers: Vec<u32> = value
+        .split(',')
+        .map(|number| number.trim().parse::<f64>().ok().map(|number| number as u32))
+        .collect::<Option<_>>()?;
     let [running, waiting, slots, rest @ ..] = numbers.as_slice() else { return None };
     let slowdown = rest.first().copied().unwrap_or(LoadSample::USUAL_SLOWDOWN);
     Some(LoadSample { running: *running, waiting: *waiting, slots: *slots, slowdown })
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -13,6 +13,7 @@
 
 #[derive(Debug, Deserialize)]
 struct WireAppended {
+    offset: Offset,
     end: Offset,
 }
 
@@ -76,7 +77,8 @@
         body: Vec<u8>,
         wait: Millis,
     ) -> Result<(http::StatusCode, Bytes), StoreError> {
-        let malformed = |cause: &dyn Display| StoreError::Malformed { cause: cause.to_string().into() };
+        let malformed =
+            |cause: &dyn Display| StoreError::Malformed { cause: cause.to_string().into() };
         let request = http::Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
@@ -86,11 +88,16 @@
         let exchange = async {
             let response = self.client.request(request).await.map_err(|error| {
                 let cause = SmolStr::new(error.to_string());
-                if error.is_connect() { StoreError::Unreachable { cause } } else { StoreError::Lost { cause } }
+                if error.is_connect() {
+                    StoreError::Unreachable { cause }
+                } else {
+                    StoreError::Lost { cause }
+                }
             })?;
             let status = response.status();
             let body = Limited::new(response.into_body(), Self::ANSWER_LIMIT_BYTES).collect().await;
-            let body = body.map_err(|error| StoreError::Lost { cause: error.to_string().into() })?;
+            let body =
+                body.map_err(|error| StoreError::Lost { cause: error.to_string().into() })?;
             Ok((status, body.to_bytes()))
         };
         tokio::time::timeout(timeout, exchange)
@@ -107,12 +114,46 @@
         }
     }
 
+    /// Reads the raw records of a topic: the oldest offset kept, the end, and the records.
+    async fn read_frames(
+        &self,
+        topic: &str,
+        from: Offset,
+        wait: Millis,
+    ) -> Result<RawPage, StoreError> {
+        let path =
+            format!("{READ_PATH}?topic={}&part=0&from={from}&wait_ms={}", escape(topic), wait.0);
+        let body = self.get(&path, wait).await?;
+        RawPage::read(&body).map_err(|cause| StoreError::Malformed { cause })
+    }
+
+    /// Appends raw records to a topic; returns the first offset and the new end.
+    async fn append_frames(
+        &self,
+        topic: &str,
+        records: &[Bytes],
+        at: Option<Offset>,
+    ) -> Result<WireAppended, StoreError> {
+        let mut body = Vec::new();
+        for record in records {
+            write_frame(&mut body, record);
+        }
+        let condition = at.map(|at| format!("&at={at}")).unwrap_or_default();
+        let path = format!("{APPEND_PATH}?topic={}&part=0{condition}", escape(topic));
+        let (status, body) = self.call(http::Method::POST, &path, body, Millis(0)).await?;
+        match status.as_u16() {
+            200 => parse::<WireAppended>(&body),
+            412 => Err(StoreError::Moved { end: parse::<WireMoved>(&body)?.end }),
+            status => Err(StoreError::Refused { status }),
+        }
+    }
+
     async fn read_newest(
         &self,
         stream: StoreStream,
         after: Option<SmolStr>,
     ) -> Result<NewestPage, StoreError> {
-        let mut path = format!("/-/log-newest?topic={}&part=0", topic(stream));
+        let mut path = format!("{NEWEST_PATH}?topic={}&part=0", topic(stream));
         if let Some(after) = after {
             path.push_str("&after=");
             path.push_str(&escape(&after));
@@ -142,15 +183,9 @@
         from: Offset,
         wait: Millis,
     ) -> Result<StorePage, StoreError> {
-        let path =
-            format!("/-/log-read?topic={}&part=0&from={from}&wait_ms={}", topic(stream), wait.0);
-        let body = self.get(&path, wait).await?;
-        let malformed = |cause: &str| StoreError::Malformed { cause: cause.into() };
-        let (end, rest) = body.split_first_chunk::<8>().ok_or_else(|| malformed("it is too short"))?;
-        let (_first, rest) = rest.split_first_chunk::<8>().ok_or_else(|| malformed("it is too short"))?;
-        let frames = read_frames(rest).map_err(|error| malformed(&error.to_string()))?;
-        let next = Offset(from.0 + frames.len() as u64);
-        let records = frames.into_iter().enumerate().filter_map(|(index, frame)| {
+        let page = self.read_frames(topic(stream), from, wait).await?;
+        let next = page.next_after(from);
+        let records = page.records.iter().enumerate().filter_map(|(index, frame)| {
             let offset = Offset(from.0 + index as u64);
             let record = match stream.is_keyed() {
                 true => keyed_frame(stream, offset, frame),
@@ -158,7 +193,7 @@
             };
             record.map(|record| KeptRecord { offset, record })
         });
-        Ok(StorePage { records: records.collect(), next, end: Offset(u64::from_be_bytes(*end)) })
+        Ok(StorePage { records: records.collect(), next, end: page.end })
     }
 
     async fn append_record(
@@ -167,21 +202,58 @@
         at: Option<Offset>,
     ) -> Result<Offset, StoreError> {
         let (stream, content) = content(record)?;
-        let mut body = Vec::new();
-        write_frame(&mut body, &content);
-        let mut path = format!("/-/log-append?topic={}&part=0", topic(stream));
-        if let Some(at) = at {
-            path.push_str(&format!("&at={at}"));
-        }
-        let (status, body) = self.call(http::Method::POST, &path, body, Millis(0)).await?;
-        match status.as_u16() {
-            200 => Ok(parse::<WireAppended>(&body)?.end),
-            412 => Err(StoreError::Moved { end: parse::<WireMoved>(&body)?.end }),
-            status => Err(StoreError::Refused { status }),
+        let appended = self.append_frames(topic(stream), &[content.into()], at).await?;
+        Ok(appended.end)
+    }
+
+    /// Returns an error of the store as callers of the log know it.
+    fn log_error(&self, error: StoreError) -> PlatformError {
+        let address = SmolStr::new(self.address.to_string());
+        match error {
+            StoreError::Refused { status } => PlatformError::Refused { address, status },
+            StoreError::Trimmed { first } => PlatformError::Trimmed { oldest: first },
+            StoreError::Unreachable { cause } => PlatformError::Unreachable { address, cause },
+            StoreError::Lost { cause } => PlatformError::Lost { address, cause },
+            StoreError::Malformed { cause } => PlatformError::Malformed { address, cause },
+            StoreError::Moved { .. } => {
+                PlatformError::Malformed { address, cause: error.to_string().into() }
+            }
         }
     }
 }
 
+impl LogService for HttpStore {
+    fn append<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        records: &'a [Bytes],
+    ) -> BoxFuture<'a, Result<Offset, PlatformError>> {
+        Box::pin(async move {
+            let appended = self.append_frames(stream.as_str(), records, None).await;
+            appended.map(|appended| appended.offset).map_err(|error| self.log_error(error))
+        })
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        from: Offset,
+        wait: Millis,
+    ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
+        Box::pin(async move {
+            let page = self.read_frames(stream.as_str(), from, wait).await;
+            let page = page.map_err(|error| self.log_error(error))?;
+            let next = if page.records.is_empty() { page.end } else { page.next_after(from) };
+            let records = page
+                .records
+                .into_iter()
+                .enumerate()
+                .map(|(index, record)| LogRecord { offset: Offset(from.0 + index as u64), record });
+            Ok(LogPage { oldest: page.first, next, records: records.collect() })
+        })
+    }
+}
+
 impl RecordStore for HttpStore {
     fn newest<'a>(
         &'a self,
@@ -226,16 +298,13 @@
 /// Escapes a key for a query.
 fn escape(key: &str) -> String {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte);
-    let escaped = |byte: u8| if plain(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") };
+    let escaped =
+        |byte: u8| if plain(byte) { char::from(byte).to_string() } else { format!("%{byte:02X}") };
     key.bytes().map(escaped).collect()
 }
 
 fn keyed_frame(stream: StoreStream, offset: Offset, frame: &[u8]) -> Option<StoreRecord> {
-    let parts = frame
-        .split_first()
-        .and_then(|(length, rest)| rest.split_at_checked(usize::from(*length)))
-        .and_then(|(key, value)| Some((std::str::from_utf8(key).ok()?, value)));
-    match parts {
+    match read_keyed(frame) {
         Some((key, value)) => keyed_record(stream, key, value),
         None => {
             let key = format!("{stream} at offset {offset}").into();
@@ -268,10 +337,7 @@
 fn content(record: &StoreRecord) -> Result<(StoreStream, Vec<u8>), StoreError> {
     match record {
         StoreRecord::Rollout(record) => {
-            let key = rollout_key(record);
-            let mut content = vec![key.len() as u8];
-            content.extend_from_slice(key.as_bytes());
-            content.extend_from_slice(&write_rollout_record(record));
+            let content = write_keyed(&rollout_key(record), &write_rollout_record(record));
             Ok((StoreStream::Rollouts, content))
         }
         StoreRecord::Evidence(evidence) => rmp_serde::to_vec(evidence)
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -131,7 +131,9 @@
         "safe" => RouteKind::Idempotent,
         "unsafe" => RouteKind::Once,
         "streaming" => RouteKind::Stream { resumable: wire.resumable },
-        other => return Err(format!("the route {} has the unknown kind {other:?}", wire.name).into()),
+        other => {
+            return Err(format!("the route {} has the unknown kind {other:?}", wire.name).into());
+        }
     };
     let mut pools: Vec<PoolWeight> = wire
         .traffic_split
@@ -139,7 +141,8 @@
         .map(|split| PoolWeight { pool: split.service, weight: split.weight })
         .collect();
     if pools.is_empty() {
-        let service = wire.service.ok_or_else(|| format!("the route {} has no service", wire.name))?;
+        let service =
+            wire.service.ok_or_else(|| format!("the route {} has no service", wire.name))?;
         pools.push(PoolWeight { pool: service, weight: 1.0 });
     }
     let timeout = Millis(wire.timeout_ms as u64);
--- /dev/null
+++ b/src/platform/raw_page.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+/// Records of a topic as the store sends them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RawPage {
+    /// The offset after the topic's last record.
+    pub end: Offset,
+    /// The oldest offset kept.
+    pub first: Offset,
+    /// The records in order.
+    pub records: Vec<Bytes>,
+}
+
+impl RawPage {
+    /// Reads a page.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with it.
+    pub fn read(body: &Bytes) -> Result<Self, SmolStr> {
+        let short = || SmolStr::new("it is too short");
+        let (end, rest) = body.split_first_chunk::<8>().ok_or_else(short)?;
+        let (first, rest) = rest.split_first_chunk::<8>().ok_or_else(short)?;
+        let frames = read_frames(rest).map_err(|error| SmolStr::new(error.to_string()))?;
+        Ok(Self {
+            end: Offset(u64::from_be_bytes(*end)),
+            first: Offset(u64::from_be_bytes(*first)),
+            records: frames.into_iter().map(|frame| body.slice_ref(frame)).collect(),
+        })
+    }
+
+    /// Returns the page's bytes.
+    #[must_use]
+    pub fn write(&self) -> Bytes {
+        let mut body = Vec::new();
+        body.extend_from_slice(&self.end.0.to_be_bytes());
+        body.extend_from_slice(&self.first.0.to_be_bytes());
+        for record in &self.records {
+            write_frame(&mut body, record);
+        }
+        body.into()
+    }
+
+    /// Returns the offset after a page that starts at an offset.
+    #[must_use]
+    pub fn next_after(&self, from: Offset) -> Offset {
+        Offset(from.0 + self.records.len() as u64)
+    }
+}
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -68,7 +68,8 @@
 ) -> Result<RoutedArrival, HeadError> {
     let headers = &head.headers;
     let caller_id = text(headers, CALLER_ID)?.ok_or(HeadError::Missing { name: CALLER_ID })?;
-    let host = head.uri.host().or(text(headers, "host")?).ok_or(HeadError::Missing { name: "host" })?;
+    let host =
+        head.uri.host().or(text(headers, "host")?).ok_or(HeadError::Missing { name: "host" })?;
     let key = text(headers, KEY)?.map(SmolStr::new);
     let (prompt_tokens, output_limit) = match text(headers, TOKENS)? {
         Some(tokens) => token_usage(tokens)?,
--- a/src/platform/store_frames.rs
+++ b/src/platform/store_frames.rs
@@ -30,3 +30,20 @@
     }
     Ok(records)
 }
+
+/// Splits the content of a record of a keyed topic into its key and its value.
+#[must_use]
+pub fn read_keyed(content: &[u8]) -> Option<(&str, &[u8])> {
+    let (length, rest) = content.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    Some((std::str::from_utf8(key).ok()?, value))
+}
+
+/// Returns the content of a record of a keyed topic; keys have at most 255 bytes.
+#[must_use]
+pub fn write_keyed(key: &str, value: &[u8]) -> Vec<u8> {
+    let mut content = vec![key.len() as u8];
+    content.extend_from_slice(key.as_bytes());
+    content.extend_from_slice(value);
+    content
+}
--- a/src/ports/http_platform.rs
+++ b/src/ports/http_platform.rs
@@ -1,14 +1,11 @@
 use super::{
-    wire::{
-        AppendAnswer, AppendBody, RatingAnswer, RatingBody, ReadAnswer, ReadRecord, TrimmedAnswer,
-    },
+    wire::{RatingAnswer, RatingBody},
     *,
 };
-use base64::{Engine, prelude::BASE64_STANDARD};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 
-/// The platform over HTTP.
+/// The platform's membership list, rating service and load reports over HTTP.
 pub struct HttpPlatform {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
@@ -18,7 +15,6 @@
     const CALL_TIMEOUT_MS: u64 = 5_000;
     const CONNECT_TIMEOUT_MS: u64 = 1_000;
     const ANSWER_LIMIT_BYTES: usize = 64 << 20;
-    const PAGE_RECORDS: u32 = 1_000;
 
     /// Returns a client of the platform at an address; it must be used inside a tokio runtime.
     #[must_use]
@@ -82,11 +78,6 @@
     ) -> Result<T, PlatformError> {
         let (status, bytes) = self.call(address, method, path, body, wait).await?;
         let name = || SmolStr::new(address.to_string());
-        if status == 410
-            && let Ok(TrimmedAnswer { oldest }) = serde_json::from_slice(&bytes)
-        {
-            return Err(PlatformError::Trimmed { oldest });
-        }
         if status != 200 {
             return Err(PlatformError::Refused { address: name(), status });
         }
@@ -95,61 +86,12 @@
             cause: error.to_string().into(),
         })
     }
-
-    fn decode(&self, record: &ReadRecord) -> Result<LogRecord, PlatformError> {
-        match BASE64_STANDARD.decode(&record.record) {
-            Ok(bytes) => Ok(LogRecord { offset: record.offset, record: bytes.into() }),
-            Err(error) => Err(PlatformError::Malformed {
-                address: self.address.to_string().into(),
-                cause: error.to_string().into(),
-            }),
-        }
-    }
 }
 
 fn to_json(body: &impl Serialize) -> Bytes {
     serde_json::to_vec(body).unwrap_or_default().into()
 }
 
-impl LogService for HttpPlatform {
-    fn append<'a>(
-        &'a self,
-        stream: &'a StreamId,
-        records: &'a [Bytes],
-    ) -> BoxFuture<'a, Result<Offset, PlatformError>> {
-        Box::pin(async move {
-            let records = records.iter().map(|record| BASE64_STANDARD.encode(record)).collect();
-            let body = to_json(&AppendBody { records });
-            let path = format!("/streams/{stream}/records");
-            let answer: AppendAnswer =
-                self.call_json(self.address, http::Method::POST, path, body, Millis(0)).await?;
-            Ok(answer.offset)
-        })
-    }
-
-    fn read<'a>(
-        &'a self,
-        stream: &'a StreamId,
-        from: Offset,
-        wait: Millis,
-    ) -> BoxFuture<'a, Result<LogPage, PlatformError>> {
-        Box::pin(async move {
-            let limit = Self::PAGE_RECORDS;
-            let wait_ms = wait.0;
-            let path =
-                format!("/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}");
-            let answer: ReadAnswer =
-                self.call_json(self.address, http::Method::GET, path, Bytes::new(), wait).await?;
-            let records = answer
-                .records
-                .iter()
-                .map(|record| self.decode(record))
-                .collect::<Result<_, _>>()?;
-            Ok(LogPage { oldest: answer.oldest, next: answer.next, records })
-        })
-    }
-}
-
 impl MembershipService for HttpPlatform {
     fn members(&self) -> BoxFuture<'_, Result<MembershipList, PlatformError>> {
         let path = "/members".to_owned();
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -78,7 +78,12 @@
         for (field, found) in lengths {
             if found.0 < Self::LEAST_BOUND_MS {
                 let found = found.to_string().into();
-                return Err(SettingsError::Range { file, field, found, expected: "at least 500 ms" });
+                return Err(SettingsError::Range {
+                    file,
+                    field,
+                    found,
+                    expected: "at least 500 ms",
+                });
             }
         }
         Ok(settings)
--- a/src/stand_in/log_store.rs
+++ b/src/stand_in/log_store.rs
@@ -5,7 +5,7 @@
 
 /// Streams of records with offsets, kept for a limited time.
 ///
-/// The `next` of a read is where the following read starts; it lies before `from` if the stream
+/// Speaks the protocol of the platform's store. The end of a page lies before `from` if the stream
 /// was restored to an earlier state.
 #[derive(Debug, Default)]
 pub struct LogStore {
@@ -19,29 +19,31 @@
 struct LogStream {
     oldest: u64,
     records: VecDeque<Bytes>,
+    /// The newest record of each key with its offset; only of a stream with keys.
+    newest: BTreeMap<SmolStr, (u64, Bytes)>,
 }
 
 impl LogStream {
     fn next(&self) -> u64 {
         self.oldest + self.records.len() as u64
     }
-}
-
-#[derive(Deserialize)]
-struct AppendRequest {
-    records: Vec<String>,
-}
 
-/// Where a read starts, how much it returns at most and how long it waits.
-#[derive(Clone, Copy)]
-struct ReadRequest {
-    from: u64,
-    limit: usize,
-    wait: Duration,
+    fn push(&mut self, is_keyed: bool, record: Bytes) {
+        if is_keyed && let Some((key, value)) = read_keyed(&record) {
+            let (key, value) = (SmolStr::new(key), record.slice_ref(value));
+            if value.is_empty() {
+                self.newest.remove(&key);
+            } else {
+                self.newest.insert(key, (self.next(), value));
+            }
+        }
+        self.records.push_back(record);
+    }
 }
 
 impl LogStore {
-    const DEFAULT_READ_LIMIT: usize = 1_000;
+    /// The keys in one page of newest records, as the store has it.
+    const NEWEST_LIMIT: usize = 500;
 
     /// Returns its faults.
     #[must_use]
@@ -88,24 +90,28 @@
     }
 
     /// Appends records as a caller of the log would, and returns the first offset.
-    pub fn append(&self, stream: &str, records: impl IntoIterator<Item = Bytes>) -> u64 {
+    pub fn append(&self, name: &str, records: impl IntoIterator<Item = Bytes>) -> u64 {
         let mut streams = lock(&self.streams);
-        let stream = streams.entry(stream.into()).or_default();
+        let stream = streams.entry(name.into()).or_default();
         let first = stream.next();
-        stream.records.extend(records);
+        for record in records {
+            stream.push(name.starts_with(KEYED_PREFIX), record);
+        }
         drop(streams);
         self.appends.fetch_add(1, Ordering::SeqCst);
         self.appended.notify_waiters();
         first
     }
 
-    pub(super) async fn answer(&self, stream: &str, request: &Request<Bytes>) -> Answer {
+    pub(super) async fn answer(&self, request: &Request<Bytes>) -> Answer {
         if self.faults.outage() {
             return Ok(error_reply(StatusCode::SERVICE_UNAVAILABLE, "outage"));
         }
-        let answer = match *request.method() {
-            Method::POST => self.answer_append(stream, request.body()),
-            _ => self.answer_read(stream, read_request(request.uri())).await,
+        let query = LogQuery::read(request.uri());
+        let answer = match request.uri().path() {
+            APPEND_PATH => self.answer_append(&query, request.body()),
+            NEWEST_PATH => self.answer_newest(&query),
+            _ => self.answer_read(&query).await,
         };
         fault_switches::pause(self.faults.delay()).await;
         if self.faults.take_lost_answer() {
@@ -117,70 +123,107 @@
         Ok(answer)
     }
 
-    fn answer_append(&self, stream: &str, body: &[u8]) -> Response<ReplyBody> {
-        let Some(records) = decode_records(body) else {
+    fn answer_append(&self, query: &LogQuery, body: &Bytes) -> Response<ReplyBody> {
+        let Ok(frames) = read_frames(body) else {
             return error_reply(StatusCode::BAD_REQUEST, "bad_records");
         };
-        let offset = self.append(stream, records);
-        json_reply(StatusCode::OK, &serde_json::json!({"offset": offset}))
+        let end = lock(&self.streams).get(&query.topic).map_or(0, LogStream::next);
+        if query.at.is_some_and(|at| at != end) {
+            return json_reply(StatusCode::PRECONDITION_FAILED, &serde_json::json!({"end": end}));
+        }
+        let records: Vec<Bytes> = frames.into_iter().map(|frame| body.slice_ref(frame)).collect();
+        let count = records.len() as u64;
+        let offset = self.append(&query.topic, records);
+        json_reply(StatusCode::OK, &serde_json::json!({"offset": offset, "end": offset + count}))
     }
 
-    async fn answer_read(&self, stream: &str, read: ReadRequest) -> Response<ReplyBody> {
-        let until = tokio::time::Instant::now() + read.wait;
+    fn answer_newest(&self, query: &LogQuery) -> Response<ReplyBody> {
+        let mut streams = lock(&self.streams);
+        let stream = streams.entry(query.topic.clone()).or_default();
+        let after = query.after.clone().unwrap_or_default();
+        let mut rest = stream.newest.iter().filter(|(key, _)| after.is_empty() || **key > after);
+        let items: Vec<_> = rest
+            .by_ref()
+            .take(Self::NEWEST_LIMIT)
+            .map(|(key, (offset, value))| {
+                serde_json::json!({"key": key, "offset": offset, "value": BASE64.encode(value)})
+            })
+            .collect();
+        let more = rest.next().is_some();
+        let body = serde_json::json!({"items": items, "more": more, "end": stream.next()});
+        json_reply(StatusCode::OK, &body)
+    }
+
+    async fn answer_read(&self, query: &LogQuery) -> Response<ReplyBody> {
+        let until = tokio::time::Instant::now() + query.wait;
         loop {
             let appended = self.appended.notified();
             tokio::pin!(appended);
             appended.as_mut().enable();
-            if let Some(response) = self.read(stream, read) {
+            let is_last = tokio::time::Instant::now() >= until;
+            if let Some(response) = self.read(query, is_last) {
                 return response;
             }
-            if tokio::time::timeout_at(until, appended).await.is_err() {
-                break;
-            }
+            let _ = tokio::time::timeout_at(until, appended).await;
         }
-        self.read(stream, ReadRequest { wait: Duration::ZERO, ..read })
-            .unwrap_or_else(|| error_reply(StatusCode::INTERNAL_SERVER_ERROR, "no_answer"))
     }
 
     /// Returns the answer, or nothing if there is no record yet and the reader waits.
-    fn read(&self, name: &str, read: ReadRequest) -> Option<Response<ReplyBody>> {
+    fn read(&self, query: &LogQuery, is_last: bool) -> Option<Response<ReplyBody>> {
         let mut streams = lock(&self.streams);
-        let stream = streams.entry(name.into()).or_default();
-        if read.from < stream.oldest {
-            let body = serde_json::json!({"oldest": stream.oldest, "error": {"code": "trimmed"}});
+        let stream = streams.entry(query.topic.clone()).or_default();
+        if query.from < stream.oldest {
+            let body = serde_json::json!({"first": stream.oldest});
             return Some(json_reply(StatusCode::GONE, &body));
         }
-        let skipped = (read.from - stream.oldest) as usize;
-        let records: Vec<_> = (read.from..)
-            .zip(stream.records.iter().skip(skipped).take(read.limit))
-            .map(|(offset, record)| {
-                serde_json::json!({"offset": offset, "record": BASE64.encode(record)})
-            })
-            .collect();
-        if records.is_empty() && !read.wait.is_zero() {
+        let skipped = (query.from - stream.oldest) as usize;
+        let mut room = query.max_bytes;
+        let records = stream.records.iter().skip(skipped).take_while(|record| {
+            let fits = room >= record.len();
+            room = room.saturating_sub(record.len());
+            fits
+        });
+        let records: Vec<Bytes> = records.cloned().collect();
+        if records.is_empty() && !is_last {
             return None;
         }
-        let next =
-            if records.is_empty() { stream.next() } else { read.from + records.len() as u64 };
-        let body = serde_json::json!({"oldest": stream.oldest, "next": next, "records": records});
-        Some(json_reply(StatusCode::OK, &body))
+        let (end, first) = (Offset(stream.next()), Offset(stream.oldest));
+        let page = RawPage { end, first, records };
+        Some(reply::reply(
+            StatusCode::OK,
+            "application/octet-stream",
+            reply::full_body(page.write()),
+        ))
     }
 }
 
-fn decode_records(body: &[u8]) -> Option<Vec<Bytes>> {
-    let request: AppendRequest = serde_json::from_slice(body).ok()?;
-    request.records.iter().map(|text| BASE64.decode(text).ok().map(Bytes::from)).collect()
+/// What a call to the log asks for.
+struct LogQuery {
+    topic: SmolStr,
+    from: u64,
+    max_bytes: usize,
+    wait: Duration,
+    at: Option<u64>,
+    after: Option<SmolStr>,
 }
 
-fn read_request(uri: &http::Uri) -> ReadRequest {
-    let number = |name: &str| {
-        let mut pairs =
-            uri.query().unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).and_then(|(_, text)| text.parse::<u64>().ok())
-    };
-    ReadRequest {
-        from: number("from").unwrap_or(0),
-        limit: number("limit").map_or(LogStore::DEFAULT_READ_LIMIT, |limit| limit as usize),
-        wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
+impl LogQuery {
+    fn read(uri: &http::Uri) -> Self {
+        /// The store's own limit of a page, in KiB.
+        const DEFAULT_MAX_KB: u64 = 1_024;
+        let text = |name: &str| {
+            let mut pairs =
+                uri.query().unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, text)| SmolStr::new(text))
+        };
+        let number = |name: &str| text(name).and_then(|text| text.parse::<u64>().ok());
+        Self {
+            topic: text("topic").unwrap_or_default(),
+            from: number("from").unwrap_or(0),
+            max_bytes: number("max_kb").unwrap_or(DEFAULT_MAX_KB) as usize * 1_024,
+            wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
+            at: number("at"),
+            after: text("after"),
+        }
     }
 }
--- a/src/stand_in/platform_stand_in.rs
+++ b/src/stand_in/platform_stand_in.rs
@@ -77,9 +77,11 @@
     ) -> BoxFuture<'static, Answer> {
         Box::pin(async move {
             let path = request.uri().path().to_owned();
+            if [APPEND_PATH, READ_PATH, NEWEST_PATH].contains(&path.as_str()) {
+                return self.log.answer(&request).await;
+            }
             let parts: Vec<_> = path.trim_matches('/').split('/').collect();
             match parts.as_slice() {
-                ["streams", stream, "records"] => self.log.answer(stream, &request).await,
                 ["members"] => Ok(self.members.answer()),
                 ["ratings"] => self.ratings.answer(request.body()).await,
                 ["weights", version] => Ok(self.weights.answer(version).await),
--- a/src/traffic/gateway_desk.rs
+++ b/src/traffic/gateway_desk.rs
@@ -149,11 +149,7 @@
         }
     }
 
-    async fn take(
-        &self,
-        request: WebRequest,
-        connection: Arc<CallerConnection>,
-    ) -> WebResponse {
+    async fn take(&self, request: WebRequest, connection: Arc<CallerConnection>) -> WebResponse {
         let open = self.shared.exchanges.enter();
         let number = RequestNumber(self.shared.numbers.fetch_add(1, Ordering::Relaxed));
         let (head, body) = request.into_parts();
@@ -191,7 +187,8 @@
             head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
         let head_limit = state.head_limit.load(Ordering::Relaxed);
         if head_bytes as u64 > head_limit {
-            let message = format!("The head is larger than {head_limit} bytes; send a smaller one.");
+            let message =
+                format!("The head is larger than {head_limit} bytes; send a smaller one.");
             return Err(Refusal::not_run(RefusalCode::HeadTooLarge, message));
         }
         let limit = ByteSize(state.body_limit.load(Ordering::Relaxed));
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -142,11 +142,7 @@
     }
 
     /// Returns the response of a stream, whose body goes on with the exchange.
-    fn stream(
-        self,
-        head: Option<Box<http::response::Parts>>,
-        first: Option<Bytes>,
-    ) -> WebResponse {
+    fn stream(self, head: Option<Box<http::response::Parts>>, first: Option<Bytes>) -> WebResponse {
         let start = first.map(|first| (first, self));
         let parts = futures_util::stream::unfold(StreamTurn::from(start), |turn| async move {
             match turn {
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -53,8 +53,9 @@
             }
             () = tokio::time::sleep(limit.duration()) => Err(AttemptFault::Silent.into()),
         };
-        let outcome = ended.unwrap_or_else(|RunFault { fault, last_event }| {
-            RunOutcome::Broken { fault, last_event }
+        let outcome = ended.unwrap_or_else(|RunFault { fault, last_event }| RunOutcome::Broken {
+            fault,
+            last_event,
         });
         self.report(RunReport::Ended(outcome));
     }
@@ -134,7 +135,9 @@
     async fn collect(&self, mut body: Incoming) -> Result<Bytes, AttemptFault> {
         let mut bytes = Vec::new();
         while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else { continue };
+            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else {
+                continue;
+            };
             if bytes.len() + data.len() > self.desk.answer_limit.0 as usize {
                 return Err(AttemptFault::TooLong);
             }
@@ -179,7 +182,9 @@
         let mut framer = EventFramer::default();
         let mut head = Some(head);
         while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else { continue };
+            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else {
+                continue;
+            };
             framer.feed(&data);
             tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -244,7 +244,8 @@
 #[test]
 fn server_removed() {
     let mut world = GatewayWorld::new();
-    let gone = ["b1", "b2", "b3"].map(|id| StoreRecord::Server(ServerChange::Removed(server_id(id))));
+    let gone =
+        ["b1", "b2", "b3"].map(|id| StoreRecord::Server(ServerChange::Removed(server_id(id))));
     world.page(StoreStream::Servers, gone.into());
     let request = world.arrive("/slot/1");
     let refusal = world.refusal(request).unwrap();
--- /dev/null
+++ b/tests/gateway_relay.rs
@@ -0,0 +1,254 @@
+//! One VM of a data centre reads the store for the others.
+
+#[path = "support/gateway_world.rs"]
+#[allow(dead_code)]
+mod gateway_world;
+
+use gateway_world::*;
+use guavapass::{
+    gateway::*,
+    ids::{CallId, Incarnation, Offset, VmId},
+    units::Millis,
+};
+use std::{net::SocketAddr, sync::Arc};
+
+fn card(vm: &str, data_centre: &str) -> PeerCard {
+    let port: u16 = vm.bytes().map(u16::from).sum();
+    PeerCard {
+        vm: text(vm),
+        incarnation: Incarnation(1),
+        data_centre: text(data_centre),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+    }
+}
+
+/// Returns names of VMs in the order of their ranks in their data centre.
+fn ranked() -> Vec<String> {
+    let mut names: Vec<String> = (1..=3).map(|number| format!("front-{number}")).collect();
+    names.sort_by_key(|name| xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
+    names
+}
+
+/// Returns a core that knows everything, with a card and the others of its data centre.
+fn world(vm: &str) -> GatewayWorld {
+    let mut world = GatewayWorld::new_as(vm);
+    world.gateway.set_relay(card(vm, "norte"), vec![card("seed", "sur").address]);
+    world.tick(0);
+    let cards = ranked().iter().map(|name| card(name, "norte")).collect();
+    let from = card("seed", "sur");
+    let answer = RelayAnswer { from, cards, ..answer("seed", 0, Vec::new()) };
+    world.answered(None, PollPurpose::Greeting, Some(answer));
+    world.commands.clear();
+    world.tick(600);
+    world
+}
+
+fn answer(from: &str, change: u64, records: Vec<KeptRecord>) -> RelayAnswer {
+    let fresh = Some(FeedAge { age: Millis(100), end: Offset(500) });
+    RelayAnswer {
+        from: card(from, "norte"),
+        change,
+        records,
+        held: Millis(0),
+        operators: fresh,
+        servers: fresh,
+        loads: LoadSum::default(),
+        reads_store: true,
+        cards: Vec::new(),
+    }
+}
+
+trait RelayWorld {
+    fn polls(&self, purpose: PollPurpose) -> Vec<(Option<VmId>, RelayPoll)>;
+    fn answered(&mut self, peer: Option<VmId>, purpose: PollPurpose, answer: Option<RelayAnswer>);
+    fn reads(&self) -> usize;
+}
+
+impl RelayWorld for GatewayWorld {
+    fn polls(&self, purpose: PollPurpose) -> Vec<(Option<VmId>, RelayPoll)> {
+        let polls = self.commands.iter().filter_map(|command| match command {
+            GatewayCommand::AskPeer { peer, poll, .. } if poll.purpose == purpose => {
+                Some((peer.clone(), poll.clone()))
+            }
+            _ => None,
+        });
+        polls.collect()
+    }
+
+    fn answered(&mut self, peer: Option<VmId>, purpose: PollPurpose, answer: Option<RelayAnswer>) {
+        let answer = answer.map(Box::new);
+        self.handle(GatewayEvent::PeerAnswered { peer, purpose, answer });
+    }
+
+    fn reads(&self) -> usize {
+        self.commands.iter().filter(|command| matches!(command, GatewayCommand::Read(_))).count()
+    }
+}
+
+#[test]
+fn first_rank_reads_the_store() {
+    let names = ranked();
+    let world = world(&names[0]);
+    assert!(world.polls(PollPurpose::Records).is_empty());
+}
+
+#[test]
+fn others_ask_the_first_rank() {
+    let names = ranked();
+    let mut world = world(&names[2]);
+    let polls = world.polls(PollPurpose::Records);
+    assert_eq!(polls[0].0, Some(text(&names[0])));
+    // What the store still answers to the reads under way is taken.
+    world.answered(Some(text(&names[0])), PollPurpose::Records, Some(answer(&names[0], 3, vec![])));
+    world.quiet(StoreStream::Operators);
+    world.quiet(StoreStream::Servers);
+    world.commands.clear();
+    for _ in 0..20 {
+        world.tick(100);
+        world.answered(None, PollPurpose::Records, Some(answer(&names[0], 3, vec![])));
+    }
+    assert_eq!(world.reads(), 0);
+    assert!(world.gateway.is_ready(world.now));
+}
+
+#[test]
+fn silent_reader_left_at_once() {
+    let names = ranked();
+    let mut world = world(&names[2]);
+    world.answered(None, PollPurpose::Records, Some(answer(&names[0], 3, vec![])));
+    world.quiet(StoreStream::Operators);
+    world.quiet(StoreStream::Servers);
+    world.commands.clear();
+    world.answered(None, PollPurpose::Records, None);
+    assert_eq!(world.reads(), 2, "both streams are read from the store again");
+    world.tick(600);
+    let polls = world.polls(PollPurpose::Records);
+    assert_eq!(polls.last().unwrap().0, Some(text(&names[1])), "the next rank is asked");
+}
+
+#[test]
+fn reader_without_store_left() {
+    let names = ranked();
+    let mut world = world(&names[2]);
+    world.answered(None, PollPurpose::Records, Some(answer(&names[0], 3, vec![])));
+    world.quiet(StoreStream::Operators);
+    world.quiet(StoreStream::Servers);
+    world.commands.clear();
+    let old = Some(FeedAge { age: Millis(1_400), end: Offset(500) });
+    let answer = RelayAnswer { servers: old, ..answer(&names[0], 3, vec![]) };
+    world.answered(None, PollPurpose::Records, Some(answer));
+    assert_eq!(world.reads(), 2);
+}
+
+#[test]
+fn lease_counts_from_the_readers_read() {
+    let names = ranked();
+    let mut world = world(&names[2]);
+    // The answer is held for 1,000 ms and tells of a read that is 500 ms old by then.
+    world.tick(3_500);
+    let operators = Some(FeedAge { age: Millis(500), end: Offset(500) });
+    let held = Millis(1_000);
+    let answer = RelayAnswer { operators, held, ..answer(&names[0], 3, vec![]) };
+    world.answered(None, PollPurpose::Records, Some(answer));
+    // Known as of 500 ms after the poll was sent, which was 3,500 ms ago.
+    world.tick(1_700);
+    let early = world.arrive("/slot/1");
+    assert_eq!(world.starts(early).len(), 1);
+    world.tick(200);
+    let late = world.arrive("/slot/1");
+    assert!(world.refusal(late).is_some());
+}
+
+#[test]
+fn relayed_records_are_taken_once_and_never_back() {
+    let names = ranked();
+    let mut world = world(&names[2]);
+    let kept = |offset, revision| KeptRecord {
+        offset: Offset(offset),
+        record: StoreRecord::Configuration(Arc::new(document(revision))),
+    };
+    world.answered(None, PollPurpose::Records, Some(answer(&names[0], 1, vec![kept(90, 9)])));
+    assert_eq!(world.gateway.document().unwrap().revision.0, 9);
+    let mut leaving = server("b1", BOOKINGS, "v1");
+    leaving.state = guavapass::ports::MemberState::Leaving;
+    let newer = KeptRecord { offset: Offset(300), record: said(leaving) };
+    let older = KeptRecord { offset: Offset(200), record: said(server("b1", BOOKINGS, "v1")) };
+    for records in [vec![newer], vec![older]] {
+        world.answered(None, PollPurpose::Records, Some(answer(&names[0], 2, records)));
+    }
+    for _ in 0..30 {
+        let request = world.arrive("/slot/1");
+        assert_ne!(world.starts(request)[0].server, server_id("b1"));
+    }
+}
+
+#[test]
+fn poll_held_until_a_change() {
+    let names = ranked();
+    let mut world = world(&names[0]);
+    let poll = |known: Option<u64>| RelayPoll {
+        from: card(&names[1], "norte"),
+        purpose: PollPurpose::Records,
+        known: known.map(|change| {
+            let (vm, incarnation) = (text(&names[0]), Incarnation(1));
+            (guavapass::peer::PeerName { vm, incarnation }, change)
+        }),
+        wait: Millis(400),
+        evidence: Vec::new(),
+        loads: LoadSum::default(),
+    };
+    let answers = |world: &GatewayWorld| -> Vec<RelayAnswer> {
+        let answers = world.commands.iter().filter_map(|command| match command {
+            GatewayCommand::AnswerPeer { answer, .. } => Some(answer.as_ref().clone()),
+            _ => None,
+        });
+        answers.collect()
+    };
+    world.handle(GatewayEvent::Polled { call: CallId(1), poll: Box::new(poll(None)) });
+    let first = answers(&world);
+    assert_eq!(first.len(), 1, "who knows nothing is answered at once");
+    assert!(!first[0].records.is_empty());
+    let known = Some(first[0].change);
+    world.handle(GatewayEvent::Polled { call: CallId(2), poll: Box::new(poll(known)) });
+    world.tick(100);
+    assert_eq!(answers(&world).len(), 1);
+    world.page(StoreStream::Operators, vec![StoreRecord::Configuration(Arc::new(document(5)))]);
+    let all = answers(&world);
+    assert_eq!(all.len(), 2);
+    assert_eq!((all[1].records.len(), all[1].held), (1, Millis(100)));
+}
+
+#[test]
+fn loads_of_others_steer_placement() {
+    let names = ranked();
+    let mut world = world(&names[2]);
+    let mut loads = LoadSum::default();
+    for id in ["e1", "e2"] {
+        let load = SentLoad { backlog_ms: 5_000, requests: 9 };
+        loads.add(ServerTag::from(&server_id(id)), load);
+    }
+    let answer = RelayAnswer { loads, ..answer(&names[0], 1, vec![]) };
+    world.answered(None, PollPurpose::Records, Some(answer));
+    for part in 0..10 {
+        let request = world.arrive_with("/plan/1", |arrival| arrival.parts[0].id = 100 + part);
+        assert_eq!(world.starts(request)[0].server, server_id("e3"));
+    }
+}
+
+#[test]
+fn loads_summed_without_the_asker() {
+    let tag = ServerTag::from(&server_id("e1"));
+    let sum = |requests| {
+        let mut sum = LoadSum::default();
+        sum.add(tag, SentLoad { backlog_ms: 10 * requests, requests });
+        sum
+    };
+    let mut shared = SharedLoads::default();
+    shared.take_follower(Millis(0), &text("a"), sum(1));
+    shared.take_follower(Millis(0), &text("b"), sum(2));
+    shared.take_centre(Millis(0), &text("sur"), sum(4));
+    assert_eq!(shared.all_but(Millis(1), &sum(8), &text("a")).of(tag).requests, 14);
+    assert_eq!(shared.of_centre(Millis(1), &sum(8)).of(tag).requests, 11);
+    assert_eq!(shared.others(Millis(1)).of(tag).requests, 7);
+    assert_eq!(shared.others(Millis(5_000)).of(tag).requests, 0, "old sums are forgotten");
+}
--- /dev/null
+++ b/tests/gateway_rollouts.rs
@@ -0,0 +1,183 @@
+//! Roll-outs of routes: shares, evidence, records.
+
+#[path = "support/gateway_world.rs"]
+#[allow(dead_code)]
+mod gateway_world;
+
+use gateway_world::*;
+use guavapass::{
+    gateway::*,
+    ids::{Incarnation, Offset},
+    units::Millis,
+};
+
+const DURATION_MS: u64 = 24_000;
+
+fn order() -> RolloutOrder {
+    RolloutOrder { pool: pool(ENGINES), target: "v2".into(), duration: Millis(DURATION_MS) }
+}
+
+/// Returns a core that has just learned of a roll-out, and knows the stream of their states.
+fn world() -> GatewayWorld {
+    let mut world = GatewayWorld::new();
+    let servers = (1..=3).map(|number| said(server(&format!("n{number}"), ENGINES, "v2")));
+    world.page(StoreStream::Servers, servers.collect());
+    world.page(StoreStream::Operators, vec![StoreRecord::Order(order())]);
+    world.newest(StoreStream::Rollouts, Vec::new());
+    world
+}
+
+fn is_new(world: &GatewayWorld, request: guavapass::ids::RequestNumber) -> bool {
+    world.starts(request)[0].server.as_str().starts_with('n')
+}
+
+/// Returns the part of the sessions that run on the new version.
+fn share(world: &mut GatewayWorld) -> f64 {
+    let requests: Vec<_> = (0..1_000).map(|_| world.arrive("/plan/1")).collect();
+    let share = requests.iter().filter(|request| is_new(world, **request)).count() as f64 / 1_000.0;
+    for request in requests {
+        world.began(request, 1, None);
+        world.whole(request, 1, 200);
+    }
+    share
+}
+
+fn evidence(vm: &str, good: u32, bad: u32) -> StoreRecord {
+    let (vm, incarnation, target) = (text(vm), Incarnation(1), "v2".into());
+    StoreRecord::Evidence(EvidenceRecord {
+        vm,
+        incarnation,
+        pool: pool(ENGINES),
+        target,
+        good,
+        bad,
+    })
+}
+
+#[test]
+fn share_stays_below_exposure_then_rises() {
+    let mut world = world();
+    let trial = share(&mut world);
+    assert!(trial > 0.0 && trial <= 0.15, "{trial} of the sessions at first");
+    world.run_in_touch(DURATION_MS / 2);
+    let middle = share(&mut world);
+    assert!(middle <= 0.15, "{middle} in the middle");
+    world.run_in_touch(DURATION_MS / 5);
+    assert!((share(&mut world) - 1.0).abs() < 0.001);
+}
+
+#[test]
+fn session_keeps_version_in_trial() {
+    let mut world = world();
+    for number in 0..50 {
+        let session = format!("session-{number}");
+        let mut sides = Vec::new();
+        for _ in 0..3 {
+            let request = world.arrive_with("/plan/1", |arrival| {
+                arrival.session = Some(session.as_str().into());
+            });
+            sides.push(is_new(&world, request));
+            world.run_in_touch(1_000 / 10);
+        }
+        assert!(sides.windows(2).all(|pair| pair[0] == pair[1]), "{session}: {sides:?}");
+    }
+}
+
+#[test]
+fn bad_version_withdrawn() {
+    let mut world = world();
+    let mut bad = 0;
+    while bad < 4 {
+        let request = world.arrive("/plan/1");
+        if is_new(&world, request) {
+            world.broken(request, 1, None);
+            bad += 1;
+        }
+    }
+    world.run_in_touch(1_000);
+    let appends = world.rollout_appends();
+    assert!(appends.iter().any(|(state, at)| *state == RolloutState::Withdrawn && at.is_some()));
+    assert!(share(&mut world) == 0.0);
+}
+
+#[test]
+fn bad_version_withdrawn_by_evidence_of_others() {
+    let mut world = world();
+    world.page(StoreStream::Evidence, vec![evidence("front-2", 2, 1), evidence("front-3", 1, 1)]);
+    world.run_in_touch(1_000);
+    let is_withdrawn = |(state, _): &(RolloutState, _)| *state == RolloutState::Withdrawn;
+    assert!(!world.rollout_appends().iter().any(is_withdrawn), "two bad answers may be chance");
+    world.page(StoreStream::Evidence, vec![evidence("front-4", 3, 2)]);
+    assert!(share(&mut world) == 0.0);
+}
+
+#[test]
+fn few_failures_do_not_withdraw() {
+    let mut world = world();
+    world.page(StoreStream::Evidence, vec![evidence("front-2", 96, 4)]);
+    assert!(share(&mut world) > 0.0);
+}
+
+#[test]
+fn evidence_told_with_new_bad_answers_only() {
+    let mut world = world();
+    let told = |world: &GatewayWorld| {
+        let appends = world.commands.iter().filter(|command| {
+            matches!(command, GatewayCommand::Append { record: StoreRecord::Evidence(_), .. })
+        });
+        appends.count()
+    };
+    share(&mut world);
+    assert_eq!(told(&world), 0, "good answers are not told");
+    let request = loop {
+        let request = world.arrive("/plan/1");
+        if is_new(&world, request) {
+            break request;
+        }
+    };
+    world.broken(request, 1, None);
+    world.run_in_touch(1_000);
+    assert_eq!(told(&world), 1);
+}
+
+#[test]
+fn good_version_completed_on_condition() {
+    let mut world = world();
+    world.run_in_touch(DURATION_MS * 8 / 10);
+    let is_completed = |(state, _): &(RolloutState, _)| *state == RolloutState::Completed;
+    assert!(
+        !world.rollout_appends().iter().any(is_completed),
+        "old servers may still have streams"
+    );
+    world.run_in_touch(DURATION_MS / 10);
+    let completed = world.rollout_appends().into_iter().find(is_completed);
+    assert!(completed.is_some_and(|(_, at)| at.is_some()), "the append has a condition");
+}
+
+#[test]
+fn record_of_another_vm_is_obeyed() {
+    let mut world = world();
+    let state = RolloutState::Withdrawn;
+    let record = RolloutRecord { pool: pool(ENGINES), target: "v2".into(), state };
+    world.page(StoreStream::Rollouts, vec![StoreRecord::Rollout(record.clone())]);
+    assert!(share(&mut world) == 0.0);
+    let later = RolloutRecord { state: RolloutState::Completed, ..record };
+    world.page(StoreStream::Rollouts, vec![StoreRecord::Rollout(later)]);
+    assert!(share(&mut world) == 0.0, "a final state does not change");
+}
+
+#[test]
+fn append_that_lost_the_race_reads_on() {
+    let mut world = world();
+    world.run_in_touch(1_000);
+    let record = StoreRecord::Rollout(RolloutRecord {
+        pool: pool(ENGINES),
+        target: "v2".into(),
+        state: RolloutState::Running,
+    });
+    let appends = world.rollout_appends().len();
+    let moved = Err(StoreError::Moved { end: Offset(99) });
+    world.handle(GatewayEvent::Appended { record, result: moved });
+    world.run_in_touch(3_000);
+    assert_eq!(world.rollout_appends().len(), appends, "nothing is appended before it is read");
+}
--- /dev/null
+++ b/tests/gateway_sockets.rs
@@ -0,0 +1,346 @@
+//! The whole path of routes over real sockets: callers, entry VMs, backend servers and the store.
+
+#[path = "support/route_server.rs"]
+#[allow(dead_code)]
+mod route_server;
+
+use guavapass::{
+    driver::GatewayVm,
+    gateway::GatewayBounds,
+    platform::{HttpStore, write_keyed},
+    settings::{
+        GatewaySettings, LogSettings, PlatformSettings, RelayListener, RouteListener,
+        StatusListener,
+    },
+    stand_in::PlatformStandIn,
+    units::{ByteSize, Millis},
+};
+use route_server::{RouteServer, ServerMove};
+use serde_json::{Value, json};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// A store, backend servers and entry VMs.
+struct Stage {
+    platform: PlatformStandIn,
+    servers: Vec<RouteServer>,
+    vms: Vec<GatewayVm>,
+}
+
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Waits until something holds; fails after a time that no machine needs.
+fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < WAIT, "{what} does not come about");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn configuration(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "plaza.example", "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 4000, "target_latency_ms": 2000, "priority": 1,
+            "service": "booking", "max_attempts": attempts, "public": false, "resumable": true,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [route("slot", "safe", 3), route("book", "unsafe", 1), route("plan", "streaming", 3)],
+        "services": [{"name": "booking", "health_path": "/healthz", "max_connections": 100}],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 1000},
+        "tenants": [{"name": "plaza", "api_keys": keys}],
+    })
+}
+
+impl Stage {
+    fn start(server_count: usize, vm_count: usize) -> Self {
+        let platform = PlatformStandIn::start();
+        let servers: Vec<_> =
+            (1..=server_count).map(|number| RouteServer::start(&format!("s{number}"))).collect();
+        let mut stage = Self { platform, servers, vms: Vec::new() };
+        stage.publish(&configuration(1, &["key-1", "key-2"]));
+        for index in 0..server_count {
+            stage.say(index, "ready");
+        }
+        let mut seeds = Vec::new();
+        for number in 1..=vm_count {
+            let peers = free_address();
+            seeds.push(peers);
+            let settings = GatewaySettings {
+                vm: format!("front-{number}").parse().unwrap(),
+                data_centre: "norte".parse().unwrap(),
+                callers: RouteListener {
+                    listen: "127.0.0.1:0".parse().unwrap(),
+                    answer_limit_bytes: ByteSize(100_000),
+                },
+                status: StatusListener { listen: "127.0.0.1:0".parse().unwrap() },
+                peers: Some(RelayListener { listen: peers, seeds: seeds.clone() }),
+                store: PlatformSettings { address: stage.platform.address() },
+                bounds: GatewayBounds { shutdown_ms: Millis(8_000), ..GatewayBounds::default() },
+                log: LogSettings::default(),
+            };
+            let store = stage.platform.address();
+            let vm = GatewayVm::start(&settings, move || Arc::new(HttpStore::new(store))).unwrap();
+            stage.vms.push(vm);
+        }
+        for index in 0..vm_count {
+            eventually("readiness", || stage.is_ready(index));
+        }
+        stage
+    }
+
+    fn publish(&self, configuration: &Value) {
+        let record = write_keyed("config", configuration.to_string().as_bytes());
+        self.platform.log().append("keyed.op", [record.into()]);
+    }
+
+    fn say(&self, index: usize, state: &str) {
+        let server = &self.servers[index];
+        let entry = json!({
+            "service": "booking", "address": server.address, "zone": "norte", "version": "v1",
+            "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1,
+        });
+        let record = write_keyed(&server.id, entry.to_string().as_bytes());
+        self.platform.log().append("keyed.servers", [record.into()]);
+    }
+
+    fn is_ready(&self, index: usize) -> bool {
+        let request = "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        send(self.vms[index].status, request).status == 200
+    }
+
+    fn call(&self, method: &str, path: &str) -> CallAnswer {
+        self.call_with(0, method, path, "key-1", "")
+    }
+
+    fn call_with(&self, vm: usize, method: &str, path: &str, key: &str, more: &str) -> CallAnswer {
+        let body = if method == "POST" { "the body" } else { "" };
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: call-7\r\n\
+             Api-Key: {key}\r\nX-Deadline-Ms: 3000\r\n{more}Content-Length: {}\r\n\
+             Connection: close\r\n\r\n{body}",
+            body.len()
+        );
+        send(self.vms[vm].callers, &request)
+    }
+
+    fn seen(&self) -> usize {
+        self.servers.iter().map(|server| server.seen().len()).sum()
+    }
+}
+
+/// An answer, and whether it ended as a whole one does.
+#[derive(Debug)]
+struct CallAnswer {
+    status: u16,
+    head: String,
+    body: String,
+}
+
+fn send(address: SocketAddr, request: &str) -> CallAnswer {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(WAIT)).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
+    CallAnswer { status, head: head.to_ascii_lowercase(), body: body.into() }
+}
+
+#[test]
+fn call_forwarded_unchanged() {
+    let stage = Stage::start(1, 1);
+    let more = "X-Tenant: forged\r\nX-Hold: forged\r\nX-Custom: kept\r\n";
+    let answer = stage.call_with(0, "POST", "/book/a?b=c", "key-1", more);
+    assert_eq!((answer.status, answer.body.as_str()), (200, "from s1"));
+    assert!(answer.head.contains("x-response-signature: sig-s1"));
+    let seen = stage.servers[0].seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "POST /book/a?b=c HTTP/1.1");
+    assert_eq!(seen[0].body, b"the body");
+    assert_eq!(seen[0].header("x-tenant"), Some("plaza"));
+    assert_eq!(seen[0].header("x-target-instance"), Some("s1"));
+    assert_eq!(seen[0].header("x-custom"), Some("kept"));
+    assert_eq!((seen[0].header("x-hold"), seen[0].header("api-key")), (None, None));
+    let left: u64 = seen[0].header("x-deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=3_000).contains(&left));
+}
+
+#[test]
+fn call_refused() {
+    let stage = Stage::start(1, 1);
+    assert_eq!(stage.call("GET", "/nowhere/").status, 404);
+    assert_eq!(stage.call_with(0, "GET", "/slot/", "stolen", "").status, 401);
+    let large = format!("X-Large: {}\r\n", "x".repeat(5_000));
+    assert_eq!(stage.call_with(0, "GET", "/slot/", "key-1", &large).status, 431);
+    let long = "POST /slot/ HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: a\r\n\
+                Api-Key: key-1\r\nContent-Length: 2000\r\n\r\n";
+    assert_eq!(send(stage.vms[0].callers, long).status, 413);
+    assert_eq!(stage.seen(), 0);
+}
+
+#[test]
+fn idempotent_sent_again() {
+    let stage = Stage::start(2, 1);
+    for server in &stage.servers {
+        server.script(&[ServerMove::Close]);
+    }
+    assert_eq!(stage.call("GET", "/slot/").status, 200);
+    assert_eq!(stage.seen(), 3, "each server closed once, and one then answered");
+}
+
+#[test]
+fn once_never_sent_again() {
+    for fault in [ServerMove::Close, ServerMove::Crossed] {
+        let stage = Stage::start(2, 1);
+        stage.servers.iter().for_each(|server| server.script(&[fault]));
+        let answer = stage.call("POST", "/book/");
+        assert_eq!(answer.status, 502, "{fault:?} promises nothing");
+        assert_eq!(stage.seen(), 1, "{fault:?}");
+    }
+}
+
+#[test]
+fn once_shed_is_not_run() {
+    let stage = Stage::start(1, 1);
+    stage.servers[0].script(&[ServerMove::Shed]);
+    let answer = stage.call("POST", "/book/");
+    assert_eq!(answer.status, 503);
+    assert!(answer.head.contains("retry-after: 0."), "{}", answer.head);
+}
+
+#[test]
+fn crossed_answer_not_delivered() {
+    let stage = Stage::start(2, 1);
+    stage.servers.iter().for_each(|server| server.script(&[ServerMove::Crossed]));
+    let answer = stage.call("GET", "/slot/");
+    assert!(!answer.body.contains("not yours"), "{}", answer.body);
+}
+
+#[test]
+fn failure_delivered_with_signature() {
+    let stage = Stage::start(1, 1);
+    stage.servers[0].script(&[ServerMove::Fail]);
+    let answer = stage.call("POST", "/book/");
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert!(answer.head.contains("x-response-signature: sig-s1"));
+}
+
+#[test]
+fn stream_resumed_at_other_server() {
+    let stage = Stage::start(2, 1);
+    stage.servers.iter().for_each(|server| server.script(&[ServerMove::CutAfter(3)]));
+    let answer = stage.call("POST", "/plan/");
+    assert_eq!(answer.status, 200);
+    let pieces: Vec<&str> =
+        answer.body.lines().filter_map(|line| line.strip_prefix("data: piece ")).collect();
+    assert_eq!(pieces, ["1", "2", "3", "4", "5", "6"], "{}", answer.body);
+    assert!(!answer.body.contains("id: 99"), "half an event is not passed on");
+    assert!(answer.body.ends_with("0\r\n\r\n"));
+}
+
+#[test]
+fn stream_broken_off_looks_broken() {
+    let stage = Stage::start(1, 1);
+    stage.servers[0].script(&[ServerMove::CutAfter(2); 3]);
+    let answer = stage.call("POST", "/plan/");
+    assert!(answer.body.contains("piece 2"));
+    assert!(!answer.body.ends_with("0\r\n\r\n"), "a broken stream does not end like a whole one");
+}
+
+#[test]
+fn caller_gone_ends_server_work() {
+    let stage = Stage::start(1, 1);
+    stage.servers[0].script(&[ServerMove::Hang]);
+    let mut stream = TcpStream::connect(stage.vms[0].callers).unwrap();
+    let request = "GET /slot/ HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: a\r\n\
+                   Api-Key: key-1\r\nX-Deadline-Ms: 3000\r\n\r\n";
+    stream.write_all(request.as_bytes()).unwrap();
+    eventually("the request at the server", || stage.seen() == 1);
+    drop(stream);
+    eventually("the end of the server's work", || stage.servers[0].hung_up() == 1);
+}
+
+#[test]
+fn key_removed() {
+    let stage = Stage::start(1, 2);
+    assert_eq!(stage.call_with(0, "GET", "/slot/", "key-2", "").status, 200);
+    stage.publish(&configuration(2, &["key-1"]));
+    for vm in 0..2 {
+        eventually("the removal", || {
+            stage.call_with(vm, "GET", "/slot/", "key-2", "").status == 401
+        });
+        assert_eq!(stage.call_with(vm, "GET", "/slot/", "key-1", "").status, 200);
+    }
+}
+
+#[test]
+fn store_down_stops_keyed_work() {
+    let stage = Stage::start(1, 2);
+    stage.platform.log().faults().set_outage(true);
+    for vm in 0..2 {
+        eventually("the end of the lease", || !stage.is_ready(vm));
+        let answer = stage.call_with(vm, "GET", "/slot/", "key-1", "");
+        assert_eq!(answer.status, 503);
+        assert!(answer.head.contains("guavapass-run: not-run"));
+    }
+    stage.platform.log().faults().set_outage(false);
+    for vm in 0..2 {
+        eventually("readiness", || stage.is_ready(vm));
+        assert_eq!(stage.call_with(vm, "GET", "/slot/", "key-1", "").status, 200);
+    }
+}
+
+#[test]
+fn server_leaving_gets_no_work() {
+    let stage = Stage::start(2, 2);
+    stage.say(0, "draining");
+    let before = stage.servers[1].seen().len();
+    eventually("the end of new work", || {
+        let seen = stage.servers[0].seen().len();
+        for vm in 0..2 {
+            for _ in 0..5 {
+                stage.call_with(vm, "GET", "/slot/", "key-1", "");
+            }
+        }
+        stage.servers[0].seen().len() == seen
+    });
+    assert!(stage.servers[1].seen().len() >= before + 10);
+}
+
+#[test]
+fn one_vm_reads_the_store() {
+    let stage = Stage::start(1, 3);
+    let follows = |vm: usize| {
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let page = send(stage.vms[vm].status, request).body;
+        let reads = page.lines().find_map(|line| line.strip_prefix("guavapass.store_reads "));
+        reads.map_or(0, |reads| reads.parse::<u64>().unwrap())
+    };
+    eventually("two VMs that read no more", || {
+        let before: Vec<u64> = (0..3).map(follows).collect();
+        std::thread::sleep(Duration::from_millis(2_500));
+        let still = (0..3).filter(|vm| follows(*vm) > before[*vm]).count();
+        still == 1
+    });
+    stage.publish(&configuration(2, &["key-1", "key-3"]));
+    for vm in 0..3 {
+        eventually("the new key", || {
+            stage.call_with(vm, "GET", "/slot/", "key-3", "").status == 200
+        });
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,210 @@
+//! The adapter: records, headers, frames, settings.
+
+use guavapass::{
+    control::{Refusal, RefusalCode, RepeatRule},
+    gateway::*,
+    ids::{AttemptId, RequestNumber},
+    platform::*,
+    settings::GatewaySettings,
+    units::{Millis, Tokens},
+};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    pairs
+        .iter()
+        .map(|(name, value)| (http::HeaderName::from_static(name), HeaderValue::from_static(value)))
+        .collect()
+}
+
+fn head(pairs: &[(&'static str, &'static str)]) -> http::request::Parts {
+    let mut request = Request::post("/lohu930/2f?x=1").body(()).unwrap();
+    *request.headers_mut() = headers(pairs);
+    request.into_parts().0
+}
+
+fn order() -> RunOrder {
+    RunOrder {
+        request: RequestNumber(1),
+        attempt: AttemptId(1),
+        server: "i-1".parse().unwrap(),
+        address: ([127, 0, 0, 1], 80).into(),
+        repeat: RepeatRule::Repeatable,
+        is_stream: true,
+        time_left: Millis(900),
+        model: Some("large".parse().unwrap()),
+        rank: Some(12),
+        team: Some("plaza".parse().unwrap()),
+        after_event: Some(4),
+    }
+}
+
+#[test]
+fn frames_round_trip() {
+    let mut bytes = Vec::new();
+    for record in [&b"ab"[..], b"", b"c"] {
+        write_frame(&mut bytes, record);
+    }
+    assert_eq!(read_frames(&bytes).unwrap(), [&b"ab"[..], b"", b"c"]);
+    assert_eq!(read_frames(&bytes[..bytes.len() - 1]), Err(FrameError::Short));
+}
+
+#[test]
+fn configuration_read() {
+    let text = br#"{"version":7,"routes":[{"name":"r","host":"A.example","path_prefix":"/p/",
+        "kind":"streaming","timeout_ms":6000,"target_latency_ms":3000,"priority":0,
+        "sizes":["s","l"],"traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+        "max_attempts":3,"public":false,"resumable":true,"new_field":1}],
+        "services":[{"name":"x","max_connections":360,"engine":{"slots":64}}],
+        "limits":{"max_body_bytes":10},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]}"#;
+    let Some(StoreRecord::Configuration(document)) = read_operator_record("config", text) else {
+        panic!("it is a configuration");
+    };
+    let route = document.routes.find("a.example", "/p/1").unwrap();
+    assert_eq!(route.kind, RouteKind::Stream { resumable: true });
+    assert_eq!((route.pools.len(), route.models.len(), route.attempt_limit), (2, 2, 3));
+    assert_eq!((document.revision.0, document.body_limit.0), (7, 10));
+    assert_eq!(document.keys["k"].rank, Some(1));
+}
+
+#[test]
+fn garbage_is_unreadable() {
+    let is_unreadable = |record| matches!(record, Some(StoreRecord::Unreadable { .. }));
+    assert!(is_unreadable(read_operator_record("config", b"{")));
+    assert!(is_unreadable(read_operator_record("rollout/x", b"{\"service\":3}")));
+    assert!(read_operator_record("something-else", b"{").is_none());
+    let entry = |value: &[u8]| match read_server_record("i-1", value) {
+        StoreRecord::Server(change) => change,
+        other => panic!("{other:?}"),
+    };
+    for value in [&b"\xff"[..], b"[]", b"{\"service\":\"x\",\"state\":\"dancing\"}"] {
+        assert!(matches!(entry(value), ServerChange::Unreadable { .. }));
+    }
+    assert!(matches!(entry(b""), ServerChange::Removed(_)));
+}
+
+#[test]
+fn arrival_read() {
+    let head = head(&[
+        ("host", "f.example"),
+        ("x-attempt-id", "a"),
+        ("x-model", "*"),
+        ("api-key", "k"),
+        ("x-token-usage", "1460,80"),
+        ("x-prompt-prefix", "5c:800,91:410"),
+        ("last-event-id", "3"),
+    ]);
+    let arrival = read_arrival(RequestNumber(1), &head, b"").unwrap();
+    assert!(arrival.any_model);
+    assert_eq!((arrival.prompt_tokens, arrival.output_limit), (Tokens(1_460), Tokens(80)));
+    assert_eq!((arrival.parts.len(), arrival.last_event), (2, Some(3)));
+    assert_eq!(arrival.path, "/lohu930/2f");
+}
+
+#[test]
+fn arrival_wrong_header() {
+    let missing = read_arrival(RequestNumber(1), &head(&[("host", "f")]), b"").unwrap_err();
+    assert_eq!(missing.to_string(), "The header x-attempt-id is missing; send it.");
+    let wrong = head(&[("host", "f"), ("x-attempt-id", "a"), ("x-deadline-ms", "soon")]);
+    assert!(read_arrival(RequestNumber(1), &wrong, b"").is_err());
+}
+
+#[test]
+fn run_headers_replace_the_callers() {
+    let caller = headers(&[
+        ("x-hold", "1"),
+        ("x-tenant", "forged"),
+        ("api-key", "k"),
+        ("x-deadline-ms", "5000"),
+        ("x-model", "*"),
+        ("connection", "close, x-private"),
+        ("x-private", "1"),
+        ("x-token-usage", "1,2"),
+        ("session", "s"),
+    ]);
+    let sent = run_headers(&caller, &order());
+    let value = |name: &str| sent.get(name).map(|value| value.to_str().unwrap());
+    for gone in ["x-hold", "api-key", "connection", "x-private"] {
+        assert_eq!(value(gone), None, "{gone}");
+    }
+    assert_eq!(value("x-tenant"), Some("plaza"));
+    assert_eq!(value("x-deadline-ms"), Some("900"));
+    assert_eq!((value("x-model"), value("x-request-priority")), (Some("large"), Some("9")));
+    assert_eq!((value("last-event-id"), value("session")), (Some("4"), Some("s")));
+    assert_eq!(value("x-token-usage"), Some("1,2"));
+}
+
+#[test]
+fn answer_facts_read() {
+    let facts = read_answer(
+        StatusCode::OK,
+        &headers(&[
+            ("x-attempt-id", "a"),
+            ("x-response-signature", "s"),
+            ("x-server-load", "3,1,8,250"),
+            ("x-confidence", "61"),
+            ("keep-alive", "timeout=5, max=9"),
+        ]),
+    );
+    let load = LoadSample { running: 3, waiting: 1, slots: 8, slowdown: 250 };
+    assert_eq!((facts.head.load, facts.head.confidence), (Some(load), Some(61)));
+    assert_eq!((facts.is_signed, facts.keeps, facts.idle_limit), (true, true, Some(Millis(5_000))));
+    let shed = read_answer(StatusCode::SERVICE_UNAVAILABLE, &headers(&[("x-not-executed", "1")]));
+    assert_eq!(shed.not_run, Some(NotRunCause::Full));
+    let plain = read_answer(StatusCode::SERVICE_UNAVAILABLE, &headers(&[("connection", "close")]));
+    assert_eq!(
+        (plain.not_run, plain.keeps),
+        (None, false),
+        "only the server's own word says not run"
+    );
+}
+
+#[test]
+fn refusal_with_fraction_of_a_second() {
+    let refusal = Refusal::not_run(RefusalCode::Unavailable, "Later.").with_retry_after(Millis(50));
+    let response = refusal_response(&refusal, RequestNumber(3));
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["retry-after"], "0.050");
+}
+
+#[test]
+fn settings_template_filled_in() {
+    let template = include_str!("../deploy/settings.jsonc");
+    let mut text = String::new();
+    for line in template.lines() {
+        let filled = line
+            .replace("{{node_name}}", "front-norte-1")
+            .replace("{{zone}}", "norte")
+            .replace("{{listen.front}}", "10.1.0.40:8227")
+            .replace("{{listen.ready}}", "10.1.0.40:8220")
+            .replace("{{platform.address}}", "10.200.1.7:8223")
+            .replace("{{seed_nodes|json}}", "[\"10.1.0.40:8229\"]");
+        let value = if filled.contains("listen.control") {
+            "10.1.0.40:8229"
+        } else if filled.contains("_s}}") {
+            "8"
+        } else if filled.contains("ratio") || filled.contains("share") {
+            "0.15"
+        } else {
+            "5000"
+        };
+        let filled = filled.replace("{{.}}", value);
+        let mut plain = String::new();
+        let mut rest = filled.as_str();
+        while let Some((before, after)) = rest.split_once("{{") {
+            plain.push_str(before);
+            rest = after.split_once("}}").unwrap().1;
+        }
+        text.push_str(&plain);
+        text.push_str(rest);
+        text.push('\n');
+    }
+    let path =
+        std::env::temp_dir().join(format!("guavapass-settings-{}.jsonc", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let settings = GatewaySettings::read(&path);
+    std::fs::remove_file(&path).unwrap();
+    let settings = settings.unwrap();
+    assert_eq!(settings.bounds.shutdown_ms, Millis(8_000));
+    assert_eq!(settings.peers.unwrap().seeds.len(), 1);
+}
--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -2,6 +2,8 @@
 
 use {
     guavapass::{
+        ids::Offset,
+        platform::{APPEND_PATH, NEWEST_PATH, READ_PATH, RawPage, write_frame, write_keyed},
         ports::{MemberState, VmMember},
         stand_in::{
             AnswerFault, BookingStandIn, CallRequest, CallerStandIn, EngineSetup, EngineStandIn,
@@ -25,13 +27,17 @@
 }
 
 fn open(address: SocketAddr, method: &str, path: &str, body: &Value) -> TcpStream {
+    open_raw(address, method, path, body.to_string().as_bytes())
+}
+
+fn open_raw(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> TcpStream {
     let mut stream = TcpStream::connect(address).unwrap();
-    let body = body.to_string();
     let head = format!(
         "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
-    stream.write_all((head + &body).as_bytes()).unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(body).unwrap();
     stream
 }
 
@@ -48,76 +54,118 @@
 }
 
 fn append(platform: &PlatformStandIn, record: &str) -> String {
-    let body = json!({"records": [record]});
-    exchange(platform.address(), "POST", "/streams/s/records", &body)
+    append_if(platform, record, "")
 }
 
-fn read_from(platform: &PlatformStandIn, from: u64) -> String {
-    let path = format!("/streams/s/records?from={from}&limit=10&wait_ms=20");
-    exchange(platform.address(), "GET", &path, &Value::Null)
+fn append_if(platform: &PlatformStandIn, record: &str, condition: &str) -> String {
+    let path = format!("{APPEND_PATH}?topic=s&part=0{condition}");
+    let mut body = Vec::new();
+    write_frame(&mut body, record.as_bytes());
+    let mut stream = open_raw(platform.address(), "POST", &path, &body);
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+fn read_answer(platform: &PlatformStandIn, query: &str) -> Vec<u8> {
+    let path = format!("{READ_PATH}?topic=s&part=0&{query}");
+    let mut stream = open_raw(platform.address(), "GET", &path, &[]);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    answer
+}
+
+fn page(answer: &[u8]) -> RawPage {
+    let head = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n").unwrap() + 4;
+    RawPage::read(&answer[head..].to_vec().into()).unwrap()
+}
+
+fn read_from(platform: &PlatformStandIn, from: u64) -> RawPage {
+    page(&read_answer(platform, &format!("from={from}&wait_ms=20")))
 }
 
 #[test]
 fn log_append_and_read() {
     let platform = PlatformStandIn::start();
-    assert_eq!(json_body(&append(&platform, "YQ=="))["offset"], 0);
-    assert_eq!(json_body(&append(&platform, "Yg=="))["offset"], 1);
-    let expected = json!({
-        "oldest": 0, "next": 2, "records": [{"offset": 1, "record": "Yg=="}],
-    });
-    assert_eq!(json_body(&read_from(&platform, 1)), expected);
-    assert_eq!(json_body(&read_from(&platform, 2))["records"], json!([]));
+    assert_eq!(json_body(&append(&platform, "a")), json!({"offset": 0, "end": 1}));
+    assert_eq!(json_body(&append(&platform, "b")), json!({"offset": 1, "end": 2}));
+    let expected = RawPage { end: Offset(2), first: Offset(0), records: vec!["b".into()] };
+    assert_eq!(read_from(&platform, 1), expected);
+    assert_eq!(read_from(&platform, 2), RawPage { records: vec![], ..expected });
+}
+
+#[test]
+fn log_append_on_condition() {
+    let platform = PlatformStandIn::start();
+    append(&platform, "a");
+    let refused = append_if(&platform, "b", "&at=0");
+    assert_eq!((status(&refused), json_body(&refused)), ("412", json!({"end": 1})));
+    assert_eq!(status(&append_if(&platform, "b", "&at=1")), "200");
+    assert_eq!(platform.log().records("s").len(), 2);
 }
 
 #[test]
 fn log_read_in_pages() {
     let platform = PlatformStandIn::start();
-    append(&platform, "YQ==");
-    append(&platform, "Yg==");
-    let path = "/streams/s/records?from=0&limit=1";
-    let page = json_body(&exchange(platform.address(), "GET", path, &Value::Null));
-    assert_eq!((page["next"].as_u64(), page["records"][0]["offset"].as_u64()), (Some(1), Some(0)));
+    let large = "x".repeat(700);
+    append(&platform, &large);
+    append(&platform, &large);
+    let first = page(&read_answer(&platform, "from=0&max_kb=1"));
+    assert_eq!((first.records.len(), first.end), (1, Offset(2)));
     platform.log().restore_to("s", 1);
-    assert_eq!(json_body(&read_from(&platform, 2))["next"], 1);
+    assert_eq!(read_from(&platform, 2).end, Offset(1));
 }
 
 #[test]
 fn log_read_waits_for_append() {
     let platform = PlatformStandIn::start();
-    let path = "/streams/s/records?from=0&wait_ms=60000";
-    let mut reader = open(platform.address(), "GET", path, &Value::Null);
-    append(&platform, "YQ==");
-    let mut answer = String::new();
-    reader.read_to_string(&mut answer).unwrap();
-    assert_eq!(json_body(&answer)["next"], 1);
+    let path = format!("{READ_PATH}?topic=s&part=0&from=0&wait_ms=60000");
+    let mut reader = open_raw(platform.address(), "GET", &path, &[]);
+    append(&platform, "a");
+    let mut answer = Vec::new();
+    reader.read_to_end(&mut answer).unwrap();
+    assert_eq!(page(&answer).end, Offset(1));
 }
 
 #[test]
 fn log_trimmed_is_gone() {
     let platform = PlatformStandIn::start();
-    append(&platform, "YQ==");
-    append(&platform, "Yg==");
+    append(&platform, "a");
+    append(&platform, "b");
     platform.log().trim_to("s", 1);
-    let answer = read_from(&platform, 0);
-    assert_eq!(status(&answer), "410");
-    assert_eq!(json_body(&answer)["oldest"], 1);
-    assert_eq!(status(&read_from(&platform, 1)), "200");
+    let answer = String::from_utf8(read_answer(&platform, "from=0&wait_ms=20")).unwrap();
+    assert_eq!((status(&answer), json_body(&answer)), ("410", json!({"first": 1})));
+    assert_eq!(read_from(&platform, 1).records.len(), 1);
+}
+
+#[test]
+fn log_newest_of_each_key() {
+    let platform = PlatformStandIn::start();
+    for (key, value) in [("a", "1"), ("b", "2"), ("a", "3"), ("b", "")] {
+        platform.log().append("keyed.x", [write_keyed(key, value.as_bytes()).into()]);
+    }
+    let path = format!("{NEWEST_PATH}?topic=keyed.x&part=0");
+    let mut stream = open_raw(platform.address(), "GET", &path, &[]);
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    let items = json!([{"key": "a", "offset": 2, "value": "Mw=="}]);
+    assert_eq!(json_body(&answer), json!({"items": items, "more": false, "end": 4}));
 }
 
 #[test]
 fn log_lost_answer_took_effect() {
     let platform = PlatformStandIn::start();
     platform.log().faults().lose_next_answers(1);
-    assert_eq!(append(&platform, "YQ=="), "");
+    assert_eq!(append(&platform, "a"), "");
     assert_eq!(platform.log().records("s").len(), 1);
-    assert_eq!(status(&append(&platform, "Yg==")), "200");
+    assert_eq!(status(&append(&platform, "b")), "200");
 }
 
 #[test]
 fn log_outage_refuses() {
     let platform = PlatformStandIn::start();
     platform.log().faults().set_outage(true);
-    assert_eq!(status(&append(&platform, "YQ==")), "503");
+    assert_eq!(status(&append(&platform, "a")), "503");
     assert!(platform.log().records("s").is_empty());
 }
 
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -3,7 +3,9 @@
 use guavapass::{
     control::{Refusal, VmIdentity},
     gateway::*,
-    ids::{AttemptId, Incarnation, ModelId, Offset, PoolId, RequestNumber, Revision, ServerId, TeamId},
+    ids::{
+        AttemptId, Incarnation, ModelId, Offset, PoolId, RequestNumber, Revision, ServerId, TeamId,
+    },
     ports::MemberState,
     units::{ByteSize, Millis, Share, Tokens},
 };
@@ -107,7 +109,13 @@
 impl GatewayWorld {
     /// Returns a core that knows the configuration and three servers of each pool.
     pub fn new() -> Self {
+        Self::new_as("front-1")
+    }
+
+    /// Returns the same as another entry VM.
+    pub fn new_as(vm: &str) -> Self {
         let mut world = Self::empty();
+        world.gateway = Gateway::new(identity(vm), bounds());
         world.tick(0);
         let document = StoreRecord::Configuration(Arc::new(document(1)));
         world.newest(StoreStream::Operators, vec![document]);
--- /dev/null
+++ b/tests/support/route_server.rs
@@ -0,0 +1,174 @@
+//! A backend server of routes on a loopback port, with a script of faults.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// What the server does with its next requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerMove {
+    /// Answers whole.
+    Answer,
+    /// Answers a failure of its own.
+    Fail,
+    /// Says that it has not run the request.
+    Shed,
+    /// Closes the connection when it has read the request.
+    Close,
+    /// Sends some events of a stream, half of another one, and closes.
+    CutAfter(u64),
+    /// Answers with the id of another request.
+    Crossed,
+    /// Never answers.
+    Hang,
+}
+
+/// A request as the server got it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl SeenRequest {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+}
+
+#[derive(Default)]
+struct ServerScript {
+    moves: Vec<ServerMove>,
+    seen: Vec<SeenRequest>,
+    hung_up: usize,
+}
+
+#[derive(Clone)]
+pub struct RouteServer {
+    pub id: String,
+    pub address: SocketAddr,
+    script: Arc<Mutex<ServerScript>>,
+}
+
+impl RouteServer {
+    /// The events of a whole stream.
+    pub const EVENTS: u64 = 6;
+
+    pub fn start(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = Self { id: id.into(), address, script: Arc::default() };
+        let accepting = server.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = accepting.clone();
+                std::thread::spawn(move || server.serve(&stream));
+            }
+        });
+        server
+    }
+
+    /// Sets what the server does next, one move a request; then it answers whole.
+    pub fn script(&self, moves: &[ServerMove]) {
+        self.script.lock().unwrap().moves = moves.to_vec();
+    }
+
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.script.lock().unwrap().seen.clone()
+    }
+
+    /// Returns the connections that were closed while the server hung.
+    pub fn hung_up(&self) -> usize {
+        self.script.lock().unwrap().hung_up
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(request) = read_request(&mut reader) {
+            let next = {
+                let mut script = self.script.lock().unwrap();
+                script.seen.push(request.clone());
+                if script.moves.is_empty() { ServerMove::Answer } else { script.moves.remove(0) }
+            };
+            if !self.act(stream, &request, next) {
+                return;
+            }
+        }
+    }
+
+    fn act(&self, mut stream: &TcpStream, request: &SeenRequest, next: ServerMove) -> bool {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let is_stream = request.line.contains("/plan/");
+        match next {
+            ServerMove::Answer if is_stream => self.stream(stream, request, Self::EVENTS, true),
+            ServerMove::CutAfter(events) => self.stream(stream, request, events, false),
+            ServerMove::Answer => self.answer(stream, "200 OK", id, &format!("from {}", self.id)),
+            ServerMove::Fail => self.answer(stream, "500 Internal Server Error", id, "failed"),
+            ServerMove::Crossed => self.answer(stream, "200 OK", "another-call", "not yours"),
+            ServerMove::Shed => {
+                let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+                let text = format!("{head}X-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                stream.write_all(text.as_bytes()).is_ok()
+            }
+            ServerMove::Close => false,
+            ServerMove::Hang => {
+                let mut rest = [0_u8; 16];
+                let _ = stream.read(&mut rest);
+                self.script.lock().unwrap().hung_up += 1;
+                false
+            }
+        }
+    }
+
+    fn answer(&self, mut stream: &TcpStream, status: &str, id: &str, body: &str) -> bool {
+        let text = format!(
+            "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
+             X-Server-Load: 1,0,8,100\r\nContent-Length: {}\r\n\r\n{body}",
+            self.id,
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    fn stream(&self, mut stream: &TcpStream, request: &SeenRequest, to: u64, whole: bool) -> bool {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let from = request.header("last-event-id").map_or(0, |last| last.parse().unwrap());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        let mut text = head;
+        for event in from + 1..=to {
+            let event = format!("id: {event}\ndata: piece {event}\n\n");
+            text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        }
+        text.push_str(if whole { "0\r\n\r\n" } else { "b\r\nid: 99\ndata\r\n" });
+        let written = stream.write_all(text.as_bytes()).is_ok();
+        if !whole {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        written && whole
+    }
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<SeenRequest> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+    let mut headers = Vec::new();
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header).ok().filter(|read| *read > 0)?;
+        let Some((name, value)) = header.trim_end().split_once(':') else { break };
+        headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    let length = headers.iter().find(|(name, _)| name == "content-length");
+    let length = length.map_or(0, |(_, value)| value.parse().unwrap());
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(SeenRequest { line: line.trim_end().into(), headers, body })
+}
