--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,9 +6,10 @@
 //! operators publish, the list of backend servers and the states of roll-outs are read from the
 //! platform's store, and everything else is soft state.
 //!
-//! A request passes through these steps: it is admitted ([`admit`]), sent to a server ([`runs`]),
-//! and each run ends in an answer that is delivered or in a fault, after which it is sent once more
-//! or refused. The store is followed in [`reads`], or through another VM in [`relay`]; roll-outs are
+//! A request passes through these steps: it is admitted ([`admit`]) and sent to a server ([`send`]).
+//! Each run ends in an answer that is delivered, dropped for one of a larger model ([`escalate`]), or
+//! in a fault ([`runs`]), after which the request is sent once more ([`resend`]) or refused
+//! ([`finish`]). The store is followed in [`reads`], or through another VM in [`relay`]; roll-outs are
 //! led in [`rollouts`].
 
 use super::*;
@@ -17,6 +18,8 @@
 mod answer_tally;
 mod backend_server;
 mod engine_pressure;
+mod escalate;
+mod finish;
 mod gateway_bounds;
 mod gateway_command;
 mod gateway_core;
@@ -33,6 +36,7 @@
 mod relay;
 mod relay_message;
 mod relay_peers;
+mod resend;
 mod resend_budget;
 mod rollout_order;
 mod rollout_track;
@@ -44,6 +48,7 @@
 mod run_order;
 mod run_report;
 mod runs;
+mod send;
 mod sent_load;
 mod server_book;
 mod server_entry;
--- /dev/null
+++ b/src/gateway/finish.rs
@@ -0,0 +1,111 @@
+//! The final answers of requests.
+
+use super::*;
+
+impl Gateway {
+    /// The time after which a caller may come back when a pool has no server to offer.
+    const NO_SERVER_MS: u64 = 300;
+
+    pub(super) fn on_caller_gone(&mut self, now: Millis, request: RequestNumber) {
+        let Some(state) = self.requests.get(&request) else { return };
+        tracing::info!(
+            request = request.0,
+            waited_ms = now.since(state.received).0,
+            "the caller has gone"
+        );
+        self.drop_open_run(request);
+        self.finish(request);
+    }
+
+    /// Ends the requests whose time is over.
+    pub(super) fn end_overdue(&mut self, now: Millis) {
+        while let Some((at, request)) = self.ends.first().copied() {
+            if at > now {
+                return;
+            }
+            let Some(state) = self.requests.get(&request) else {
+                self.ends.pop_first();
+                continue;
+            };
+            if state.is_delivered {
+                self.break_off(request, "the time of the route is over");
+            } else {
+                let refusal = Self::timeout_refusal(state);
+                self.refuse(now, request, refusal);
+            }
+        }
+    }
+
+    /// Breaks off an answer of which the caller has a part.
+    pub(super) fn break_off(&mut self, request: RequestNumber, reason: &'static str) {
+        tracing::info!(request = request.0, reason, "broken off");
+        self.drop_open_run(request);
+        self.emit(GatewayCommand::BreakOff { request });
+        self.finish(request);
+    }
+
+    /// Gives a request its final answer.
+    pub(super) fn refuse(&mut self, now: Millis, request: RequestNumber, refusal: Refusal) {
+        let Some(state) = self.requests.get(&request) else { return };
+        tracing::info!(
+            request = request.0,
+            caller_id = %state.arrival.caller_id,
+            route = %state.route.name,
+            code = refusal.code.as_str(),
+            run = refusal.run.as_str(),
+            reason = %refusal.message,
+            waited_ms = now.since(state.received).0,
+            "refused"
+        );
+        self.drop_open_run(request);
+        self.emit(GatewayCommand::Refuse { request, refusal });
+        self.finish(request);
+    }
+
+    /// Takes the run that is under way off its server's books; its task ends with the exchange.
+    pub(super) fn drop_open_run(&mut self, request: RequestNumber) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(run) = state.open_run() else { return };
+        let Some(server) = self.servers.get_mut(&run.server) else { return };
+        server.ended();
+        if run.stage == RunStage::Waiting {
+            server.prompt_read(run.work_ms);
+        }
+    }
+
+    pub(super) fn finish(&mut self, request: RequestNumber) {
+        if let Some(state) = self.requests.remove(&request) {
+            self.ends.remove(&(state.ends, request));
+        }
+    }
+
+    pub(super) fn timeout_refusal(state: &RoutedRequest) -> Refusal {
+        let message = "There was no answer before the deadline.";
+        Self::final_refusal(state, RefusalCode::Timeout, message)
+    }
+
+    pub(super) fn failure_refusal(state: &RoutedRequest) -> Refusal {
+        let message = "The backend servers gave no answer that can be passed on.";
+        Self::final_refusal(state, RefusalCode::BadGateway, message)
+    }
+
+    pub(super) fn no_server_refusal(state: &RoutedRequest) -> Refusal {
+        let message = "The pool has no backend server that can be used now; ask again.";
+        Self::final_refusal(state, RefusalCode::Unavailable, message)
+    }
+
+    /// Returns a refusal: one that says "not run" if that is certain, else one that promises nothing.
+    pub(super) fn final_refusal(
+        state: &RoutedRequest,
+        code: RefusalCode,
+        message: &str,
+    ) -> Refusal {
+        let run = state.run_state();
+        if run == RunState::NotRun {
+            let retry = Millis(Self::NO_SERVER_MS);
+            return Refusal::not_run(RefusalCode::Unavailable, message).with_retry_after(retry);
+        }
+        let code = if code == RefusalCode::Unavailable { RefusalCode::BadGateway } else { code };
+        Refusal::not_run(code, message).with_run(run)
+    }
+}
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -133,7 +133,7 @@
                 let software = &entry.software;
                 match news {
                     ServerNews::Joined => {
-                        tracing::info!(%server, %pool, %software, "server joined")
+                        tracing::info!(%server, %pool, %software, "server joined");
                     }
                     ServerNews::Leaving => tracing::info!(%server, %pool, "server leaving"),
                     ServerNews::Same => {}
--- a/src/gateway/record_store.rs
+++ b/src/gateway/record_store.rs
@@ -7,11 +7,11 @@
     /// # Errors
     ///
     /// Returns why there is no page.
-    fn newest<'a>(
-        &'a self,
+    fn newest(
+        &self,
         stream: StoreStream,
         after: Option<SmolStr>,
-    ) -> BoxFuture<'a, Result<NewestPage, StoreError>>;
+    ) -> BoxFuture<'_, Result<NewestPage, StoreError>>;
 
     /// Reads records from an offset on, waiting for the first one at most `wait`.
     ///
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -187,9 +187,10 @@
         let next = page.next_after(from);
         let records = page.records.iter().enumerate().filter_map(|(index, frame)| {
             let offset = Offset(from.0 + index as u64);
-            let record = match stream.is_keyed() {
-                true => keyed_frame(stream, offset, frame),
-                false => Some(plain_record(offset, frame)),
+            let record = if stream.is_keyed() {
+                keyed_frame(stream, offset, frame)
+            } else {
+                Some(plain_record(offset, frame))
             };
             record.map(|record| KeptRecord { offset, record })
         });
@@ -255,11 +256,11 @@
 }
 
 impl RecordStore for HttpStore {
-    fn newest<'a>(
-        &'a self,
+    fn newest(
+        &self,
         stream: StoreStream,
         after: Option<SmolStr>,
-    ) -> BoxFuture<'a, Result<NewestPage, StoreError>> {
+    ) -> BoxFuture<'_, Result<NewestPage, StoreError>> {
         Box::pin(self.read_newest(stream, after))
     }
 
@@ -304,13 +305,11 @@
 }
 
 fn keyed_frame(stream: StoreStream, offset: Offset, frame: &[u8]) -> Option<StoreRecord> {
-    match read_keyed(frame) {
-        Some((key, value)) => keyed_record(stream, key, value),
-        None => {
-            let key = format!("{stream} at offset {offset}").into();
-            Some(StoreRecord::Unreadable { key, cause: "it has no key that can be read".into() })
-        }
+    if let Some((key, value)) = read_keyed(frame) {
+        return keyed_record(stream, key, value);
     }
+    let key = format!("{stream} at offset {offset}").into();
+    Some(StoreRecord::Unreadable { key, cause: "it has no key that can be read".into() })
 }
 
 fn keyed_record(stream: StoreStream, key: &str, value: &[u8]) -> Option<StoreRecord> {
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -170,12 +170,13 @@
                 }
                 // The head of a run that goes on with the stream.
                 Step::Part(RunPart::Head(_)) => {}
-                Step::Part(RunPart::Body(_)) => return Err(broken()),
                 Step::Directive(Some(GatewayDirective::BreakOff)) => {
                     self.is_answered = true;
                     return Err(broken());
                 }
-                Step::Directive(None) | Step::CallerGone => return Err(broken()),
+                Step::Part(RunPart::Body(_)) | Step::Directive(None) | Step::CallerGone => {
+                    return Err(broken());
+                }
                 Step::Directive(Some(directive)) => self.obey(directive),
             }
         }
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -145,7 +145,8 @@
         let mut text = head;
         for event in from + 1..=to {
             let event = format!("id: {event}\ndata: piece {event}\n\n");
-            text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            text.push_str(&chunk);
         }
         text.push_str(if whole { "0\r\n\r\n" } else { "b\r\nid: 99\ndata\r\n" });
         let written = stream.write_all(text.as_bytes()).is_ok();
