--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -56,6 +56,9 @@
             }
         });
     })?;
-    vm.wait();
-    Ok(ExitCode::SUCCESS)
+    if vm.wait() {
+        return Ok(ExitCode::SUCCESS);
+    }
+    tracing::error!("the control thread has failed; see its message on standard error");
+    Ok(ExitCode::FAILURE)
 }
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -101,11 +101,11 @@
         &self.handle
     }
 
-    /// Waits until the control thread has ended and the last answers are on their way.
-    pub fn wait(mut self) {
-        if let Some(control) = self.control.take() {
-            let _ = control.join();
-        }
+    /// Waits until the control thread has ended and the last answers are on their way. Returns
+    /// whether it ended as it was told to, and not by a fault of its own.
+    #[must_use]
+    pub fn wait(mut self) -> bool {
+        let has_ended = self.control.take().is_none_or(|control| control.join().is_ok());
         let ends = Instant::now() + Self::EXCHANGE_WAIT;
         while self.exchanges.get() > 0 && Instant::now() < ends {
             std::thread::sleep(Self::EXCHANGE_POLL);
@@ -115,6 +115,7 @@
         if let Some(server) = self.server.take() {
             server.handle.stop(false);
         }
+        has_ended
     }
 }
 
--- a/src/gateway/model_choice.rs
+++ b/src/gateway/model_choice.rs
@@ -27,8 +27,10 @@
     const CONFIDENCE_SPREAD: f64 = 20.0;
     /// The worth of an answer that comes late, as a share of one on time.
     const LATE_WORTH: f64 = 0.3;
-    /// What the larger model costs, as a share of a good answer's worth.
-    const LARGE_COST: f64 = 0.12;
+    /// What the larger model's answer costs, as a share of a good answer's worth.
+    const ANSWER_COST: f64 = 0.04;
+    /// What it costs that the larger model reads a whole prompt, as such a share.
+    const PROMPT_COST: f64 = 0.14;
 
     /// What reading a whole prompt costs the requests behind it, at a pressure of one.
     const READING_COST: f64 = 1.0;
@@ -45,7 +47,8 @@
     #[must_use]
     pub fn is_worth_more(&self) -> bool {
         let larger = if self.is_on_time { 1.0 } else { Self::LATE_WORTH };
-        let reading = Self::READING_COST * self.pressure * self.unread_part;
-        larger - Self::LARGE_COST - reading > self.good_share()
+        let delay = Self::READING_COST * self.pressure;
+        let reading = (Self::PROMPT_COST + delay) * self.unread_part;
+        larger - Self::ANSWER_COST - reading > self.good_share()
     }
 }
--- a/src/platform/rollout_records.rs
+++ b/src/platform/rollout_records.rs
@@ -34,8 +34,13 @@
         RolloutState::Completed => WireState::Completed,
         RolloutState::Withdrawn => WireState::RolledBack,
     };
-    let (service, target, stage) = (record.pool.clone(), record.target.clone(), record.stage);
-    serde_json::to_vec(&WireRolloutState { service, target, state, stage }).unwrap_or_default()
+    let wire = WireRolloutState {
+        service: record.pool.clone(),
+        target: record.target.clone(),
+        state,
+        stage: record.stage,
+    };
+    serde_json::to_vec(&wire).unwrap_or_default()
 }
 
 /// Reads the state of a roll-out; none if the key is not one of a roll-out.
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -213,11 +213,17 @@
         let requests = (0..12).map(|_| world.arrive_with("/plan/1", without_prompt));
         let requests: Vec<_> = requests.collect();
         let (slow, quick) = requests.split_at(3);
-        quick.iter().for_each(|request| world.began(*request, 1, None));
+        for request in quick {
+            world.began(*request, 1, None);
+        }
         world.run_in_touch(600);
-        slow.iter().for_each(|request| world.began(*request, 1, None));
+        for request in slow {
+            world.began(*request, 1, None);
+        }
         slow_and_new += slow.iter().filter(|request| is_new(&world, **request)).count();
-        requests.iter().for_each(|request| world.whole(*request, 1, 200));
+        for request in &requests {
+            world.whole(*request, 1, 200);
+        }
         world.commands.clear();
     }
     assert!(slow_and_new >= 5, "{slow_and_new} slow answers of the new version");
