Remove servers that a new reader never knew

Change: the first, whole answer of a reader is a listing; what it lacks is removed, unless this VM has heard of it later. Test server_that_a_new_reader_never_knew_is_ removed failed first; the tests beside it now give a reader's first answer whole, as it is in service.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
     /// The VM that this one relies on instead of the store.
     pub(super) reader: Option<VmId>,
     known: Option<(PeerName, u64)>,
-    asked: Option<(PeerCard, Millis)>,
+    asked: Option<AskedReader>,
     next: Millis,
     greetings: u32,
     greet_next: Millis,
@@ -31,6 +31,15 @@
     servers_read: Option<Millis>,
 }
 
+/// A poll for records that is under way.
+#[derive(Clone, Debug)]
+struct AskedReader {
+    card: PeerCard,
+    sent: Millis,
+    /// Whether all records were asked for, and not only the changes since an earlier answer.
+    is_whole: bool,
+}
+
 #[derive(Clone, Debug)]
 struct WaitingPoll {
     call: CallId,
@@ -128,7 +137,8 @@
         let evidence = evidence.collect();
         let (purpose, loads) = (PollPurpose::Records, self.servers.own_loads());
         let poll = RelayPoll { from, purpose, known, wait, evidence, loads };
-        self.relay.asked = Some((card.clone(), now));
+        let is_whole = poll.known.is_none();
+        self.relay.asked = Some(AskedReader { card: card.clone(), sent: now, is_whole });
         let (address, peer) = (card.address, Some(card.vm));
         self.emit(GatewayCommand::AskPeer { peer, address, poll });
     }
@@ -273,11 +283,12 @@
     }
 
     fn on_records(&mut self, now: Millis, result: Option<RelayAnswer>) {
-        let Some((card, sent)) = self.relay.asked.take() else { return };
+        let Some(asked) = self.relay.asked.take() else { return };
+        let reader = asked.card.vm.clone();
         match result {
-            Some(answer) if self.is_fresh_answer(&answer) => self.follow(now, sent, &answer),
-            Some(_) => self.leave_reader(now, &card.vm, "its reading of the store is old"),
-            None => self.leave_reader(now, &card.vm, "it does not answer"),
+            Some(answer) if self.is_fresh_answer(&answer) => self.follow(now, &asked, &answer),
+            Some(_) => self.leave_reader(now, &reader, "its reading of the store is old"),
+            None => self.leave_reader(now, &reader, "it does not answer"),
         }
     }
 
@@ -291,7 +302,7 @@
         servers.age <= pause + Millis(Self::SERVERS_SLACK_MS) && operators.age <= operators_limit
     }
 
-    fn follow(&mut self, now: Millis, sent: Millis, answer: &RelayAnswer) {
+    fn follow(&mut self, now: Millis, asked: &AskedReader, answer: &RelayAnswer) {
         let from = &answer.from;
         if self.relay.reader.as_ref() != Some(&from.vm) {
             tracing::info!(reader = %from.vm, "another VM reads the store for this one");
@@ -303,7 +314,10 @@
         self.relay.loads.take_reader(now, answer.loads.clone());
         self.servers.note_others(&answer.loads);
         self.take_records(now, &answer.records);
-        let answered = sent + answer.held;
+        if let Some(servers) = answer.servers.filter(|_| asked.is_whole) {
+            self.drop_unlisted(now, servers.end, &answer.records);
+        }
+        let answered = asked.sent + answer.held;
         if let Some(operators) = answer.operators {
             self.lease.renew(answered.since(operators.age));
             self.pause_feed(StoreStream::Operators, operators.end);
@@ -316,6 +330,23 @@
         self.feeds.remove(&StoreStream::Evidence);
     }
 
+    /// Removes the servers that are not among all the records of a reader, unless this VM has heard
+    /// of them later than the reader: a reader that has just started never knew those that were
+    /// removed before.
+    fn drop_unlisted(&mut self, now: Millis, end: Offset, records: &[KeptRecord]) {
+        let listed: BTreeSet<ServerId> = records
+            .iter()
+            .filter_map(|kept| match &kept.record {
+                StoreRecord::Server(ServerChange::Said(entry)) => Some(entry.id.clone()),
+                _ => None,
+            })
+            .collect();
+        for server in self.servers.unlisted(&listed) {
+            let record = StoreRecord::Server(ServerChange::Removed(server));
+            self.take_records(now, &[KeptRecord { offset: end, record }]);
+        }
+    }
+
     fn pause_feed(&mut self, stream: StoreStream, end: Offset) {
         if let Some(feed) = self.feeds.get_mut(&stream) {
             feed.pause_at(end);
--- a/src/gateway/server_book.rs
+++ b/src/gateway/server_book.rs
@@ -102,6 +102,14 @@
         gone
     }
 
+    /// Returns the servers that may get new work and are not among those listed.
+    #[must_use]
+    pub fn unlisted(&self, listed: &BTreeSet<ServerId>) -> Vec<ServerId> {
+        let open = self.servers.iter().filter(|(_, server)| server.is_open());
+        let unlisted = open.filter(|(id, _)| !listed.contains(*id));
+        unlisted.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Forgets servers that were removed long ago and have no requests, and returns them.
     pub fn forget_removed(&mut self, now: Millis) -> Vec<ServerId> {
         /// Longer than any request; later entries of the same id count as new servers.
