--- a/src/billing.rs
+++ b/src/billing.rs
@@ -8,6 +8,7 @@
 use super::*;
 
 mod append_pace;
+mod attempt_end;
 mod fold;
 mod key;
 mod ledger;
@@ -20,6 +21,7 @@
 use append_pace::AppendPace;
 
 pub use {
+    attempt_end::AttemptEnd,
     fold::{BillFold, BillState},
     key::BillKey,
     ledger::{BillAction, BillLedger},
--- a/src/control/bills.rs
+++ b/src/control/bills.rs
@@ -122,26 +122,50 @@
     }
 
     fn final_stage(&self, state: &RequestState) -> BillStage {
-        let parts: Vec<BillPart> =
-            state.attempts.iter().map(|attempt| self.bill_part(state, attempt)).collect();
+        let ends: Vec<AttemptEnd> =
+            state.attempts.iter().map(|attempt| Self::attempt_end(state, attempt)).collect();
+        let charges = AttemptEnd::charges(&ends);
+        let parts: Vec<BillPart> = state
+            .attempts
+            .iter()
+            .zip(charges)
+            .map(|(attempt, charge)| self.bill_part(state, attempt, charge))
+            .collect();
         let charged = parts.iter().filter(|part| part.charge == PartCharge::Charged);
         let cost = charged.fold(Cost(0.0), |sum, part| sum + part.cost);
         BillStage::Final { cost, parts }
     }
 
-    fn bill_part(&self, state: &RequestState, attempt: &AttemptState) -> BillPart {
-        let reported = match attempt.outcome {
+    fn reported_usage(attempt: &AttemptState) -> TokenUsage {
+        match attempt.outcome {
             Some(AttemptOutcome::Whole { usage, .. }) => usage,
             _ => TokenUsage { prompt: Tokens(0), output: attempt.output_tokens },
-        };
-        let produced = attempt.run == AttemptRun::Whole || reported.output.0 > 0;
+        }
+    }
+
+    fn attempt_end(state: &RequestState, attempt: &AttemptState) -> AttemptEnd {
+        let is_whole = attempt.run == AttemptRun::Whole;
+        AttemptEnd {
+            step: attempt.step,
+            is_whole,
+            is_released: state.released == Some(attempt.id),
+            has_produced: is_whole || Self::reported_usage(attempt).output.0 > 0,
+        }
+    }
+
+    fn bill_part(
+        &self,
+        state: &RequestState,
+        attempt: &AttemptState,
+        charge: PartCharge,
+    ) -> BillPart {
+        let reported = Self::reported_usage(attempt);
+        let produced = Self::attempt_end(state, attempt).has_produced;
         let prompt = match reported.prompt {
             Tokens(0) if produced => state.profile.prompt_tokens,
             tokens => tokens,
         };
         let usage = TokenUsage { prompt, output: reported.output };
-        let released = state.released == Some(attempt.id);
-        let charged = attempt.run == AttemptRun::Whole || (released && produced);
         BillPart {
             attempt: attempt.id,
             target: attempt.target.clone(),
@@ -149,7 +173,7 @@
             run: attempt.run.run(),
             usage,
             cost: self.part_cost(&attempt.target, usage, produced),
-            charge: if charged { PartCharge::Charged } else { PartCharge::Free },
+            charge,
         }
     }
 
