Keep sessions on their version across a roll-out's start; smaller trials in large pools

Change: a VM remembers on which version it served a session lately and keeps it there (tests session_under_way_stays_on_old_version_in_trial, session_on_new_version_does_not_go_back).

--- a/src/control/bills.rs
+++ b/src/control/bills.rs
@@ -131,8 +131,8 @@
             .zip(charges)
             .map(|(attempt, charge)| self.bill_part(state, attempt, charge))
             .collect();
-        let charged = parts.iter().filter(|part| part.charge == PartCharge::Charged);
-        let cost = charged.fold(Cost(0.0), |sum, part| sum + part.cost);
+        let paid = parts.iter().filter(|part| part.charge == PartCharge::Charged);
+        let cost = paid.fold(Cost(0.0), |sum, part| sum + part.cost);
         BillStage::Final { cost, parts }
     }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,6 +52,7 @@
 mod sent_load;
 mod server_book;
 mod server_entry;
+mod session_versions;
 mod shared_loads;
 mod store_error;
 mod store_feed;
@@ -87,6 +88,7 @@
     sent_load::{LoadSum, SentLoad, ServerTag},
     server_book::{ServerBook, ServerNews},
     server_entry::{ServerChange, ServerEntry},
+    session_versions::SessionVersions,
     shared_loads::SharedLoads,
     store_error::StoreError,
     store_feed::{FeedAnswer, FeedRead, FeedStep, StoreFeed},
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -14,7 +14,7 @@
             "the caller has gone"
         );
         self.drop_open_run(request);
-        self.finish(request);
+        self.finish(now, request);
     }
 
     /// Ends the requests whose time is over.
@@ -28,7 +28,7 @@
                 continue;
             };
             if state.is_delivered {
-                self.break_off(request, "the time of the route is over");
+                self.break_off(now, request, "the time of the route is over");
             } else {
                 let refusal = Self::timeout_refusal(state);
                 self.refuse(now, request, refusal);
@@ -37,11 +37,11 @@
     }
 
     /// Breaks off an answer of which the caller has a part.
-    pub(super) fn break_off(&mut self, request: RequestNumber, reason: &'static str) {
+    pub(super) fn break_off(&mut self, now: Millis, request: RequestNumber, reason: &'static str) {
         tracing::info!(request = request.0, reason, "broken off");
         self.drop_open_run(request);
         self.emit(GatewayCommand::BreakOff { request });
-        self.finish(request);
+        self.finish(now, request);
     }
 
     /// Gives a request its final answer.
@@ -59,7 +59,7 @@
         );
         self.drop_open_run(request);
         self.emit(GatewayCommand::Refuse { request, refusal });
-        self.finish(request);
+        self.finish(now, request);
     }
 
     /// Takes the run that is under way off its server's books; its task ends with the exchange.
@@ -73,8 +73,9 @@
         }
     }
 
-    pub(super) fn finish(&mut self, request: RequestNumber) {
+    pub(super) fn finish(&mut self, now: Millis, request: RequestNumber) {
         if let Some(state) = self.requests.remove(&request) {
+            self.sessions.ended(now, Self::session_hash(&state));
             self.ends.remove(&(state.ends, request));
         }
     }
--- a/src/gateway/gateway_bounds.rs
+++ b/src/gateway/gateway_bounds.rs
@@ -14,6 +14,8 @@
     pub resend_share: Share,
     /// The window over which second sends are counted.
     pub resend_window_ms: Millis,
+    /// The time within which requests with the same session belong together, in seconds.
+    pub session_s: f64,
     /// The share of a pool's requests that a version may get while it is brought in.
     pub exposure_share: Share,
 }
@@ -27,6 +29,7 @@
             shutdown_ms: Millis(8_000),
             resend_share: Share::new(0.2).unwrap_or(Share::ZERO),
             resend_window_ms: Millis(10_000),
+            session_s: 10.0,
             exposure_share: Share::new(0.1).unwrap_or(Share::ZERO),
         }
     }
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -10,7 +10,7 @@
     pub(super) fn try_again(&mut self, now: Millis, request: RequestNumber, reason: &'static str) {
         let Err(refusal) = self.send_again(now, request, reason) else { return };
         if self.requests.get(&request).is_some_and(|state| state.is_delivered) {
-            self.break_off(request, "the stream broke and cannot be resumed");
+            self.break_off(now, request, "the stream broke and cannot be resumed");
         } else {
             self.refuse(now, request, refusal);
         }
--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -92,18 +92,32 @@
 
     /// Returns the share of the sessions that run on the new version.
     #[must_use]
-    pub fn share(&self, bounds: &GatewayBounds) -> f64 {
+    pub fn share(&self, bounds: &GatewayBounds, servers: usize) -> f64 {
         match self.state {
             RolloutState::Completed => return 1.0,
             RolloutState::Withdrawn => return 0.0,
             RolloutState::Running => {}
         }
         match usize::from(self.stage).checked_sub(1) {
-            None => bounds.exposure_share.get() * Self::TRIAL_PART,
+            None => bounds.exposure_share.get() * Self::TRIAL_PART / Self::trial_divisor(servers),
             Some(raised) => Self::STAGES[raised.min(Self::STAGES.len() - 1)].1,
         }
     }
 
+    /// Returns whether sessions may not change to the new version yet.
+    #[must_use]
+    pub fn is_on_trial(&self) -> bool {
+        self.state == RolloutState::Running && self.stage == 0
+    }
+
+    /// Returns by how much the trial of a large pool is smaller: its requests are many, and a few a
+    /// second tell enough. In steps of two, so that VMs that count a few servers more or less agree.
+    fn trial_divisor(servers: usize) -> f64 {
+        const SMALL_POOL: usize = 16;
+        let steps = (servers / SMALL_POOL).checked_ilog2().unwrap_or(0);
+        f64::from(1_u32 << steps)
+    }
+
     /// Takes in a stage that the store has a record of.
     pub fn raise(&mut self, now: Millis, stage: u8) {
         if stage > self.stage {
@@ -122,10 +136,10 @@
 
     /// Returns the side on which a session's requests run; the same on every VM.
     #[must_use]
-    pub fn side(&self, bounds: &GatewayBounds, session: u64) -> VersionSide {
+    pub fn side(&self, bounds: &GatewayBounds, servers: usize, session: u64) -> VersionSide {
         const STEPS: u64 = 10_000;
         let place = (session % STEPS) as f64 / STEPS as f64;
-        if place < self.share(bounds) { VersionSide::New } else { VersionSide::Old }
+        if place < self.share(bounds, servers) { VersionSide::New } else { VersionSide::Old }
     }
 
     /// Returns whether the first event of an answer came too late.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -17,11 +17,23 @@
     /// Returns the software that a request may run on.
     pub(super) fn software_rule(
         &self,
+        now: Millis,
         state: &RoutedRequest,
     ) -> (Option<VersionSide>, SoftwareRule) {
         let Some(track) = self.rollouts.get(&state.pool) else { return (None, SoftwareRule::Any) };
         let target = track.order.target.clone();
-        let side = track.side(&self.bounds, Self::session_hash(state));
+        let session = Self::session_hash(state);
+        let is_old = |server: &&BackendServer| server.entry.software != target;
+        let old_servers = self.servers.open(&state.pool).filter(is_old).count();
+        let within = Millis((self.bounds.session_s * 1_000.0) as u64);
+        let last = self.sessions.version(now, session, within);
+        let side = match last {
+            Some(last) if track.state == RolloutState::Running && last == target => {
+                VersionSide::New
+            }
+            Some(_) if track.is_on_trial() => VersionSide::Old,
+            _ => track.side(&self.bounds, old_servers, session),
+        };
         let has = |rule: &SoftwareRule| {
             self.servers.open(&state.pool).any(|server| rule.allows(&server.entry.software))
         };
@@ -36,7 +48,7 @@
         }
     }
 
-    fn session_hash(state: &RoutedRequest) -> u64 {
+    pub(super) fn session_hash(state: &RoutedRequest) -> u64 {
         match (&state.arrival.session, state.arrival.parts.last()) {
             (Some(session), _) => xxh3_64(session.as_bytes()),
             (None, Some(part)) => xxh3_64(&part.id.to_le_bytes()),
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -160,7 +160,7 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         match outcome {
-            RunOutcome::Whole { .. } if run.stage == RunStage::Begun => self.finish(request),
+            RunOutcome::Whole { .. } if run.stage == RunStage::Begun => self.finish(now, request),
             RunOutcome::Whole { head } => {
                 let is_failure = head.status >= 500;
                 let may_repeat = state.route.kind.may_repeat() && !state.is_delivered;
@@ -170,11 +170,11 @@
                     return;
                 }
                 if self.requests.get(&request).is_some_and(|state| state.is_delivered) {
-                    self.break_off(request, "a resumed stream failed");
+                    self.break_off(now, request, "a resumed stream failed");
                     return;
                 }
                 self.emit(GatewayCommand::Deliver { request, attempt });
-                self.finish(request);
+                self.finish(now, request);
             }
             RunOutcome::NotRun { .. } => self.try_again(now, request, "the server did not run it"),
             RunOutcome::Broken { .. } => self.try_again(now, request, "the answer broke"),
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -33,7 +33,7 @@
         now: Millis,
         state: &RoutedRequest,
     ) -> Option<(Place, Option<VersionSide>)> {
-        let (side, software) = self.software_rule(state);
+        let (side, software) = self.software_rule(now, state);
         let tried = state.tried();
         let pace = self.pace(state);
         let parts = state.cached_parts();
@@ -73,10 +73,17 @@
             unread_tokens = place.unread,
             expected_ms = place.expected.0,
             left_ms = state.ends.since(now).0,
+            session = state.arrival.session.as_deref(),
             reason,
             "sent"
         );
+        let session = Self::session_hash(state);
+        let is_session = !state.arrival.parts.is_empty() || state.arrival.session.is_some();
         let work_ms = place.unread * token_ms;
+        if is_session {
+            let within = Millis((self.bounds.session_s * 1_000.0) as u64);
+            self.sessions.started(now, session, place.software.clone(), within);
+        }
         if let Some(server) = self.servers.get_mut(&place.server) {
             server.started(now, work_ms, &state.cached_parts());
         }
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -256,3 +256,54 @@
     world.page(StoreStream::Evidence, vec![evidence("front-5", 3, 5)]);
     assert!(share(&mut world) > 0.0, "5 bad of 98, though not at the VM that saw them");
 }
+
+#[test]
+fn session_under_way_stays_on_old_version_in_trial() {
+    let mut world = GatewayWorld::new();
+    let call = |world: &mut GatewayWorld, number: u32| {
+        let session = format!("session-{number}");
+        let request = world.arrive_with("/plan/1", |arrival| {
+            arrival.session = Some(session.into());
+        });
+        let is_new = is_new(world, request);
+        world.began(request, 1, None);
+        world.whole(request, 1, 200);
+        is_new
+    };
+    for number in 0..200 {
+        call(&mut world, number);
+    }
+    let servers = (1..=3).map(|number| said(server(&format!("n{number}"), ENGINES, "v2")));
+    world.page(StoreStream::Servers, servers.collect());
+    world.page(StoreStream::Operators, vec![StoreRecord::Order(order())]);
+    world.newest(StoreStream::Rollouts, Vec::new());
+    for _ in 0..3 {
+        lead(&mut world, 3_000);
+        assert!((0..200).all(|number| !call(&mut world, number)), "they ran on the old version");
+    }
+    assert!((200..400).any(|number| call(&mut world, number)), "new sessions try the new version");
+}
+
+#[test]
+fn session_on_new_version_does_not_go_back() {
+    let mut world = world();
+    let ask = |world: &mut GatewayWorld, number: u32| {
+        let session = format!("session-{number}");
+        let request = world.arrive_with("/plan/1", |arrival| {
+            arrival.session = Some(session.into());
+        });
+        (request, is_new(world, request))
+    };
+    let new: Vec<u32> = (0..300).filter(|number| ask(&mut world, *number).1).collect();
+    assert!(!new.is_empty());
+    assert!(new.iter().all(|number| ask(&mut world, *number).1));
+}
+
+#[test]
+fn trial_of_a_large_pool_is_smaller() {
+    let track = RolloutTrack::new(Millis(0), order());
+    let shares = [9, 31, 60, 90].map(|servers| track.share(&bounds(), servers));
+    assert!((shares[0] - shares[1]).abs() < 1e-9, "{shares:?}");
+    assert!((shares[0] - 2.0 * shares[2]).abs() < 1e-9, "{shares:?}");
+    assert!((shares[0] - 4.0 * shares[3]).abs() < 1e-9, "{shares:?}");
+}
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -43,6 +43,7 @@
         shutdown_ms: Millis(8_000),
         resend_share: Share::new(0.9).unwrap(),
         resend_window_ms: Millis(10_000),
+        session_s: 5.0,
         exposure_share: Share::new(0.15).unwrap(),
     }
 }
