Share the signal thread; hash no bodies that nobody asks about

Found on reading the change: serve and gateway each had the signal loop (now command/signals, each keeps what SIGHUP does); every request's body was hashed for a fingerprint that no decision reads; the store's paths stood beside src/platform instead of in it.

--- a/src/command.rs
+++ b/src/command.rs
@@ -17,6 +17,7 @@
 mod operator_client;
 mod publish;
 mod serve;
+mod signals;
 mod status;
 
 pub use {check::read_configuration, command_error::CommandError, explain::explain_line};
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -1,7 +1,6 @@
 //! `guavapass gateway`: runs an entry VM that serves routes.
 
 use super::*;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// The variable that names the settings file if no argument does.
 const SETTINGS_VARIABLE: &str = "GUAVAPASS_SETTINGS";
@@ -36,26 +35,7 @@
         "serving routes"
     );
     let handle = vm.handle().clone();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new().name("signals".into()).spawn(move || {
-        runtime.block_on(async move {
-            let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-            let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
-            let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
-            loop {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                    _ = hangup.recv() => {
-                        tracing::info!("settings are read at the next start");
-                        continue;
-                    }
-                }
-                tracing::info!("told to end");
-                handle.send(GatewayEvent::Shutdown);
-            }
-        });
-    })?;
+    signals::watch(signals::HangupRule::Ignore, move || handle.send(GatewayEvent::Shutdown))?;
     if vm.wait() {
         return Ok(ExitCode::SUCCESS);
     }
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -1,7 +1,6 @@
 //! `guavapass serve`: runs an entry VM.
 
 use super::*;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Describes the command.
 pub fn command() -> CommandLine {
@@ -33,21 +32,7 @@
         "serving"
     );
     let handle = vm.handle().clone();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new().name("signals".into()).spawn(move || {
-        runtime.block_on(async move {
-            let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-            let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
-            loop {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                }
-                tracing::info!("told to end");
-                handle.send(Event::Shutdown);
-            }
-        });
-    })?;
+    signals::watch(signals::HangupRule::Default, move || handle.send(Event::Shutdown))?;
     vm.wait();
     Ok(ExitCode::SUCCESS)
 }
--- a/src/gateway/routed_arrival.rs
+++ b/src/gateway/routed_arrival.rs
@@ -36,6 +36,4 @@
     pub parts: Vec<PromptPart>,
     /// The last event that the caller has of a stream that broke.
     pub last_event: Option<u64>,
-    /// A hash of the key, method, path and body, equal for a resend of the same request.
-    pub fingerprint: u64,
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -15,15 +15,7 @@
 mod rollout_records;
 mod server_records;
 mod store_frames;
-
-/// The path at which the store takes records.
-pub const APPEND_PATH: &str = "/-/log-append";
-/// The path at which the store gives records in order.
-pub const READ_PATH: &str = "/-/log-read";
-/// The path at which the store gives the newest record of each key.
-pub const NEWEST_PATH: &str = "/-/log-newest";
-/// The start of the names of topics that keep the newest record of each key.
-pub const KEYED_PREFIX: &str = "keyed.";
+mod store_paths;
 
 pub use {
     answer_headers::{AnswerFacts, read_answer},
@@ -34,6 +26,7 @@
     request_headers::{HeadError, READY_PATH, read_arrival, run_headers},
     server_records::read_server_record,
     store_frames::{FrameError, read_frames, read_keyed, write_frame, write_keyed},
+    store_paths::{APPEND_PATH, KEYED_PREFIX, NEWEST_PATH, READ_PATH},
 };
 
 use rollout_records::{read_rollout_record, rollout_key, write_rollout_record};
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -64,7 +64,6 @@
 pub fn read_arrival(
     request: RequestNumber,
     head: &http::request::Parts,
-    body: &[u8],
 ) -> Result<RoutedArrival, HeadError> {
     let headers = &head.headers;
     let caller_id = text(headers, CALLER_ID)?.ok_or(HeadError::Missing { name: CALLER_ID })?;
@@ -76,7 +75,6 @@
         None => (Tokens(0), Tokens(0)),
     };
     let parts = text(headers, PARTS)?.map_or(Ok(Vec::new()), prompt_parts)?;
-    let fingerprint = fingerprint(key.as_deref(), head, body);
     Ok(RoutedArrival {
         request,
         caller_id: caller_id.into(),
@@ -90,7 +88,6 @@
         output_limit,
         parts,
         last_event: number(headers, LAST_EVENT)?,
-        fingerprint,
     })
 }
 
@@ -159,12 +156,6 @@
     value.split(',').filter(|entry| !entry.trim().is_empty()).map(read).collect()
 }
 
-fn fingerprint(key: Option<&str>, head: &http::request::Parts, body: &[u8]) -> u64 {
-    let path = head.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-    let head = format!("{} {} {path}\n", key.unwrap_or_default(), head.method);
-    xxh3_64(head.as_bytes()) ^ xxh3_64(body).rotate_left(1)
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, HeadError> {
     let wrong = |_| HeadError::Wrong { name, expected: "printable ASCII" };
     headers.get(name).map(HeaderValue::to_str).transpose().map_err(wrong)
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -94,7 +94,7 @@
         ("x-prompt-prefix", "5c:800,91:410"),
         ("last-event-id", "3"),
     ]);
-    let arrival = read_arrival(RequestNumber(1), &head, b"").unwrap();
+    let arrival = read_arrival(RequestNumber(1), &head).unwrap();
     assert!(arrival.any_model);
     assert_eq!((arrival.prompt_tokens, arrival.output_limit), (Tokens(1_460), Tokens(80)));
     assert_eq!((arrival.parts.len(), arrival.last_event), (2, Some(3)));
@@ -103,10 +103,10 @@
 
 #[test]
 fn arrival_wrong_header() {
-    let missing = read_arrival(RequestNumber(1), &head(&[("host", "f")]), b"").unwrap_err();
+    let missing = read_arrival(RequestNumber(1), &head(&[("host", "f")])).unwrap_err();
     assert_eq!(missing.to_string(), "The header x-attempt-id is missing; send it.");
     let wrong = head(&[("host", "f"), ("x-attempt-id", "a"), ("x-deadline-ms", "soon")]);
-    assert!(read_arrival(RequestNumber(1), &wrong, b"").is_err());
+    assert!(read_arrival(RequestNumber(1), &wrong).is_err());
 }
 
 #[test]
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -209,7 +209,6 @@
             output_limit: Tokens(100),
             parts: if is_engine { parts } else { Vec::new() },
             last_event: None,
-            fingerprint: self.requests,
         };
         change(&mut arrival);
         self.handle(GatewayEvent::Arrived(Box::new(arrival)));
