Check the demo's bills and refusals against what the stand-ins saw

Bills: a cascade that goes on from an answer that was rated poor costs its team both answers (docs/design/billing.md); the check counted the delivered answer alone. Refusals: a booking refused over its team's limit (429, not run, true) was run a few seconds later by its resend at another VM, which answered 200; the check took any run of the booking as the refused call's.

Ruled out by the parts of the differing bills: a hedge that lost (the parts are of two versions, planner-small then planner-medium); a run that was answered before its refusal (refusals came 0.5 to 0.9 s after the send, the resends' answers 2.1 to 7.4 s after it).

The bill check is stricter than before: the sum of each team and, new, each request's bill must be the price of the answer plus that of the version the rating service itself noted as poor; no figure of the bill is used to find what is owed. The refusal check fails if the booking ran before the refused call was sent, or more often than its other calls answer for; broken promises now name the request.

--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -12,6 +12,7 @@
     },
 };
 
+mod answer_cost;
 mod demo_call;
 mod demo_plan;
 mod demo_report;
@@ -21,6 +22,7 @@
 mod team_tally;
 
 use {
+    answer_cost::{answer_cost, model_cost},
     demo_call::{CallKind, DemoCall, DemoResult},
     demo_plan::DemoPlan,
     demo_report::DemoReport,
--- a/src/command/demo/demo_call.rs
+++ b/src/command/demo/demo_call.rs
@@ -37,6 +37,8 @@
 pub(super) struct DemoResult {
     /// The call.
     pub(super) call: DemoCall,
+    /// When it was sent.
+    pub(super) sent: Instant,
     /// Its answer.
     pub(super) outcome: CallOutcome,
 }
@@ -52,6 +54,11 @@
         self.outcome.header("guavapass-run")
     }
 
+    /// Returns whether the answer says that the call did not run.
+    pub(super) fn is_not_run(&self) -> bool {
+        self.run() == Some("not-run")
+    }
+
     /// Returns whether the call got a whole answer that is its own.
     pub(super) fn is_answered(&self) -> bool {
         self.outcome.is_whole() && self.is_own()
--- a/src/command/demo/demo_report.rs
+++ b/src/command/demo/demo_report.rs
@@ -20,7 +20,7 @@
             *bookings.entry(booking).or_default() += runs;
         }
         Self {
-            teams: TeamTally::all(&stage.document, &record.results),
+            teams: TeamTally::all(stage, &record.results),
             versions,
             bookings,
             promises: PromiseCheck::all(stage, record),
--- a/src/command/demo/demo_stage.rs
+++ b/src/command/demo/demo_stage.rs
@@ -97,25 +97,43 @@
     }
 
     /// Waits until a number of requests is billed, or no longer, and returns all bills.
-    pub(super) async fn bills(&self, expected: u64) -> BillReport {
+    pub(super) async fn bills(&self, expected: u64) -> BillFold {
         let clock = Clock::start();
         loop {
-            let report = self.bills_now();
+            let fold = self.bills_now();
+            let report = self.report(&fold);
             let settled = report.teams.values().map(|total| total.requests - total.unsettled);
             if settled.sum::<u64>() >= expected || clock.now() > Self::BILL_TIMEOUT {
-                return report;
+                return fold;
             }
             tokio::time::sleep(Self::POLL).await;
         }
     }
 
-    fn bills_now(&self) -> BillReport {
+    /// Returns what the team of an answered call owes: the answer's price and, where a cascade went
+    /// on from an answer that was rated poor, the price of that one too (docs/design/billing.md).
+    pub(super) fn due(&self, result: &DemoResult) -> Cost {
+        let answer = answer_cost(&self.document, result);
+        let poor = self.platform.ratings().rated_poor(&result.call.marker);
+        let versions = poor.iter().filter_map(|version| version.parse::<VersionId>().ok());
+        let replaced = versions.filter(|version| result.version().as_ref() != Some(version));
+        replaced
+            .filter_map(|version| model_cost(&self.document, result, &version))
+            .fold(answer, |sum, cost| sum + cost)
+    }
+
+    /// Returns what teams pay by bills.
+    pub(super) fn report(&self, fold: &BillFold) -> BillReport {
+        BillReport::of(fold, self.document.unsettled_bills, None, Millis(0))
+    }
+
+    fn bills_now(&self) -> BillFold {
         let mut fold = BillFold::default();
         let records = self.platform.log().records(BillLedger::stream().as_str());
         for (offset, record) in (0..).map(Offset).zip(records) {
             fold.fold(&LogRecord { offset, record });
         }
-        BillReport::of(&fold, self.document.unsettled_bills, None, Millis(0))
+        fold
     }
 
     /// Returns the runs of a version, over all engines.
@@ -133,6 +151,11 @@
         self.bookings.iter().map(|server| server.bookings().runs(booking)).sum()
     }
 
+    /// Returns when a booking was first run, on any server.
+    pub(super) fn first_booking_run(&self, booking: &str) -> Option<Instant> {
+        self.bookings.iter().filter_map(|server| server.bookings().first_start(booking)).min()
+    }
+
     /// Returns what to print when everything is left running.
     pub(super) fn invitation(&self) -> String {
         let vms = self.vms.iter().enumerate().map(|(index, vm)| {
--- a/src/command/demo/demo_traffic.rs
+++ b/src/command/demo/demo_traffic.rs
@@ -19,7 +19,7 @@
     /// Its runs at the end.
     pub(super) runs_at_end: u64,
     /// The bills after the last call.
-    pub(super) bills: BillReport,
+    pub(super) bills: BillFold,
 }
 
 impl<'a> DemoTraffic<'a> {
@@ -72,8 +72,9 @@
         let caller = callers[call.vm].clone();
         tokio::spawn(async move {
             tokio::time::sleep_until(start + call.at).await;
+            let sent = Instant::now();
             let outcome = caller.send(&call.request).await;
-            DemoResult { call, outcome }
+            DemoResult { call, sent, outcome }
         })
     });
     let sends: Vec<_> = sends.collect();
--- a/src/command/demo/promise_check.rs
+++ b/src/command/demo/promise_check.rs
@@ -109,36 +109,100 @@
     }
 
     fn billed_once(stage: &DemoStage, record: &TrafficRecord) -> Self {
-        let tallies = TeamTally::all(&stage.document, &record.results);
+        let tallies = TeamTally::all(stage, &record.results);
+        let bills = stage.report(&record.bills).teams;
         let answered = DemoResult::billable(&record.results).count() as u64;
         let failed: u64 = tallies.values().map(|tally| tally.failed).sum();
-        let billed: u64 = record.bills.teams.values().map(|total| total.requests).sum();
+        let billed: u64 = bills.values().map(|total| total.requests).sum();
         let wrong = tallies.iter().filter(|(team, tally)| {
-            let billed = record.bills.teams.get(*team).map_or(0.0, |total| total.cost.0);
+            let billed = bills.get(*team).map_or(0.0, |total| total.cost.0);
             tally.failed == 0 && (billed - tally.cost.0).abs() > Self::COST_TOLERANCE
         });
         let wrong = wrong.count();
+        let differing = Self::differing_bills(stage, record);
         Self {
             promise: "each request is billed exactly once",
-            held: (answered..=answered + failed).contains(&billed) && wrong == 0,
+            held: (answered..=answered + failed).contains(&billed)
+                && wrong == 0
+                && differing.is_empty(),
             evidence: format!(
-                "{answered} requests answered, {billed} billed, {wrong} teams billed wrongly"
+                "{answered} requests answered, {billed} billed, {wrong} teams billed wrongly{}",
+                Self::listed(&differing)
             ),
         }
     }
 
+    /// Describes the bills of single requests that are not what their team owes.
+    fn differing_bills(stage: &DemoStage, record: &TrafficRecord) -> Vec<String> {
+        let settled = record.bills.bills().filter_map(|(_, state)| match state {
+            BillState::Settled(bill) => Some((bill.request.to_string(), bill)),
+            BillState::Unsettled(_) => None,
+        });
+        let settled: BTreeMap<String, &BillRecord> = settled.collect();
+        let mut differing = Vec::new();
+        for result in DemoResult::billable(&record.results) {
+            let request = result.outcome.header("guavapass-request").unwrap_or_default();
+            let stage_of = |bill: &&BillRecord| bill.stage.clone();
+            let Some(BillStage::Final { cost, .. }) = settled.get(request).map(stage_of) else {
+                continue;
+            };
+            let due = stage.due(result);
+            if (cost.0 - due.0).abs() > Self::COST_TOLERANCE {
+                differing.push(format!("{request} was billed {cost} and owes {due}"));
+            }
+        }
+        differing
+    }
+
+    /// Writes what broke a promise after its evidence.
+    fn listed(broken: &[String]) -> String {
+        if broken.is_empty() { String::new() } else { format!(": {}", broken.join("; ")) }
+    }
+
     fn not_run(stage: &DemoStage, record: &TrafficRecord) -> Self {
-        let refused = record.results.iter().filter(|result| result.run() == Some("not-run"));
+        let refused = record.results.iter().filter(|result| result.is_not_run());
         let ran = |result: &&DemoResult| match result.call.kind {
-            CallKind::Booking => stage.booking_runs(&result.call.marker) > 0,
+            CallKind::Booking => Self::booking_ran(stage, record, result),
             CallKind::Lookup => false,
             CallKind::Question | CallKind::Dossier => stage.question_runs(&result.call.text) > 0,
         };
-        let wrong = refused.clone().filter(ran).count();
+        let wrong: Vec<String> =
+            refused.clone().filter(ran).map(|result| Self::sendings(record, result)).collect();
         Self {
             promise: "a refusal that says \"not run\" is true",
-            held: wrong == 0,
-            evidence: format!("{} refusals say so, {wrong} are wrong", refused.count()),
+            held: wrong.is_empty(),
+            evidence: format!(
+                "{} refusals say so, {} are wrong{}",
+                refused.count(),
+                wrong.len(),
+                Self::listed(&wrong)
+            ),
         }
     }
+
+    /// Returns whether a refused booking had run. One that is sent again after its refusal may run
+    /// then, so a run is not the refused call's if another call of the booking answers for it and it
+    /// began after the refused call was sent.
+    fn booking_ran(stage: &DemoStage, record: &TrafficRecord, refused: &DemoResult) -> bool {
+        let marker = &refused.call.marker;
+        let Some(first) = stage.first_booking_run(marker) else { return false };
+        let is_same = |other: &&DemoResult| {
+            other.call.kind == CallKind::Booking && other.call.marker == *marker
+        };
+        let others = record.results.iter().filter(is_same);
+        let answering = others.filter(|other| !other.is_not_run()).count() as u64;
+        first < refused.sent || stage.booking_runs(marker) > answering
+    }
+
+    /// Describes all calls with the marker of a result.
+    fn sendings(record: &TrafficRecord, result: &DemoResult) -> String {
+        let marker = &result.call.marker;
+        let same = record.results.iter().filter(|other| other.call.marker == *marker);
+        let texts = same.map(|other| {
+            let request = other.outcome.header("guavapass-request").unwrap_or("no request");
+            let (status, run) = (other.outcome.status, other.run().unwrap_or("nothing said"));
+            format!("{:?} {request}: status {status:?}, {run}", other.call.kind)
+        });
+        texts.collect::<Vec<_>>().join(", ")
+    }
 }
--- a/src/command/demo/team_tally.rs
+++ b/src/command/demo/team_tally.rs
@@ -34,10 +34,7 @@
     }
 
     /// Returns the tallies of all teams that sent a call.
-    pub(super) fn all(
-        document: &ConfigurationDocument,
-        results: &[DemoResult],
-    ) -> BTreeMap<TeamId, Self> {
+    pub(super) fn all(stage: &DemoStage, results: &[DemoResult]) -> BTreeMap<TeamId, Self> {
         let mut tallies: BTreeMap<TeamId, Self> = BTreeMap::new();
         for result in results {
             let tally = tallies.entry(result.call.team.clone()).or_insert_with(Self::new);
@@ -45,7 +42,7 @@
         }
         for result in DemoResult::billable(results) {
             if let Some(tally) = tallies.get_mut(&result.call.team) {
-                tally.cost += cost(document, result);
+                tally.cost += stage.due(result);
             }
         }
         tallies
@@ -58,7 +55,7 @@
             let outcome = &result.outcome;
             self.first_token.saturating_record(outcome.first_byte.as_micros() as u64);
             self.whole.saturating_record(outcome.whole.as_micros() as u64);
-        } else if result.run() == Some("not-run") {
+        } else if result.is_not_run() {
             self.refused += 1;
         } else {
             self.failed += 1;
@@ -75,24 +72,3 @@
         self.whole.value_at_quantile(quantile) as f64 / 1e3
     }
 }
-
-/// Returns the cost of an answer by the prices of the configuration.
-fn cost(document: &ConfigurationDocument, result: &DemoResult) -> Cost {
-    let service = |name: &str| {
-        let id = name.parse::<ServiceId>().ok()?;
-        document.services.get(&id).map(|entry| entry.cost_per_call)
-    };
-    match result.call.kind {
-        CallKind::Booking => service("crew-booking").unwrap_or_default(),
-        CallKind::Lookup => service("slot-status").unwrap_or_default(),
-        CallKind::Question | CallKind::Dossier => model_cost(document, result).unwrap_or_default(),
-    }
-}
-
-fn model_cost(document: &ConfigurationDocument, result: &DemoResult) -> Option<Cost> {
-    let entry = document.version(&result.version()?)?;
-    let (prompt, output) = result.outcome.usage()?;
-    let prompt_cost = prompt.0 as f64 * entry.cost_per_million_prompt_tokens.0;
-    let output_cost = output.0 as f64 * entry.cost_per_million_output_tokens.0;
-    Some(Cost((prompt_cost + output_cost) / 1e6))
-}
--- a/src/stand_in/answer_rater.rs
+++ b/src/stand_in/answer_rater.rs
@@ -9,6 +9,7 @@
     seed: u64,
     good_shares: Mutex<BTreeMap<SmolStr, Share>>,
     ratings: AtomicU64,
+    poor: Mutex<BTreeMap<SmolStr, BTreeSet<SmolStr>>>,
     faults: FaultSwitches,
 }
 
@@ -28,6 +29,7 @@
             seed,
             good_shares: Mutex::default(),
             ratings: AtomicU64::new(0),
+            poor: Mutex::default(),
             faults: FaultSwitches::default(),
         }
     }
@@ -43,6 +45,15 @@
         self.ratings.load(Ordering::SeqCst)
     }
 
+    /// Returns the versions, written `model@version`, whose answers it rated poor to requests that
+    /// contain a text.
+    #[must_use]
+    pub fn rated_poor(&self, text: &str) -> BTreeSet<SmolStr> {
+        let poor = lock(&self.poor);
+        let about = poor.iter().filter(|(request, _)| request.contains(text));
+        about.flat_map(|(_, versions)| versions.iter().cloned()).collect()
+    }
+
     /// Returns its faults.
     #[must_use]
     pub const fn faults(&self) -> &FaultSwitches {
@@ -76,6 +87,9 @@
             return Err(ConnectionCut);
         }
         let score = self.score(&request.request, &request.version);
+        if score < Self::GOOD_SCORE {
+            lock(&self.poor).entry(request.request).or_default().insert(request.version);
+        }
         Ok(json_reply(StatusCode::OK, &serde_json::json!({"score": score})))
     }
 }
