Tell other VMs which sessions stay on the old version

Change: sessions of the slice that ran on the old version are held; VMs tell each other, each session once, with the polls of the relay and the exchange between data centres. A new roll-out waits 1 s before it takes sessions that are not known, so that the news arrives first.

Bounds: 8,192 sessions, 9 bytes each, told once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,8 @@
 mod gateway_core;
 mod gateway_document;
 mod gateway_event;
+mod held_marks;
+mod held_sessions;
 mod knowledge_lease;
 mod load_sample;
 mod model_choice;
@@ -53,6 +55,7 @@
 mod server_book;
 mod server_entry;
 mod session_versions;
+mod sessions;
 mod shared_loads;
 mod store_error;
 mod store_feed;
@@ -67,6 +70,7 @@
     gateway_core::Gateway,
     gateway_document::{EngineShape, GatewayDocument, KeyHolder, PoolShape},
     gateway_event::GatewayEvent,
+    held_sessions::{HeldNews, HeldSessions},
     knowledge_lease::KnowledgeLease,
     load_sample::{DatedLoad, LoadSample},
     model_choice::AnswerPrognosis,
@@ -95,4 +99,4 @@
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
 };
 
-use relay::RelayState;
+use {held_marks::HeldMarks, relay::RelayState};
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -104,6 +104,8 @@
                 wait: Millis(0),
                 evidence: Vec::new(),
                 loads: loads.clone(),
+                held_sessions: self.held_news(&card),
+                held_known: self.held_known(&card),
             };
             let (address, peer) = (card.address, card.vm);
             self.emit(GatewayCommand::AskPeer { peer: Some(peer), address, poll });
@@ -127,23 +129,31 @@
         let is_reader = self.relay.reader.as_ref() == Some(&card.vm);
         let wait = if is_reader { Millis(Self::RELAY_WAIT_MS) } else { Millis(0) };
         let Some(from) = self.relay.card.clone() else { return };
-        let known = self
-            .relay
-            .known
-            .clone()
-            .filter(|(name, _)| name.vm == card.vm && name.incarnation == card.incarnation);
+        let known = self.relay.known.clone().filter(|(name, _)| *name == card.name());
         let evidence =
             self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
         let evidence = evidence.collect();
         let (purpose, loads) = (PollPurpose::Records, self.servers.own_loads());
-        let poll = RelayPoll { from, purpose, known, wait, evidence, loads };
+        let (held_sessions, held_known) = (self.held_news(&card), self.held_known(&card));
+        let poll =
+            RelayPoll { from, purpose, known, wait, evidence, loads, held_sessions, held_known };
         let is_whole = poll.known.is_none();
         self.relay.asked = Some(AskedReader { card: card.clone(), sent: now, is_whole });
         let (address, peer) = (card.address, Some(card.vm));
         self.emit(GatewayCommand::AskPeer { peer, address, poll });
     }
 
-    fn knows_all(&self) -> bool {
+    fn held_news(&self, asked: &PeerCard) -> HeldNews {
+        self.held.since(self.held_marks.told_to(&asked.name()))
+    }
+
+    fn held_known(&self, asked: &PeerCard) -> Option<(PeerName, u64)> {
+        let name = asked.name();
+        let last = self.held_marks.heard_from(&name);
+        Some((name, last))
+    }
+
+    pub(super) fn knows_all(&self) -> bool {
         let knows_servers =
             self.feeds.get(&StoreStream::Servers).is_some_and(StoreFeed::is_following);
         self.document.is_some() && knows_servers
@@ -160,11 +170,14 @@
         self.relay.greetings += 1;
         self.relay.greet_next = now + Millis(Self::GREETINGS_MS[turn.min(last)]);
         self.relay.peers.forget_silent(now);
+        self.held_marks.keep(|vm| self.relay.peers.knows(vm));
         let address = self.relay.seeds[turn % self.relay.seeds.len()];
         let (known, wait) = (None, Millis(0));
         let purpose = PollPurpose::Greeting;
         let (evidence, loads) = (Vec::new(), LoadSum::default());
-        let poll = RelayPoll { from, purpose, known, wait, evidence, loads };
+        let (held_sessions, held_known) = (HeldNews::default(), None);
+        let poll =
+            RelayPoll { from, purpose, known, wait, evidence, loads, held_sessions, held_known };
         self.emit(GatewayCommand::AskPeer { peer: None, address, poll });
     }
 
@@ -177,6 +190,9 @@
             PollPurpose::Loads => self.relay.loads.take_centre(now, &poll.from.data_centre, loads),
             PollPurpose::Greeting => {}
         }
+        if poll.purpose != PollPurpose::Greeting {
+            self.take_held(poll.from.name(), &poll.held_sessions);
+        }
         for evidence in &poll.evidence {
             if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
                 track.take_follower(evidence);
@@ -188,7 +204,7 @@
     /// Answers the questions for which there is a change, or whose wait is over.
     fn answer_polls(&mut self, now: Millis) {
         let change = self.records.last_change();
-        let own = PeerName { vm: self.identity.vm.clone(), incarnation: self.identity.incarnation };
+        let Some(own) = self.relay.card.as_ref().map(PeerCard::name) else { return };
         let is_due = |waiting: &WaitingPoll| {
             let known = waiting.poll.known.as_ref().filter(|(name, _)| *name == own);
             let has_news = known.is_none_or(|(_, known)| *known < change);
@@ -217,6 +233,14 @@
             PollPurpose::Loads => self.relay.loads.of_centre(now, &own_loads),
             PollPurpose::Greeting => LoadSum::default(),
         };
+        let held_known = poll.held_known.filter(|(name, _)| name == own);
+        let held_sessions = match poll.purpose {
+            PollPurpose::Greeting => HeldNews::default(),
+            PollPurpose::Records | PollPurpose::Loads => {
+                self.held.since(held_known.map_or(0, |(_, last)| last))
+            }
+        };
+        let held_heard = self.held_marks.heard_from(&poll.from.name());
         let cards = match poll.purpose {
             PollPurpose::Greeting => self.relay.peers.for_greeting(&poll.from.data_centre),
             PollPurpose::Records | PollPurpose::Loads => Vec::new(),
@@ -229,6 +253,8 @@
             operators: self.feed_age(now, StoreStream::Operators),
             servers: self.feed_age(now, StoreStream::Servers),
             loads,
+            held_sessions,
+            held_heard,
             reads_store: self.relay.reader.is_none(),
             cards,
         };
@@ -264,6 +290,10 @@
                 self.relay.peers.heard(now, card);
             }
         }
+        if let Some(answer) = result.as_ref().filter(|_| purpose != PollPurpose::Greeting) {
+            self.take_held(answer.from.name(), &answer.held_sessions);
+            self.held_marks.note_told(answer.from.name(), answer.held_heard);
+        }
         match (purpose, peer) {
             (PollPurpose::Records, _) => self.on_records(now, result),
             (PollPurpose::Loads, Some(peer)) => self.on_loads(now, &peer, result),
@@ -308,8 +338,7 @@
             tracing::info!(reader = %from.vm, "another VM reads the store for this one");
             self.relay.reader = Some(from.vm.clone());
         }
-        let name = PeerName { vm: from.vm.clone(), incarnation: from.incarnation };
-        self.relay.known = Some((name, answer.change));
+        self.relay.known = Some((from.name(), answer.change));
         self.relay.next = now;
         self.relay.loads.take_reader(now, answer.loads.clone());
         self.servers.note_others(&answer.loads);
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -13,6 +13,14 @@
     pub address: SocketAddr,
 }
 
+impl PeerCard {
+    /// Returns the start of the entry VM by its name.
+    #[must_use]
+    pub fn name(&self) -> PeerName {
+        PeerName { vm: self.vm.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// What a poll is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PollPurpose {
@@ -39,6 +47,11 @@
     pub evidence: Vec<EvidenceRecord>,
     /// What the asker has sent to the backend servers, or its data centre for [`PollPurpose::Loads`].
     pub loads: LoadSum,
+    /// The held sessions that are new to who is asked.
+    pub held_sessions: HeldNews,
+    /// The last of the held sessions of the asked VM, in the start that the asker knows, that the
+    /// asker has.
+    pub held_known: Option<(PeerName, u64)>,
 }
 
 /// How fresh a VM's reading of a stream is.
@@ -69,6 +82,10 @@
     /// What all others have sent to the backend servers, or the data centre of who answers for
     /// [`PollPurpose::Loads`].
     pub loads: LoadSum,
+    /// The held sessions that are new to the asker.
+    pub held_sessions: HeldNews,
+    /// The last of the asker's held sessions that who answers has.
+    pub held_heard: u64,
     /// Whether who answers reads the store itself.
     pub reads_store: bool,
     /// For [`PollPurpose::Greeting`], the entry VMs of the asker's data centre and some of others.
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Returns whether a VM has been heard of.
+    #[must_use]
+    pub fn knows(&self, vm: &VmId) -> bool {
+        self.peers.contains_key(vm)
+    }
+
     /// Forgets the VMs that have not been heard of for long.
     pub fn forget_silent(&mut self, now: Millis) {
         self.peers.retain(|_, track| now.since(track.heard).0 < Self::FORGET_MS);
--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -24,6 +24,8 @@
     pub order: RolloutOrder,
     /// When this VM learned of it.
     pub learned: Millis,
+    /// From when sessions that are not known may run on the new version.
+    pub opens: Millis,
     /// How far it is, as far as this VM knows.
     pub state: RolloutState,
     /// Whether the store has a record of the state.
@@ -43,6 +45,9 @@
     /// The part of the permitted exposure that is used before the version has proved itself; the
     /// rest is for the rise of the share and for VMs that hear of a withdrawal late.
     const TRIAL_PART: f64 = 0.55;
+    /// How long a trial waits before it takes sessions that are not known: VMs tell each other every
+    /// 100 ms of those under way, over three hops, and learn of the order within about as long.
+    pub const SETTLE_MS: u64 = 1_000;
     /// The parts of the roll-out's time from which the share is raised, and its values. The first
     /// rise lies behind the middle, before which sessions may not change their version.
     const STAGES: [(f64, f64); 3] = [(0.56, 0.3), (0.62, 0.6), (0.67, 1.0)];
@@ -72,6 +77,7 @@
         Self {
             order,
             learned: now,
+            opens: now,
             state: RolloutState::Running,
             is_recorded: false,
             own: AnswerTally { good: 0, bad: 0 },
@@ -137,9 +143,20 @@
     /// Returns the side on which a session's requests run; the same on every VM.
     #[must_use]
     pub fn side(&self, bounds: &GatewayBounds, servers: usize, session: u64) -> VersionSide {
+        let is_new = Self::place(session) < self.share(bounds, servers);
+        if is_new { VersionSide::New } else { VersionSide::Old }
+    }
+
+    /// Returns whether a session is among those of which a trial of any pool takes some.
+    #[must_use]
+    pub fn may_try(bounds: &GatewayBounds, session: u64) -> bool {
+        Self::place(session) < bounds.exposure_share.get() * Self::TRIAL_PART
+    }
+
+    /// Returns a session's place between 0 and 1.
+    fn place(session: u64) -> f64 {
         const STEPS: u64 = 10_000;
-        let place = (session % STEPS) as f64 / STEPS as f64;
-        if place < self.share(bounds, servers) { VersionSide::New } else { VersionSide::Old }
+        (session % STEPS) as f64 / STEPS as f64
     }
 
     /// Returns whether the first event of an answer came too late.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -22,18 +22,7 @@
     ) -> (Option<VersionSide>, SoftwareRule) {
         let Some(track) = self.rollouts.get(&state.pool) else { return (None, SoftwareRule::Any) };
         let target = track.order.target.clone();
-        let session = Self::session_hash(state);
-        let is_old = |server: &&BackendServer| server.entry.software != target;
-        let old_servers = self.servers.open(&state.pool).filter(is_old).count();
-        let within = Millis((self.bounds.session_s * 1_000.0) as u64);
-        let last = self.sessions.version(now, session, within);
-        let side = match last {
-            Some(last) if track.state == RolloutState::Running && last == target => {
-                VersionSide::New
-            }
-            Some(_) if track.is_on_trial() => VersionSide::Old,
-            _ => track.side(&self.bounds, old_servers, session),
-        };
+        let side = self.session_side(now, state, track);
         let has = |rule: &SoftwareRule| {
             self.servers.open(&state.pool).any(|server| rule.allows(&server.entry.software))
         };
@@ -48,14 +37,6 @@
         }
     }
 
-    pub(super) fn session_hash(state: &RoutedRequest) -> u64 {
-        match (&state.arrival.session, state.arrival.parts.last()) {
-            (Some(session), _) => xxh3_64(session.as_bytes()),
-            (None, Some(part)) => xxh3_64(&part.id.to_le_bytes()),
-            (None, None) => xxh3_64(state.arrival.caller_id.as_bytes()),
-        }
-    }
-
     pub(super) fn take_order(&mut self, now: Millis, order: &RolloutOrder) {
         let known = self.rollouts.get(&order.pool);
         if known.is_some_and(|known| known.order == *order) {
@@ -63,7 +44,12 @@
         }
         let (pool, target) = (&order.pool, &order.target);
         tracing::info!(%pool, %target, duration_ms = order.duration.0, "roll-out ordered");
-        self.rollouts.insert(order.pool.clone(), RolloutTrack::new(now, order.clone()));
+        let mut track = RolloutTrack::new(now, order.clone());
+        if self.knows_all() {
+            track.opens = now + Millis(RolloutTrack::SETTLE_MS);
+        }
+        self.rollouts.insert(order.pool.clone(), track);
+        self.hold_sessions(now, target);
         self.follow_rollouts();
     }
 
@@ -93,6 +79,7 @@
             tracing::info!(%pool, %target, ?state, "roll-out moved on by the store's record");
             track.state = record.state;
         }
+        self.release_sessions();
         self.stop_feeds();
     }
 
@@ -152,7 +139,9 @@
             tracing::warn!(%pool, %target, good = sum.good, bad = sum.bad, "version withdrawn");
             track.state = RolloutState::Withdrawn;
             track.is_recorded = false;
+            self.release_sessions();
         }
+        let Some(track) = self.rollouts.get_mut(pool) else { return };
         let is_final = track.state.is_final();
         let is_due = track.is_due(Millis(now.since(delay).0));
         let is_new = !track.is_recorded && now.since(track.learned) >= delay;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -77,13 +77,7 @@
             reason,
             "sent"
         );
-        let session = Self::session_hash(state);
-        let is_session = !state.arrival.parts.is_empty() || state.arrival.session.is_some();
         let work_ms = place.unread * token_ms;
-        if is_session {
-            let within = Millis((self.bounds.session_s * 1_000.0) as u64);
-            self.sessions.started(now, session, place.software.clone(), within);
-        }
         if let Some(server) = self.servers.get_mut(&place.server) {
             server.started(now, work_ms, &state.cached_parts());
         }
@@ -121,6 +115,7 @@
             let patience = state.route.objective.max(Millis(place.expected.0 * Self::PATIENCE));
             self.patiences.insert((now + patience, request));
         }
+        self.note_session(now, request, &place.software);
         self.emit(GatewayCommand::Start(Box::new(order)));
     }
 
--- a/src/gateway/session_versions.rs
+++ b/src/gateway/session_versions.rs
@@ -27,6 +27,14 @@
         (now.since(known.seen) <= within).then_some(known.software.as_str())
     }
 
+    /// Returns the sessions whose last request, if it was within a time, was not on a version.
+    pub fn others(&self, now: Millis, software: &str, within: Millis) -> impl Iterator<Item = u64> {
+        let is_other = move |known: &SessionVersion| {
+            known.software != software && now.since(known.seen) <= within
+        };
+        self.sessions.iter().filter(move |(_, known)| is_other(known)).map(|(session, _)| *session)
+    }
+
     /// Notes the version on which a session's request starts.
     pub fn started(&mut self, now: Millis, session: u64, software: SmolStr, within: Millis) {
         if self.sessions.len() >= Self::LIMIT {
--- /dev/null
+++ b/src/gateway/sessions.rs
@@ -0,0 +1,93 @@
+//! Sessions and the version on which they stay while a roll-out is on trial.
+//!
+//! A session that ran on the old version stays there until the trial is over, at every entry VM. A
+//! VM knows this of the sessions that it has served itself ([`SessionVersions`]); of those that the
+//! trial would take over it tells the others ([`HeldSessions`]). These hear of it within the time
+//! that a new roll-out waits before it takes sessions that are not known.
+
+use super::*;
+
+impl Gateway {
+    /// Returns the side on which a session's request runs.
+    pub(super) fn session_side(
+        &self,
+        now: Millis,
+        state: &RoutedRequest,
+        track: &RolloutTrack,
+    ) -> VersionSide {
+        let target = &track.order.target;
+        let session = Self::session_hash(state);
+        let last = self.sessions.version(now, session, self.session_time());
+        let is_running = track.state == RolloutState::Running;
+        match last {
+            Some(last) if is_running && last == *target => VersionSide::New,
+            Some(_) if track.is_on_trial() => VersionSide::Old,
+            None if track.is_on_trial() && self.is_held(now, track, session) => VersionSide::Old,
+            _ => {
+                let is_old = |server: &&BackendServer| server.entry.software != *target;
+                let old_servers = self.servers.open(&state.pool).filter(is_old).count();
+                track.side(&self.bounds, old_servers, session)
+            }
+        }
+    }
+
+    fn is_held(&self, now: Millis, track: &RolloutTrack, session: u64) -> bool {
+        now < track.opens || self.held.contains(session)
+    }
+
+    /// Notes the version on which a session's request starts.
+    pub(super) fn note_session(&mut self, now: Millis, request: RequestNumber, software: &SmolStr) {
+        let Some(state) = self.requests.get(&request) else { return };
+        if state.arrival.parts.is_empty() && state.arrival.session.is_none() {
+            return;
+        }
+        let session = Self::session_hash(state);
+        let track = self.rollouts.get(&state.pool).filter(|track| track.is_on_trial());
+        let is_held = track.is_some_and(|track| {
+            track.order.target != *software && RolloutTrack::may_try(&self.bounds, session)
+        });
+        if is_held {
+            self.held.hold(session);
+        }
+        let within = self.session_time();
+        self.sessions.started(now, session, software.clone(), within);
+    }
+
+    /// Holds the sessions that ran on the old version when a roll-out was ordered.
+    pub(super) fn hold_sessions(&mut self, now: Millis, target: &str) {
+        let within = self.session_time();
+        for session in self.sessions.others(now, target, within) {
+            if RolloutTrack::may_try(&self.bounds, session) {
+                self.held.hold(session);
+            }
+        }
+    }
+
+    /// Forgets the held sessions once no roll-out is on trial.
+    pub(super) fn release_sessions(&mut self) {
+        if !self.rollouts.values().any(RolloutTrack::is_on_trial) {
+            self.held.clear();
+        }
+    }
+
+    /// Takes in the sessions that another VM holds.
+    pub(super) fn take_held(&mut self, from: PeerName, news: &HeldNews) {
+        for session in &news.sessions {
+            self.held.hold(*session);
+        }
+        self.held_marks.note_heard(from, news.last);
+    }
+
+    pub(super) fn session_hash(state: &RoutedRequest) -> u64 {
+        match (&state.arrival.session, state.arrival.parts.last()) {
+            (Some(session), _) => xxh3_64(session.as_bytes()),
+            (None, Some(part)) => xxh3_64(&part.id.to_le_bytes()),
+            (None, None) => xxh3_64(state.arrival.caller_id.as_bytes()),
+        }
+    }
+
+    /// Returns the time after which a session that has not called is over.
+    const fn session_time(&self) -> Millis {
+        Millis((self.bounds.session_s * 1_000.0) as u64)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 
 use {
     bytes::Bytes,
-    rustc_hash::FxHashMap,
+    rustc_hash::{FxHashMap, FxHashSet},
     serde::{Deserialize, Deserializer, Serialize, Serializer},
     smol_str::SmolStr,
     std::{
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -10,24 +10,7 @@
     ids::{CallId, Incarnation, Offset, VmId},
     units::Millis,
 };
-use std::{net::SocketAddr, sync::Arc};
-
-fn card(vm: &str, data_centre: &str) -> PeerCard {
-    let port: u16 = vm.bytes().map(u16::from).sum();
-    PeerCard {
-        vm: text(vm),
-        incarnation: Incarnation(1),
-        data_centre: text(data_centre),
-        address: SocketAddr::from(([127, 0, 0, 1], port)),
-    }
-}
-
-/// Returns names of VMs in the order of their ranks in their data centre.
-fn ranked() -> Vec<String> {
-    let mut names: Vec<String> = (1..=3).map(|number| format!("front-{number}")).collect();
-    names.sort_by_key(|name| xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
-    names
-}
+use std::sync::Arc;
 
 /// Returns a core that knows everything, with a card and the others of its data centre.
 fn world(vm: &str) -> GatewayWorld {
@@ -62,6 +45,8 @@
         operators: fresh,
         servers: fresh,
         loads: LoadSum::default(),
+        held_sessions: HeldNews::default(),
+        held_heard: 0,
         reads_store: true,
         cards: Vec::new(),
     }
@@ -206,6 +191,8 @@
         wait: Millis(400),
         evidence: Vec::new(),
         loads: LoadSum::default(),
+        held_sessions: HeldNews::default(),
+        held_known: None,
     };
     let answers = |world: &GatewayWorld| -> Vec<RelayAnswer> {
         let answers = world.commands.iter().filter_map(|command| match command {
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -17,13 +17,14 @@
     RolloutOrder { pool: pool(ENGINES), target: "v2".into(), duration: Millis(DURATION_MS) }
 }
 
-/// Returns a core that has just learned of a roll-out, and knows the stream of their states.
+/// Returns a core that learned of a roll-out as long ago as a trial waits, and knows the stream of their states.
 fn world() -> GatewayWorld {
     let mut world = GatewayWorld::new();
     let servers = (1..=3).map(|number| said(server(&format!("n{number}"), ENGINES, "v2")));
     world.page(StoreStream::Servers, servers.collect());
     world.page(StoreStream::Operators, vec![StoreRecord::Order(order())]);
     world.newest(StoreStream::Rollouts, Vec::new());
+    lead(&mut world, RolloutTrack::SETTLE_MS);
     world
 }
 
--- /dev/null
+++ b/tests/gateway_sessions.rs
@@ -0,0 +1,161 @@
+//! Sessions that call at several entry VMs while a roll-out is on trial.
+
+#[path = "support/gateway_world.rs"]
+#[allow(dead_code)]
+mod gateway_world;
+
+use gateway_world::*;
+use guavapass::{gateway::*, ids::CallId, units::Millis};
+
+const SESSIONS: u32 = 400;
+
+/// Returns a core that knows everything and, of its data centre, the VM that reads the store.
+fn world(vm: &str) -> GatewayWorld {
+    let mut world = GatewayWorld::new_as(vm);
+    world.newest(StoreStream::Rollouts, Vec::new());
+    world.gateway.set_relay(card(vm, "norte"), vec![card("seed", "sur").address]);
+    world.tick(0);
+    world
+}
+
+/// Lets a session call; returns whether the call ran on the new version.
+fn call(world: &mut GatewayWorld, number: u32) -> bool {
+    let session = format!("session-{number}");
+    let request = world.arrive_with("/plan/1", |arrival| arrival.session = Some(session.into()));
+    let is_new = world.starts(request)[0].server.as_str().starts_with('n');
+    world.began(request, 1, None);
+    world.whole(request, 1, 200);
+    is_new
+}
+
+fn order_rollout(world: &mut GatewayWorld) {
+    let servers = (1..=3).map(|number| said(server(&format!("n{number}"), ENGINES, "v2")));
+    world.page(StoreStream::Servers, servers.collect());
+    let duration = Millis(24_000);
+    let order = RolloutOrder { pool: pool(ENGINES), target: "v2".into(), duration };
+    world.page(StoreStream::Operators, vec![StoreRecord::Order(order)]);
+}
+
+/// Returns the last poll for a purpose that a VM has sent.
+fn poll(world: &GatewayWorld, purpose: PollPurpose) -> Option<RelayPoll> {
+    let polls = world.commands.iter().rev().filter_map(|command| match command {
+        GatewayCommand::AskPeer { poll, .. } if poll.purpose == purpose => Some(poll.clone()),
+        _ => None,
+    });
+    polls.into_iter().next()
+}
+
+/// Lets one VM ask another, and returns how many held sessions each told.
+fn exchange(asker: &mut GatewayWorld, asked: &mut GatewayWorld) -> (usize, usize) {
+    asker.run_in_touch(700);
+    let poll = poll(asker, PollPurpose::Records).expect("it asks the VM that reads the store");
+    let told = poll.held_sessions.sessions.len();
+    asked.handle(GatewayEvent::Polled { call: CallId(1), poll: Box::new(poll) });
+    asked.tick(200);
+    let answers = asked.commands.iter().rev().filter_map(|command| match command {
+        GatewayCommand::AnswerPeer { answer, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    let answer = answers.into_iter().next().expect("the poll is answered");
+    let heard = answer.held_sessions.sessions.len();
+    let peer = Some(answer.from.vm.clone());
+    let purpose = PollPurpose::Records;
+    asker.handle(GatewayEvent::PeerAnswered { peer, purpose, answer: Some(answer) });
+    (told, heard)
+}
+
+/// Makes two VMs of a data centre known to each other.
+fn introduce(follower: &mut GatewayWorld, reader: &mut GatewayWorld) {
+    let poll = poll(follower, PollPurpose::Greeting).expect("it greets the seed");
+    reader.handle(GatewayEvent::Polled { call: CallId(9), poll: Box::new(poll) });
+    reader.tick(0);
+    let answers = reader.commands.iter().filter_map(|command| match command {
+        GatewayCommand::AnswerPeer { answer, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    let answer = answers.last().expect("the greeting is answered");
+    let purpose = PollPurpose::Greeting;
+    follower.handle(GatewayEvent::PeerAnswered { peer: None, purpose, answer: Some(answer) });
+}
+
+/// Returns a VM that reads the store and one that relies on it.
+fn pair() -> (GatewayWorld, GatewayWorld) {
+    let names = ranked();
+    let (mut reader, mut follower) = (world(&names[0]), world(&names[1]));
+    introduce(&mut follower, &mut reader);
+    (reader, follower)
+}
+
+#[test]
+fn session_of_another_vm_stays_on_old_version() {
+    let (mut reader, mut follower) = pair();
+    for number in 0..SESSIONS {
+        assert!(!call(&mut reader, number));
+    }
+    order_rollout(&mut reader);
+    order_rollout(&mut follower);
+    exchange(&mut follower, &mut reader);
+    follower.run_in_touch(1_000);
+    let switched = (0..SESSIONS).filter(|number| call(&mut follower, *number)).count();
+    assert_eq!(switched, 0, "they ran on the old version at the reader");
+    assert!((SESSIONS..2 * SESSIONS).any(|number| call(&mut follower, number)));
+}
+
+#[test]
+fn session_of_a_follower_stays_on_old_version() {
+    let (mut reader, mut follower) = pair();
+    for number in 0..SESSIONS {
+        assert!(!call(&mut follower, number));
+    }
+    order_rollout(&mut reader);
+    order_rollout(&mut follower);
+    exchange(&mut follower, &mut reader);
+    reader.run_in_touch(1_000);
+    let switched = (0..SESSIONS).filter(|number| call(&mut reader, *number)).count();
+    assert_eq!(switched, 0, "they ran on the old version at the follower");
+}
+
+#[test]
+fn trial_waits_for_news_of_sessions() {
+    let mut world = world("front-1");
+    order_rollout(&mut world);
+    assert!((0..SESSIONS).all(|number| !call(&mut world, number)), "others may have served them");
+    world.run_in_touch(1_000);
+    assert!((0..SESSIONS).all(|number| !call(&mut world, number)), "they stay there");
+    assert!((SESSIONS..2 * SESSIONS).any(|number| call(&mut world, number)));
+}
+
+#[test]
+fn held_sessions_told_once() {
+    let (mut reader, mut follower) = pair();
+    for number in 0..SESSIONS {
+        call(&mut follower, number);
+        call(&mut reader, SESSIONS + number);
+    }
+    order_rollout(&mut reader);
+    order_rollout(&mut follower);
+    let (told, heard) = exchange(&mut follower, &mut reader);
+    assert!(told > 0 && heard > told, "the reader's own and, once, the follower's come back");
+    assert_eq!(
+        exchange(&mut follower, &mut reader),
+        (heard - told, 0),
+        "the reader's go back once"
+    );
+    assert_eq!(exchange(&mut follower, &mut reader), (0, 0));
+}
+
+#[test]
+fn held_sessions_bounded_and_numbered_on() {
+    let mut held = HeldSessions::default();
+    for session in 0..10_000 {
+        held.hold(session);
+    }
+    let all = held.since(0);
+    assert_eq!((all.sessions.len(), all.last), (8_192, 10_000));
+    assert!(!held.contains(0) && held.contains(9_999));
+    assert_eq!(held.since(9_998).sessions, [9_998, 9_999]);
+    held.clear();
+    assert!(!held.contains(9_999));
+    held.hold(1);
+    assert_eq!(held.since(10_000), HeldNews { sessions: vec![1], last: 10_001 });
+}
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -10,7 +10,7 @@
     units::{ByteSize, Millis, Share, Tokens},
 };
 use smol_str::SmolStr;
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 pub const KEY: &str = "key-of-plaza";
 pub const ENGINES: &str = "engines";
@@ -103,6 +103,23 @@
     }
 }
 
+pub fn card(vm: &str, data_centre: &str) -> PeerCard {
+    let port: u16 = vm.bytes().map(u16::from).sum();
+    PeerCard {
+        vm: text(vm),
+        incarnation: Incarnation(1),
+        data_centre: text(data_centre),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+    }
+}
+
+/// Returns names of VMs in the order of their ranks in their data centre.
+pub fn ranked() -> Vec<String> {
+    let mut names: Vec<String> = (1..=3).map(|number| format!("front-{number}")).collect();
+    names.sort_by_key(|name| xxhash_rust::xxh3::xxh3_64(name.as_bytes()));
+    names
+}
+
 pub fn said(entry: ServerEntry) -> StoreRecord {
     StoreRecord::Server(ServerChange::Said(Box::new(entry)))
 }
