Count in the choice of a server what reading a prompt costs others

Cause: at the worst load a part of the prompts is read again at servers that look less busy than the home, and that reading is what the pool lacks.

Change: reading counts twice in the choice, once for the request and once for those behind it.

Ruled out: the pace being learned too slowly at the start (expected times are above those taken from second 4 on, for both models).

Test: gateway_places, fails with a weight of 0.

--- a/src/gateway/place_choice.rs
+++ b/src/gateway/place_choice.rs
@@ -152,12 +152,18 @@
     const FAILURE_MS: f64 = 2_000.0;
     /// How far a server's share of failures may lie above the mean by chance.
     const FAIL_SLACK: f64 = 0.12;
+    /// What reading a prompt costs the requests behind it, as a share of the time that it takes: at
+    /// least one request waits for it where servers are busy, and callers accept far longer times
+    /// than one reading where they are not.
+    const READING_WEIGHT: f64 = 1.0;
     /// Spreads requests over servers that are as good as each other.
     const TIE_MS: f64 = 1.0;
     let is_far = server.entry.data_centre != *wish.data_centre;
     let distance = if is_far { DISTANCE_MS } else { 0.0 };
+    let reading = unread_tokens(now, server, wish.parts, home) * wish.pace.token_ms;
+    let delay = reading * READING_WEIGHT;
     let failing = (server.fail_share - mean_fail - FAIL_SLACK).max(0.0) * FAILURE_MS;
     let tie = wish.tie ^ xxh3_64(server.entry.id.as_str().as_bytes());
     let tie = (tie % 1_000) as f64 / 1_000.0 * TIE_MS;
-    expected_first(now, server, wish, home) + distance + failing + tie
+    expected_first(now, server, wish, home) + delay + distance + failing + tie
 }
--- /dev/null
+++ b/tests/gateway_places.rs
@@ -0,0 +1,51 @@
+//! The choice of a server for a prompt whose parts are shared.
+
+#[path = "support/gateway_world.rs"]
+#[allow(dead_code)]
+mod gateway_world;
+
+use gateway_world::*;
+use guavapass::{
+    gateway::*,
+    ids::ServerId,
+    units::{Millis, Tokens},
+};
+
+/// The tokens of the shared part; by the pace that is assumed at first they take 650 ms to read.
+const SHARED_TOKENS: u64 = 13_000;
+
+fn book() -> ServerBook {
+    let mut book = ServerBook::default();
+    for number in 1..=30 {
+        book.said(server(&format!("e{number}"), ENGINES, "v1"));
+    }
+    book
+}
+
+/// Returns the server for a request for the shared part, while one server has others to read.
+fn place(backlog: Option<(&ServerId, u32)>, tie: u64) -> ServerId {
+    let mut book = book();
+    if let Some((server, backlog_ms)) = backlog {
+        let mut loads = LoadSum::default();
+        loads.add(ServerTag::from(server), SentLoad { backlog_ms, requests: 1 });
+        book.note_others(&loads);
+    }
+    let part = |id, tokens| PromptPart { id, tokens: Tokens(tokens) };
+    let wish = PlaceWish {
+        pool: &pool(ENGINES),
+        software: &SoftwareRule::Any,
+        tried: &[],
+        data_centre: &text("norte"),
+        parts: &[part(7, SHARED_TOKENS), part(tie, 1_000)],
+        pace: PoolPace::engine(),
+        tie,
+    };
+    choose_place(Millis(0), &book, &wish).expect("all servers are open").server
+}
+
+#[test]
+fn home_kept_while_reading_elsewhere_costs_others_more() {
+    let home = place(None, 1);
+    assert_eq!(place(Some((&home, 1_000)), 1), home, "elsewhere 650 ms are read, and waited for");
+    assert_ne!(place(Some((&home, 1_600)), 1), home, "the home is too busy");
+}
