Let all VMs leave a busy home for the same second server

Cause: VMs that find the home of a shared part too busy each chose a server of their own, so the part was read once for each of them; no VM knows what another one had read elsewhere.

Change: the server that ranks second for a part counts as having a fifth of it cached: too little to leave the home sooner, enough to be the one that is chosen then.

Ruled out: telling each other the parts (more bytes than the loads).

Test: overflow_of_a_part_goes_to_one_server, fails without.

--- a/src/gateway/place_choice.rs
+++ b/src/gateway/place_choice.rs
@@ -3,7 +3,12 @@
 //! Every VM expects a shared part of a prompt to be cached at its home, the server that ranks first
 //! for the part by rendezvous hashing, without a word between VMs. A request goes where its first
 //! event is expected soonest: at the home if that is not much busier than others, else at a server
-//! that has to read the part again.
+//! that has to read the part again. Of these the one that ranks second is the first choice of all
+//! VMs, so that what one of them had it read serves the others too.
+//!
+//! The load pattern that this answers: more requests for one part than its home can serve. If each
+//! VM left the home for a server of its own choice, each would have the part read again, and the
+//! reading would take the time that the pool lacks.
 
 use super::*;
 
@@ -71,10 +76,10 @@
         .open(wish.pool)
         .filter(|server| wish.software.allows(&server.entry.software))
         .collect();
-    let home = home(&fit, wish.parts);
+    let homes = PartHomes::of(&fit, wish.parts);
     let mean_fail =
         fit.iter().map(|server| server.fail_share).sum::<f64>() / fit.len().max(1) as f64;
-    let cost = |server: &&&BackendServer| expected_cost(now, server, wish, home, mean_fail);
+    let cost = |server: &&&BackendServer| expected_cost(now, server, wish, &homes, mean_fail);
     let untried = |server: &&&BackendServer| !wish.tried.contains(&server.entry.id);
     let reachable = |server: &&&BackendServer| server.is_reachable(now);
     let best = fit
@@ -91,22 +96,54 @@
         server: server.entry.id.clone(),
         address: server.entry.address,
         software: server.entry.software.clone(),
-        unread: unread_tokens(now, server, wish.parts, home),
-        expected: Millis(expected_first(now, server, wish, home) as u64),
+        unread: unread_tokens(now, server, wish.parts, &homes),
+        expected: Millis(expected_first(now, server, wish, &homes) as u64),
     })
 }
 
-/// Returns the home of the last shared part of a prompt.
-fn home<'a>(servers: &[&'a BackendServer], parts: &[PromptPart]) -> Option<&'a ServerId> {
-    let shared = parts.len().checked_sub(2).and_then(|last| parts.get(last))?;
-    let rank = |server: &&&BackendServer| {
-        xxh3_64(server.entry.id.as_str().as_bytes()).rotate_left(17)
-            ^ shared.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)
-    };
-    servers
-        .iter()
-        .max_by_key(|server| xxh3_64(&rank(server).to_le_bytes()))
-        .map(|server| &server.entry.id)
+/// The servers at which all VMs expect the last shared part of a prompt.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartHomes<'a> {
+    first: Option<&'a ServerId>,
+    second: Option<&'a ServerId>,
+}
+
+impl<'a> PartHomes<'a> {
+    /// The share of the shared parts that the second home is taken to have cached, if this VM has
+    /// not sent them there: little, so that nobody leaves the first home for the second one sooner
+    /// than for another server, but enough to choose it then.
+    const SECOND_SHARE: f64 = 0.2;
+
+    fn of(servers: &[&'a BackendServer], parts: &[PromptPart]) -> Self {
+        let shared = parts.len().checked_sub(2).and_then(|last| parts.get(last));
+        let Some(shared) = shared else { return Self::default() };
+        let rank = |server: &BackendServer| {
+            let own = xxh3_64(server.entry.id.as_str().as_bytes()).rotate_left(17);
+            xxh3_64(&(own ^ shared.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)).to_le_bytes())
+        };
+        let mut ranked: [Option<(u64, &'a ServerId)>; 2] = [None, None];
+        for server in servers {
+            let ranking = Some((rank(server), &server.entry.id));
+            if ranking > ranked[0] {
+                ranked = [ranking, ranked[0]];
+            } else if ranking > ranked[1] {
+                ranked[1] = ranking;
+            }
+        }
+        let [first, second] = ranked.map(|ranking| ranking.map(|(_, server)| server));
+        Self { first, second }
+    }
+
+    /// Returns the share of the shared parts that a server is taken to have cached.
+    fn cached_share(&self, server: &ServerId) -> f64 {
+        if self.first == Some(server) {
+            1.0
+        } else if self.second == Some(server) {
+            Self::SECOND_SHARE
+        } else {
+            0.0
+        }
+    }
 }
 
 /// Returns the tokens of a prompt that a server has to read: those after the cached parts.
@@ -114,22 +151,23 @@
     now: Millis,
     server: &BackendServer,
     parts: &[PromptPart],
-    home: Option<&ServerId>,
+    homes: &PartHomes<'_>,
 ) -> f64 {
-    let is_home = home == Some(&server.entry.id);
     let shared = parts.len().saturating_sub(1);
-    let is_cached = |part: &PromptPart| is_home || server.has_part(now, part.id);
-    let cached = parts[..shared].iter().take_while(|part| is_cached(part)).count();
-    parts[cached..].iter().map(|part| part.tokens.0 as f64).sum()
+    let (shared, own) = parts.split_at(shared);
+    let sum = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens.0 as f64).sum::<f64>();
+    let sent = shared.iter().take_while(|part| server.has_part(now, part.id)).count();
+    let unsent = sum(&shared[sent..]);
+    sum(own) + unsent * (1.0 - homes.cached_share(&server.entry.id))
 }
 
 fn expected_first(
     now: Millis,
     server: &BackendServer,
     wish: &PlaceWish<'_>,
-    home: Option<&ServerId>,
+    homes: &PartHomes<'_>,
 ) -> f64 {
-    let unread = unread_tokens(now, server, wish.parts, home);
+    let unread = unread_tokens(now, server, wish.parts, homes);
     let requests = server.expected_requests(now);
     let waiting = server.expected_waiting(now);
     let slots = f64::from(server.entry.slots.max(1));
@@ -143,7 +181,7 @@
     now: Millis,
     server: &BackendServer,
     wish: &PlaceWish<'_>,
-    home: Option<&ServerId>,
+    homes: &PartHomes<'_>,
     mean_fail: f64,
 ) -> f64 {
     /// The time that a call to another data centre takes longer.
@@ -160,10 +198,10 @@
     const TIE_MS: f64 = 1.0;
     let is_far = server.entry.data_centre != *wish.data_centre;
     let distance = if is_far { DISTANCE_MS } else { 0.0 };
-    let reading = unread_tokens(now, server, wish.parts, home) * wish.pace.token_ms;
+    let reading = unread_tokens(now, server, wish.parts, homes) * wish.pace.token_ms;
     let delay = reading * READING_WEIGHT;
     let failing = (server.fail_share - mean_fail - FAIL_SLACK).max(0.0) * FAILURE_MS;
     let tie = wish.tie ^ xxh3_64(server.entry.id.as_str().as_bytes());
     let tie = (tie % 1_000) as f64 / 1_000.0 * TIE_MS;
-    expected_first(now, server, wish, home) + delay + distance + failing + tie
+    expected_first(now, server, wish, homes) + delay + distance + failing + tie
 }
--- a/tests/gateway_places.rs
+++ b/tests/gateway_places.rs
@@ -49,3 +49,12 @@
     assert_eq!(place(Some((&home, 1_000)), 1), home, "elsewhere 650 ms are read, and waited for");
     assert_ne!(place(Some((&home, 1_600)), 1), home, "the home is too busy");
 }
+
+#[test]
+fn overflow_of_a_part_goes_to_one_server() {
+    let home = place(None, 1);
+    let second = place(Some((&home, 5_000)), 1);
+    assert_ne!(second, home);
+    let others = (2..40).filter(|tie| place(Some((&home, 5_000)), *tie) != second);
+    assert_eq!(others.count(), 0, "all VMs have the part read at the same second server");
+}
