Ask the next reader before the store when a reader is cut off

Change: a follower whose reader has an old reading asks the next rank after 250 ms, which by then has read the store itself; only if that one's reading is old too, or it is silent, it reads itself. A silent reader is left for the store at once, as before, since knowledge is older by then.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,8 @@
     pub(super) peers: RelayPeers,
     /// The VM that this one relies on instead of the store.
     pub(super) reader: Option<VmId>,
+    /// Whether the reader is one that has just followed another and is yet to answer.
+    is_handed_over: bool,
     known: Option<(PeerName, u64)>,
     asked: Option<AskedReader>,
     next: Millis,
@@ -57,6 +59,9 @@
     const RELAY_PAUSE_MS: u64 = 500;
     /// The pauses between the greetings of a seed: the first ones find VMs that start together.
     const GREETINGS_MS: [u64; 4] = [300, 1_500, 4_000, 20_000];
+    /// How long a VM whose reader has an old reading waits before it asks the next one, which has
+    /// noticed as much and reads the store: an answer that is held, and a call to the store.
+    const HANDOVER_MS: u64 = 250;
     /// How much older than the pause between two reads a reader's list of servers may be.
     const SERVERS_SLACK_MS: u64 = 350;
 
@@ -317,7 +322,7 @@
         let reader = asked.card.vm.clone();
         match result {
             Some(answer) if self.is_fresh_answer(&answer) => self.follow(now, &asked, &answer),
-            Some(_) => self.leave_reader(now, &reader, "its reading of the store is old"),
+            Some(_) => self.leave_old_reader(now, &reader),
             None => self.leave_reader(now, &reader, "it does not answer"),
         }
     }
@@ -338,6 +343,7 @@
             tracing::info!(reader = %from.vm, "another VM reads the store for this one");
             self.relay.reader = Some(from.vm.clone());
         }
+        self.relay.is_handed_over = false;
         self.relay.known = Some((from.name(), answer.change));
         self.relay.next = now;
         self.relay.loads.take_reader(now, answer.loads.clone());
@@ -382,6 +388,24 @@
         }
     }
 
+    /// Goes on to the next VM that reads the store, unless that has just been done: if a reader is
+    /// cut off from the store, one of its followers has to call there and not all of them. What this
+    /// VM knows is young enough to wait so long.
+    fn leave_old_reader(&mut self, now: Millis, reader: &VmId) {
+        let reason = "its reading of the store is old";
+        self.relay.peers.failed(now, reader);
+        let is_followed = self.relay.reader.as_ref() == Some(reader) && !self.relay.is_handed_over;
+        let next = self.relay.peers.reader(now, &self.identity).filter(|_| is_followed);
+        let Some(next) = next.map(|card| card.vm.clone()) else {
+            self.leave_reader(now, reader, reason);
+            return;
+        };
+        tracing::info!(%reader, %next, reason, "the next VM is asked for what the store has");
+        self.relay.reader = Some(next);
+        self.relay.is_handed_over = true;
+        self.relay.next = now + Millis(Self::HANDOVER_MS);
+    }
+
     fn leave_reader(&mut self, now: Millis, reader: &VmId, reason: &'static str) {
         self.relay.peers.failed(now, reader);
         self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
@@ -391,6 +415,7 @@
     /// Goes back to reading the store.
     fn read_store_again(&mut self, now: Millis, reason: &'static str) {
         let Some(reader) = self.relay.reader.take() else { return };
+        self.relay.is_handed_over = false;
         self.relay.exchange_next = now;
         tracing::info!(%reader, reason, "this VM reads the store itself again");
         for feed in self.feeds.values_mut() {
