Remove unlisted servers in one way; drop what is published but not read

A new reading of the list and a new reader's answer removed servers that are not listed by two ways; the second one let a leaving server stay known for ever. The shapes of pools were decoded and read by nothing.

Change: one method, remove_unlisted; servers count as unlisted until they are removed. GatewayDocument has no pools any more. The poll of AskPeer is boxed, since it grew. Test server_leaving_and_missing_is_unlisted (failed before: only open servers were counted).

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -105,7 +105,7 @@
             }
             GatewayCommand::Read(read) => self.read(read),
             GatewayCommand::Append { record, at } => self.append(record, at),
-            GatewayCommand::AskPeer { peer, address, poll } => self.ask(peer, address, poll),
+            GatewayCommand::AskPeer { peer, address, poll } => self.ask(peer, address, *poll),
             GatewayCommand::AnswerPeer { call, answer } => {
                 if let Some(sender) = self.polls.remove(&call) {
                     let _ = sender.send(*answer);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -68,7 +68,7 @@
     gateway_bounds::GatewayBounds,
     gateway_command::GatewayCommand,
     gateway_core::Gateway,
-    gateway_document::{EngineShape, GatewayDocument, KeyHolder, PoolShape},
+    gateway_document::{GatewayDocument, KeyHolder},
     gateway_event::GatewayEvent,
     held_sessions::{HeldNews, HeldSessions},
     knowledge_lease::KnowledgeLease,
--- a/src/gateway/gateway_command.rs
+++ b/src/gateway/gateway_command.rs
@@ -47,7 +47,7 @@
         /// The address of its listener for other entry VMs.
         address: SocketAddr,
         /// The question.
-        poll: RelayPoll,
+        poll: Box<RelayPoll>,
     },
     /// Answer another entry VM.
     AnswerPeer {
--- a/src/gateway/gateway_document.rs
+++ b/src/gateway/gateway_document.rs
@@ -7,8 +7,6 @@
     pub revision: Revision,
     /// The routes.
     pub routes: RouteTable,
-    /// The pools of backend servers.
-    pub pools: BTreeMap<PoolId, PoolShape>,
     /// The teams by their keys; empty if no request needs a key.
     pub keys: BTreeMap<SmolStr, KeyHolder>,
     /// The largest body of a request.
@@ -17,24 +15,6 @@
     pub head_limit: ByteSize,
 }
 
-/// What is published of a pool.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PoolShape {
-    /// The connections that one server takes from all callers.
-    pub connection_limit: u32,
-    /// The shape of the pool's engines; none for a plain service.
-    pub engine: Option<EngineShape>,
-}
-
-/// What is published of model engines.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct EngineShape {
-    /// The requests that an engine runs at the same time.
-    pub slots: u32,
-    /// The tokens that fit into an engine's KV cache.
-    pub cache_tokens: Tokens,
-}
-
 /// The team that holds a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyHolder {
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -65,10 +65,21 @@
         }
         let Some(listed) = self.listed.take() else { return };
         let end = self.feeds.get(&StoreStream::Servers).and_then(StoreFeed::end);
-        for server in self.servers.retain_listed(now, &listed) {
-            tracing::info!(%server, "server not listed any more");
+        self.remove_unlisted(now, end.unwrap_or_default(), &listed);
+    }
+
+    /// Removes the servers that a whole reading up to an offset does not list, unless this VM has
+    /// heard of them later.
+    pub(super) fn remove_unlisted(
+        &mut self,
+        now: Millis,
+        end: Offset,
+        listed: &BTreeSet<ServerId>,
+    ) {
+        for server in self.servers.unlisted(listed) {
+            tracing::info!(%server, end = end.0, "server not listed any more");
             let record = StoreRecord::Server(ServerChange::Removed(server));
-            self.records.take(&KeptRecord { offset: end.unwrap_or_default(), record });
+            self.take_records(now, &[KeptRecord { offset: end, record }]);
         }
     }
 
--- a/src/gateway/record_book.rs
+++ b/src/gateway/record_book.rs
@@ -9,6 +9,17 @@
     pub record: StoreRecord,
 }
 
+impl KeptRecord {
+    /// Returns the server that the record lists, if it is one of the list of servers.
+    #[must_use]
+    pub fn listed_server(&self) -> Option<ServerId> {
+        match &self.record {
+            StoreRecord::Server(ServerChange::Said(entry)) => Some(entry.id.clone()),
+            _ => None,
+        }
+    }
+}
+
 /// The newest record of each key, from whichever source it came.
 ///
 /// Records come from pages of newest records, from the streams and from other entry VMs, in any
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -110,10 +110,10 @@
                 evidence: Vec::new(),
                 loads: loads.clone(),
                 held_sessions: self.held_news(&card),
-                held_known: self.held_known(&card),
+                held_known: Some(self.held_known(&card)),
             };
             let (address, peer) = (card.address, card.vm);
-            self.emit(GatewayCommand::AskPeer { peer: Some(peer), address, poll });
+            self.emit(GatewayCommand::AskPeer { peer: Some(peer), address, poll: Box::new(poll) });
         }
     }
 
@@ -139,23 +139,23 @@
             self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
         let evidence = evidence.collect();
         let (purpose, loads) = (PollPurpose::Records, self.servers.own_loads());
-        let (held_sessions, held_known) = (self.held_news(&card), self.held_known(&card));
+        let (held_sessions, held_known) = (self.held_news(&card), Some(self.held_known(&card)));
         let poll =
             RelayPoll { from, purpose, known, wait, evidence, loads, held_sessions, held_known };
         let is_whole = poll.known.is_none();
         self.relay.asked = Some(AskedReader { card: card.clone(), sent: now, is_whole });
         let (address, peer) = (card.address, Some(card.vm));
-        self.emit(GatewayCommand::AskPeer { peer, address, poll });
+        self.emit(GatewayCommand::AskPeer { peer, address, poll: Box::new(poll) });
     }
 
     fn held_news(&self, asked: &PeerCard) -> HeldNews {
         self.held.since(self.held_marks.told_to(&asked.name()))
     }
 
-    fn held_known(&self, asked: &PeerCard) -> Option<(PeerName, u64)> {
+    fn held_known(&self, asked: &PeerCard) -> (PeerName, u64) {
         let name = asked.name();
         let last = self.held_marks.heard_from(&name);
-        Some((name, last))
+        (name, last)
     }
 
     pub(super) fn knows_all(&self) -> bool {
@@ -183,7 +183,7 @@
         let (held_sessions, held_known) = (HeldNews::default(), None);
         let poll =
             RelayPoll { from, purpose, known, wait, evidence, loads, held_sessions, held_known };
-        self.emit(GatewayCommand::AskPeer { peer: None, address, poll });
+        self.emit(GatewayCommand::AskPeer { peer: None, address, poll: Box::new(poll) });
     }
 
     /// Takes in another VM's question.
@@ -350,7 +350,9 @@
         self.servers.note_others(&answer.loads);
         self.take_records(now, &answer.records);
         if let Some(servers) = answer.servers.filter(|_| asked.is_whole) {
-            self.drop_unlisted(now, servers.end, &answer.records);
+            // A reader that has just started never knew servers that were removed before.
+            let listed = answer.records.iter().filter_map(KeptRecord::listed_server).collect();
+            self.remove_unlisted(now, servers.end, &listed);
         }
         let answered = asked.sent + answer.held;
         if let Some(operators) = answer.operators {
@@ -365,23 +367,6 @@
         self.feeds.remove(&StoreStream::Evidence);
     }
 
-    /// Removes the servers that are not among all the records of a reader, unless this VM has heard
-    /// of them later than the reader: a reader that has just started never knew those that were
-    /// removed before.
-    fn drop_unlisted(&mut self, now: Millis, end: Offset, records: &[KeptRecord]) {
-        let listed: BTreeSet<ServerId> = records
-            .iter()
-            .filter_map(|kept| match &kept.record {
-                StoreRecord::Server(ServerChange::Said(entry)) => Some(entry.id.clone()),
-                _ => None,
-            })
-            .collect();
-        for server in self.servers.unlisted(&listed) {
-            let record = StoreRecord::Server(ServerChange::Removed(server));
-            self.take_records(now, &[KeptRecord { offset: end, record }]);
-        }
-    }
-
     fn pause_feed(&mut self, stream: StoreStream, end: Offset) {
         if let Some(feed) = self.feeds.get_mut(&stream) {
             feed.pause_at(end);
--- a/src/gateway/server_book.rs
+++ b/src/gateway/server_book.rs
@@ -88,25 +88,11 @@
         if was_open { ServerNews::Leaving } else { ServerNews::Same }
     }
 
-    /// Removes all servers that are not among those listed, as after a new start of the list.
-    pub fn retain_listed(&mut self, now: Millis, listed: &BTreeSet<ServerId>) -> Vec<ServerId> {
-        let missing = self
-            .servers
-            .values_mut()
-            .filter(|server| server.removed.is_none() && !listed.contains(&server.entry.id));
-        let mut gone = Vec::new();
-        for server in missing {
-            server.removed = Some(now);
-            gone.push(server.entry.id.clone());
-        }
-        gone
-    }
-
-    /// Returns the servers that may get new work and are not among those listed.
+    /// Returns the servers that were not removed and are not among those listed.
     #[must_use]
     pub fn unlisted(&self, listed: &BTreeSet<ServerId>) -> Vec<ServerId> {
-        let open = self.servers.iter().filter(|(_, server)| server.is_open());
-        let unlisted = open.filter(|(id, _)| !listed.contains(*id));
+        let known = self.servers.iter().filter(|(_, server)| server.removed.is_none());
+        let unlisted = known.filter(|(id, _)| !listed.contains(*id));
         unlisted.map(|(id, _)| id.clone()).collect()
     }
 
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -9,7 +9,6 @@
 struct WireConfiguration {
     version: u64,
     routes: Vec<WireRoute>,
-    services: Vec<WireService>,
     #[serde(default)]
     limits: WireLimits,
     #[serde(default)]
@@ -46,22 +45,6 @@
     weight: f64,
 }
 
-#[derive(Debug, Deserialize)]
-struct WireService {
-    name: PoolId,
-    #[serde(default)]
-    max_connections: u32,
-    engine: Option<WireEngine>,
-}
-
-#[derive(Debug, Deserialize)]
-struct WireEngine {
-    #[serde(default)]
-    slots: u32,
-    #[serde(default)]
-    kv_capacity_tokens: u64,
-}
-
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct WireLimits {
@@ -110,7 +93,6 @@
     let document = GatewayDocument {
         revision: Revision(wire.version),
         routes: RouteTable::new(routes),
-        pools: wire.services.into_iter().map(pool).collect(),
         keys,
         body_limit: ByteSize(wire.limits.max_body_bytes.unwrap_or(u64::MAX)),
         head_limit: ByteSize(wire.limits.max_header_bytes.unwrap_or(u64::MAX)),
@@ -118,14 +100,6 @@
     Ok(StoreRecord::Configuration(Arc::new(document)))
 }
 
-fn pool(wire: WireService) -> (PoolId, PoolShape) {
-    let engine = wire.engine.map(|engine| EngineShape {
-        slots: engine.slots,
-        cache_tokens: Tokens(engine.kv_capacity_tokens),
-    });
-    (wire.name, PoolShape { connection_limit: wire.max_connections, engine })
-}
-
 fn route(wire: WireRoute) -> Result<RouteEntry, SmolStr> {
     let kind = match wire.kind.as_str() {
         "safe" => RouteKind::Idempotent,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -265,6 +265,14 @@
     }
 }
 
+#[test]
+fn server_leaving_and_missing_is_unlisted() {
+    let mut book = ServerBook::default();
+    book.said(server("e1", ENGINES, "v1"));
+    book.said(ServerEntry { state: MemberState::Leaving, ..server("e1", ENGINES, "v1") });
+    assert_eq!(book.unlisted(&std::collections::BTreeSet::new()), [server_id("e1")]);
+}
+
 #[test]
 fn server_entry_of_earlier_start() {
     let mut world = GatewayWorld::new();
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -62,7 +62,7 @@
     fn polls(&self, purpose: PollPurpose) -> Vec<(Option<VmId>, RelayPoll)> {
         let polls = self.commands.iter().filter_map(|command| match command {
             GatewayCommand::AskPeer { peer, poll, .. } if poll.purpose == purpose => {
-                Some((peer.clone(), poll.clone()))
+                Some((peer.clone(), poll.as_ref().clone()))
             }
             _ => None,
         });
--- a/tests/gateway_sessions.rs
+++ b/tests/gateway_sessions.rs
@@ -39,20 +39,22 @@
 /// Returns the last poll for a purpose that a VM has sent.
 fn poll(world: &GatewayWorld, purpose: PollPurpose) -> Option<RelayPoll> {
     let polls = world.commands.iter().rev().filter_map(|command| match command {
-        GatewayCommand::AskPeer { poll, .. } if poll.purpose == purpose => Some(poll.clone()),
+        GatewayCommand::AskPeer { poll, .. } if poll.purpose == purpose => {
+            Some(poll.as_ref().clone())
+        }
         _ => None,
     });
     polls.into_iter().next()
 }
 
 /// Lets one VM ask another, and returns how many held sessions each told.
-fn exchange(asker: &mut GatewayWorld, asked: &mut GatewayWorld) -> (usize, usize) {
-    asker.run_in_touch(700);
-    let poll = poll(asker, PollPurpose::Records).expect("it asks the VM that reads the store");
+fn exchange(follower: &mut GatewayWorld, reader: &mut GatewayWorld) -> (usize, usize) {
+    follower.run_in_touch(700);
+    let poll = poll(follower, PollPurpose::Records).expect("it asks the VM that reads the store");
     let told = poll.held_sessions.sessions.len();
-    asked.handle(GatewayEvent::Polled { call: CallId(1), poll: Box::new(poll) });
-    asked.tick(200);
-    let answers = asked.commands.iter().rev().filter_map(|command| match command {
+    reader.handle(GatewayEvent::Polled { call: CallId(1), poll: Box::new(poll) });
+    reader.tick(200);
+    let answers = reader.commands.iter().rev().filter_map(|command| match command {
         GatewayCommand::AnswerPeer { answer, .. } => Some(answer.clone()),
         _ => None,
     });
@@ -60,7 +62,7 @@
     let heard = answer.held_sessions.sessions.len();
     let peer = Some(answer.from.vm.clone());
     let purpose = PollPurpose::Records;
-    asker.handle(GatewayEvent::PeerAnswered { peer, purpose, answer: Some(answer) });
+    follower.handle(GatewayEvent::PeerAnswered { peer, purpose, answer: Some(answer) });
     (told, heard)
 }
 
@@ -69,11 +71,11 @@
     let poll = poll(follower, PollPurpose::Greeting).expect("it greets the seed");
     reader.handle(GatewayEvent::Polled { call: CallId(9), poll: Box::new(poll) });
     reader.tick(0);
-    let answers = reader.commands.iter().filter_map(|command| match command {
+    let mut answers = reader.commands.iter().filter_map(|command| match command {
         GatewayCommand::AnswerPeer { answer, .. } => Some(answer.clone()),
         _ => None,
     });
-    let answer = answers.last().expect("the greeting is answered");
+    let answer = answers.next_back().expect("the greeting is answered");
     let purpose = PollPurpose::Greeting;
     follower.handle(GatewayEvent::PeerAnswered { peer: None, purpose, answer: Some(answer) });
 }
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -82,7 +82,6 @@
     GatewayDocument {
         revision: Revision(revision),
         routes: RouteTable::new(routes),
-        pools: BTreeMap::new(),
         keys: BTreeMap::from([(SmolStr::new(KEY), holder)]),
         body_limit: ByteSize(1_000_000),
         head_limit: ByteSize(16_384),
