Estimate each server once; say once what ends a run and a roll-out

- choose_place worked out the cost of a server at each comparison, about twice for each server and request, and its unread tokens up to three times.
Now PlaceEstimate does so once.
The sums are in the same order.
Homes and estimates have files of their own.
- drop_open_run and note_end took a run off its server's books by the same lines: BackendServer::release.
- Whether a roll-out is over stood in three places: RolloutTrack::is_over.
Withdrawing a bad version is a step of its own, so that lead_rollout fetches the track once; Millis(now.since(delay).0) was now.since(delay).
A greeting no longer sums up loads that its answer does not have.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,12 +30,15 @@
 mod knowledge_lease;
 mod load_sample;
 mod model_choice;
+mod part_homes;
 mod place_choice;
+mod place_estimate;
 mod pool_pace;
 mod reads;
 mod record_book;
 mod record_store;
 mod relay;
+mod relay_answers;
 mod relay_message;
 mod relay_peers;
 mod resend;
@@ -99,4 +102,7 @@
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
 };
 
-use {held_marks::HeldMarks, relay::RelayState};
+use {
+    held_marks::HeldMarks, part_homes::PartHomes, place_estimate::PlaceEstimate, relay::RelayState,
+    relay_answers::WaitingPoll,
+};
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -85,9 +85,12 @@
         self.backlog_ms = (self.backlog_ms - work_ms).max(0.0);
     }
 
-    /// Notes that a request has ended.
-    pub const fn ended(&mut self) {
+    /// Takes a run that has ended or is given up off the books.
+    pub fn release(&mut self, run: &RunTrack) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if run.stage == RunStage::Waiting {
+            self.prompt_read(run.work_ms);
+        }
     }
 
     /// Notes the load that it told.
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -66,10 +66,8 @@
     pub(super) fn drop_open_run(&mut self, request: RequestNumber) {
         let Some(state) = self.requests.get(&request) else { return };
         let Some(run) = state.open_run() else { return };
-        let Some(server) = self.servers.get_mut(&run.server) else { return };
-        server.ended();
-        if run.stage == RunStage::Waiting {
-            server.prompt_read(run.work_ms);
+        if let Some(server) = self.servers.get_mut(&run.server) {
+            server.release(run);
         }
     }
 
--- a/src/gateway/place_choice.rs
+++ b/src/gateway/place_choice.rs
@@ -79,129 +79,13 @@
     let homes = PartHomes::of(&fit, wish.parts);
     let mean_fail =
         fit.iter().map(|server| server.fail_share).sum::<f64>() / fit.len().max(1) as f64;
-    let cost = |server: &&&BackendServer| expected_cost(now, server, wish, &homes, mean_fail);
-    let untried = |server: &&&BackendServer| !wish.tried.contains(&server.entry.id);
-    let reachable = |server: &&&BackendServer| server.is_reachable(now);
-    let best = fit
-        .iter()
-        .filter(untried)
-        .filter(reachable)
-        .min_by(|left, right| cost(left).total_cmp(&cost(right)));
-    let server = best
-        .or_else(|| fit.iter().filter(untried).min_by_key(|server| server.avoid_until))
-        .or_else(|| {
-            fit.iter().filter(reachable).min_by(|left, right| cost(left).total_cmp(&cost(right)))
-        })?;
-    Some(Place {
-        server: server.entry.id.clone(),
-        address: server.entry.address,
-        software: server.entry.software.clone(),
-        unread: unread_tokens(now, server, wish.parts, &homes),
-        expected: Millis(expected_first(now, server, wish, &homes) as u64),
-    })
-}
-
-/// The servers at which all VMs expect the last shared part of a prompt.
-#[derive(Clone, Copy, Debug, Default)]
-struct PartHomes<'a> {
-    first: Option<&'a ServerId>,
-    second: Option<&'a ServerId>,
-}
-
-impl<'a> PartHomes<'a> {
-    /// The share of the shared parts that the second home is taken to have cached, if this VM has
-    /// not sent them there: little, so that nobody leaves the first home for the second one sooner
-    /// than for another server, but enough to choose it then.
-    const SECOND_SHARE: f64 = 0.2;
-
-    fn of(servers: &[&'a BackendServer], parts: &[PromptPart]) -> Self {
-        let shared = parts.len().checked_sub(2).and_then(|last| parts.get(last));
-        let Some(shared) = shared else { return Self::default() };
-        let rank = |server: &BackendServer| {
-            let own = xxh3_64(server.entry.id.as_str().as_bytes()).rotate_left(17);
-            xxh3_64(&(own ^ shared.id.wrapping_mul(0x9E37_79B9_7F4A_7C15)).to_le_bytes())
-        };
-        let mut ranked: [Option<(u64, &'a ServerId)>; 2] = [None, None];
-        for server in servers {
-            let ranking = Some((rank(server), &server.entry.id));
-            if ranking > ranked[0] {
-                ranked = [ranking, ranked[0]];
-            } else if ranking > ranked[1] {
-                ranked[1] = ranking;
-            }
-        }
-        let [first, second] = ranked.map(|ranking| ranking.map(|(_, server)| server));
-        Self { first, second }
-    }
-
-    /// Returns the share of the shared parts that a server is taken to have cached.
-    fn cached_share(&self, server: &ServerId) -> f64 {
-        if self.first == Some(server) {
-            1.0
-        } else if self.second == Some(server) {
-            Self::SECOND_SHARE
-        } else {
-            0.0
-        }
-    }
-}
-
-/// Returns the tokens of a prompt that a server has to read: those after the cached parts.
-fn unread_tokens(
-    now: Millis,
-    server: &BackendServer,
-    parts: &[PromptPart],
-    homes: &PartHomes<'_>,
-) -> f64 {
-    let shared = parts.len().saturating_sub(1);
-    let (shared, own) = parts.split_at(shared);
-    let sum = |parts: &[PromptPart]| parts.iter().map(|part| part.tokens.0 as f64).sum::<f64>();
-    let sent = shared.iter().take_while(|part| server.has_part(now, part.id)).count();
-    let unsent = sum(&shared[sent..]);
-    sum(own) + unsent * (1.0 - homes.cached_share(&server.entry.id))
-}
-
-fn expected_first(
-    now: Millis,
-    server: &BackendServer,
-    wish: &PlaceWish<'_>,
-    homes: &PartHomes<'_>,
-) -> f64 {
-    let unread = unread_tokens(now, server, wish.parts, homes);
-    let requests = server.expected_requests(now);
-    let waiting = server.expected_waiting(now);
-    let slots = f64::from(server.entry.slots.max(1));
-    let over = (requests - slots + 1.0).max(0.0).max(waiting);
-    let reading = server.expected_backlog() + unread * wish.pace.token_ms;
-    let work = reading + requests * wish.pace.neighbour_ms;
-    (work + over * wish.pace.queue_ms) * server.slowdown(now)
-}
-
-fn expected_cost(
-    now: Millis,
-    server: &BackendServer,
-    wish: &PlaceWish<'_>,
-    homes: &PartHomes<'_>,
-    mean_fail: f64,
-) -> f64 {
-    /// The time that a call to another data centre takes longer.
-    const DISTANCE_MS: f64 = 3.0;
-    /// What a request loses by a failure that could have been avoided.
-    const FAILURE_MS: f64 = 2_000.0;
-    /// How far a server's share of failures may lie above the mean by chance.
-    const FAIL_SLACK: f64 = 0.12;
-    /// What reading a prompt costs the requests behind it, as a share of the time that it takes: at
-    /// least one request waits for it where servers are busy, and callers accept far longer times
-    /// than one reading where they are not.
-    const READING_WEIGHT: f64 = 1.0;
-    /// Spreads requests over servers that are as good as each other.
-    const TIE_MS: f64 = 1.0;
-    let is_far = server.entry.data_centre != *wish.data_centre;
-    let distance = if is_far { DISTANCE_MS } else { 0.0 };
-    let reading = unread_tokens(now, server, wish.parts, homes) * wish.pace.token_ms;
-    let delay = reading * READING_WEIGHT;
-    let failing = (server.fail_share - mean_fail - FAIL_SLACK).max(0.0) * FAILURE_MS;
-    let tie = wish.tie ^ xxh3_64(server.entry.id.as_str().as_bytes());
-    let tie = (tie % 1_000) as f64 / 1_000.0 * TIE_MS;
-    expected_first(now, server, wish, homes) + delay + distance + failing + tie
+    let estimates: Vec<PlaceEstimate<'_>> =
+        fit.iter().map(|server| PlaceEstimate::of(now, server, wish, &homes, mean_fail)).collect();
+    let untried =
+        || estimates.iter().filter(|estimate| !wish.tried.contains(&estimate.server.entry.id));
+    let is_reachable = |estimate: &&PlaceEstimate<'_>| estimate.server.is_reachable(now);
+    let best = PlaceEstimate::cheapest(untried().filter(is_reachable))
+        .or_else(|| untried().min_by_key(|estimate| estimate.server.avoid_until))
+        .or_else(|| PlaceEstimate::cheapest(estimates.iter().filter(is_reachable)))?;
+    Some(best.place())
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,12 +25,12 @@
     next: Millis,
     greetings: u32,
     greet_next: Millis,
-    waiting: Vec<WaitingPoll>,
-    loads: SharedLoads,
+    pub(super) waiting: Vec<WaitingPoll>,
+    pub(super) loads: SharedLoads,
     exchange_next: Millis,
     /// The VMs of other data centres that are being asked.
     exchanging: BTreeSet<VmId>,
-    servers_read: Option<Millis>,
+    pub(super) servers_read: Option<Millis>,
 }
 
 /// A poll for records that is under way.
@@ -42,13 +42,6 @@
     is_whole: bool,
 }
 
-#[derive(Clone, Debug)]
-struct WaitingPoll {
-    call: CallId,
-    poll: RelayPoll,
-    arrived: Millis,
-}
-
 impl Gateway {
     /// How long a reader holds an answer back for a change. Short, because a VM whose reader has
     /// stopped learns of it only by the missing answer.
@@ -74,7 +67,7 @@
     /// Returns when the relay has something to do.
     pub(super) fn relay_next(&self) -> Option<Millis> {
         self.relay.card.as_ref()?;
-        let held = self.relay.waiting.iter().map(|waiting| waiting.arrived + waiting.poll.wait);
+        let held = self.relay.waiting.iter().map(WaitingPoll::due);
         let ask = self.relay.asked.is_none().then_some(self.relay.next);
         let greet = (!self.relay.seeds.is_empty()).then_some(self.relay.greet_next);
         let exchange = self.relay.reader.is_none().then_some(self.relay.exchange_next);
@@ -102,18 +95,8 @@
             if !self.relay.exchanging.insert(card.vm.clone()) {
                 continue;
             }
-            let poll = RelayPoll {
-                from: from.clone(),
-                purpose: PollPurpose::Loads,
-                known: None,
-                wait: Millis(0),
-                evidence: Vec::new(),
-                loads: loads.clone(),
-                held_sessions: self.held_news(&card),
-                held_known: Some(self.held_known(&card)),
-            };
-            let (address, peer) = (card.address, card.vm);
-            self.emit(GatewayCommand::AskPeer { peer: Some(peer), address, poll: Box::new(poll) });
+            let poll = self.poll_with_held(from.clone(), PollPurpose::Loads, &card);
+            self.ask_peer(&card, RelayPoll { loads: loads.clone(), ..poll });
         }
     }
 
@@ -137,25 +120,32 @@
         let known = self.relay.known.clone().filter(|(name, _)| *name == card.name());
         let evidence =
             self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
-        let evidence = evidence.collect();
-        let (purpose, loads) = (PollPurpose::Records, self.servers.own_loads());
-        let (held_sessions, held_known) = (self.held_news(&card), Some(self.held_known(&card)));
-        let poll =
-            RelayPoll { from, purpose, known, wait, evidence, loads, held_sessions, held_known };
-        let is_whole = poll.known.is_none();
-        self.relay.asked = Some(AskedReader { card: card.clone(), sent: now, is_whole });
-        let (address, peer) = (card.address, Some(card.vm));
-        self.emit(GatewayCommand::AskPeer { peer, address, poll: Box::new(poll) });
+        let is_whole = known.is_none();
+        let poll = RelayPoll {
+            known,
+            wait,
+            evidence: evidence.collect(),
+            loads: self.servers.own_loads(),
+            ..self.poll_with_held(from, PollPurpose::Records, &card)
+        };
+        self.ask_peer(&card, poll);
+        self.relay.asked = Some(AskedReader { card, sent: now, is_whole });
     }
 
-    fn held_news(&self, asked: &PeerCard) -> HeldNews {
-        self.held.since(self.held_marks.told_to(&asked.name()))
+    fn ask_peer(&mut self, asked: &PeerCard, poll: RelayPoll) {
+        let (peer, address) = (Some(asked.vm.clone()), asked.address);
+        self.emit(GatewayCommand::AskPeer { peer, address, poll: Box::new(poll) });
     }
 
-    fn held_known(&self, asked: &PeerCard) -> (PeerName, u64) {
+    /// Returns a poll that tells of the held sessions that are new to who is asked.
+    fn poll_with_held(&self, from: PeerCard, purpose: PollPurpose, asked: &PeerCard) -> RelayPoll {
         let name = asked.name();
         let last = self.held_marks.heard_from(&name);
-        (name, last)
+        RelayPoll {
+            held_sessions: self.held.since(self.held_marks.told_to(&name)),
+            held_known: Some((name, last)),
+            ..RelayPoll::new(from, purpose)
+        }
     }
 
     pub(super) fn knows_all(&self) -> bool {
@@ -177,104 +167,10 @@
         self.relay.peers.forget_silent(now);
         self.held_marks.keep(|vm| self.relay.peers.knows(vm));
         let address = self.relay.seeds[turn % self.relay.seeds.len()];
-        let (known, wait) = (None, Millis(0));
-        let purpose = PollPurpose::Greeting;
-        let (evidence, loads) = (Vec::new(), LoadSum::default());
-        let (held_sessions, held_known) = (HeldNews::default(), None);
-        let poll =
-            RelayPoll { from, purpose, known, wait, evidence, loads, held_sessions, held_known };
+        let poll = RelayPoll::new(from, PollPurpose::Greeting);
         self.emit(GatewayCommand::AskPeer { peer: None, address, poll: Box::new(poll) });
     }
 
-    /// Takes in another VM's question.
-    pub(super) fn on_poll(&mut self, now: Millis, call: CallId, mut poll: RelayPoll) {
-        self.relay.peers.heard(now, &poll.from);
-        let loads = std::mem::take(&mut poll.loads);
-        match poll.purpose {
-            PollPurpose::Records => self.relay.loads.take_follower(now, &poll.from.vm, loads),
-            PollPurpose::Loads => self.relay.loads.take_centre(now, &poll.from.data_centre, loads),
-            PollPurpose::Greeting => {}
-        }
-        if poll.purpose != PollPurpose::Greeting {
-            self.take_held(poll.from.name(), &poll.held_sessions);
-        }
-        for evidence in &poll.evidence {
-            if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
-                track.take_follower(evidence);
-            }
-        }
-        self.relay.waiting.push(WaitingPoll { call, poll, arrived: now });
-    }
-
-    /// Answers the questions for which there is a change, or whose wait is over.
-    fn answer_polls(&mut self, now: Millis) {
-        let change = self.records.last_change();
-        let Some(own) = self.relay.card.as_ref().map(PeerCard::name) else { return };
-        let is_due = |waiting: &WaitingPoll| {
-            let known = waiting.poll.known.as_ref().filter(|(name, _)| *name == own);
-            let has_news = known.is_none_or(|(_, known)| *known < change);
-            let is_plain = waiting.poll.purpose != PollPurpose::Records;
-            is_plain || has_news || now.since(waiting.arrived) >= waiting.poll.wait
-        };
-        let (due, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.relay.waiting).into_iter().partition(is_due);
-        self.relay.waiting = waiting;
-        for waiting in due {
-            self.answer_poll(now, &own, waiting);
-        }
-    }
-
-    fn answer_poll(&mut self, now: Millis, own: &PeerName, waiting: WaitingPoll) {
-        let Some(from) = self.relay.card.clone() else { return };
-        let WaitingPoll { call, poll, arrived } = waiting;
-        let known = poll.known.filter(|(name, _)| name == own).map_or(0, |(_, change)| change);
-        let records = match poll.purpose {
-            PollPurpose::Records => self.records.since(known),
-            PollPurpose::Greeting | PollPurpose::Loads => Vec::new(),
-        };
-        let own_loads = self.servers.own_loads();
-        let loads = match poll.purpose {
-            PollPurpose::Records => self.relay.loads.all_but(now, &own_loads, &poll.from.vm),
-            PollPurpose::Loads => self.relay.loads.of_centre(now, &own_loads),
-            PollPurpose::Greeting => LoadSum::default(),
-        };
-        let held_known = poll.held_known.filter(|(name, _)| name == own);
-        let held_sessions = match poll.purpose {
-            PollPurpose::Greeting => HeldNews::default(),
-            PollPurpose::Records | PollPurpose::Loads => {
-                self.held.since(held_known.map_or(0, |(_, last)| last))
-            }
-        };
-        let held_heard = self.held_marks.heard_from(&poll.from.name());
-        let cards = match poll.purpose {
-            PollPurpose::Greeting => self.relay.peers.for_greeting(&poll.from.data_centre),
-            PollPurpose::Records | PollPurpose::Loads => Vec::new(),
-        };
-        let answer = RelayAnswer {
-            from,
-            change: self.records.last_change(),
-            records,
-            held: now.since(arrived),
-            operators: self.feed_age(now, StoreStream::Operators),
-            servers: self.feed_age(now, StoreStream::Servers),
-            loads,
-            held_sessions,
-            held_heard,
-            reads_store: self.relay.reader.is_none(),
-            cards,
-        };
-        self.emit(GatewayCommand::AnswerPeer { call, answer: Box::new(answer) });
-    }
-
-    fn feed_age(&self, now: Millis, stream: StoreStream) -> Option<FeedAge> {
-        let end = self.feeds.get(&stream)?.end()?;
-        let age = match stream {
-            StoreStream::Operators => self.lease.age(now)?,
-            _ => now.since(self.relay.servers_read?),
-        };
-        Some(FeedAge { age, end })
-    }
-
     /// Notes when the newest read of the list of servers was sent.
     pub(super) fn note_servers_read(&mut self, sent: Millis) {
         self.relay.servers_read = self.relay.servers_read.max(Some(sent));
--- /dev/null
+++ b/src/gateway/relay_answers.rs
@@ -0,0 +1,108 @@
+//! Answering other entry VMs that ask for what this one has read from the store.
+
+use super::*;
+
+/// A question of another VM that is yet to be answered.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingPoll {
+    call: CallId,
+    poll: RelayPoll,
+    arrived: Millis,
+}
+
+impl WaitingPoll {
+    /// Returns when it is answered at the latest.
+    pub(super) fn due(&self) -> Millis {
+        self.arrived + self.poll.wait
+    }
+}
+
+impl Gateway {
+    /// Takes in another VM's question.
+    pub(super) fn on_poll(&mut self, now: Millis, call: CallId, mut poll: RelayPoll) {
+        self.relay.peers.heard(now, &poll.from);
+        let loads = std::mem::take(&mut poll.loads);
+        match poll.purpose {
+            PollPurpose::Records => self.relay.loads.take_follower(now, &poll.from.vm, loads),
+            PollPurpose::Loads => self.relay.loads.take_centre(now, &poll.from.data_centre, loads),
+            PollPurpose::Greeting => {}
+        }
+        if poll.purpose != PollPurpose::Greeting {
+            self.take_held(poll.from.name(), &poll.held_sessions);
+        }
+        for evidence in &poll.evidence {
+            if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
+                track.take_follower(evidence);
+            }
+        }
+        self.relay.waiting.push(WaitingPoll { call, poll, arrived: now });
+    }
+
+    /// Answers the questions for which there is a change, or whose wait is over.
+    pub(super) fn answer_polls(&mut self, now: Millis) {
+        let change = self.records.last_change();
+        let Some(own) = self.relay.card.as_ref().map(PeerCard::name) else { return };
+        let is_due = |waiting: &WaitingPoll| {
+            let known = waiting.poll.known.as_ref().filter(|(name, _)| *name == own);
+            let has_news = known.is_none_or(|(_, known)| *known < change);
+            let is_plain = waiting.poll.purpose != PollPurpose::Records;
+            is_plain || has_news || now >= waiting.due()
+        };
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.relay.waiting).into_iter().partition(is_due);
+        self.relay.waiting = waiting;
+        for waiting in due {
+            self.answer_poll(now, &own, waiting);
+        }
+    }
+
+    fn answer_poll(&mut self, now: Millis, own: &PeerName, waiting: WaitingPoll) {
+        let Some(from) = self.relay.card.clone() else { return };
+        let WaitingPoll { call, poll, arrived } = waiting;
+        let last_known = |known: Option<&(PeerName, u64)>| {
+            known.filter(|(name, _)| name == own).map_or(0, |(_, last)| *last)
+        };
+        let plain = RelayAnswer {
+            from,
+            change: self.records.last_change(),
+            records: Vec::new(),
+            held: now.since(arrived),
+            operators: self.feed_age(now, StoreStream::Operators),
+            servers: self.feed_age(now, StoreStream::Servers),
+            loads: LoadSum::default(),
+            held_sessions: HeldNews::default(),
+            held_heard: self.held_marks.heard_from(&poll.from.name()),
+            reads_store: self.relay.reader.is_none(),
+            cards: Vec::new(),
+        };
+        let held_sessions = || self.held.since(last_known(poll.held_known.as_ref()));
+        let (loads, own_loads) = (&self.relay.loads, || self.servers.own_loads());
+        let answer = match poll.purpose {
+            PollPurpose::Greeting => RelayAnswer {
+                cards: self.relay.peers.for_greeting(&poll.from.data_centre),
+                ..plain
+            },
+            PollPurpose::Records => RelayAnswer {
+                records: self.records.since(last_known(poll.known.as_ref())),
+                loads: loads.all_but(now, &own_loads(), &poll.from.vm),
+                held_sessions: held_sessions(),
+                ..plain
+            },
+            PollPurpose::Loads => RelayAnswer {
+                loads: loads.of_centre(now, &own_loads()),
+                held_sessions: held_sessions(),
+                ..plain
+            },
+        };
+        self.emit(GatewayCommand::AnswerPeer { call, answer: Box::new(answer) });
+    }
+
+    fn feed_age(&self, now: Millis, stream: StoreStream) -> Option<FeedAge> {
+        let end = self.feeds.get(&stream)?.end()?;
+        let age = match stream {
+            StoreStream::Operators => self.lease.age(now)?,
+            _ => now.since(self.relay.servers_read?),
+        };
+        Some(FeedAge { age, end })
+    }
+}
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -54,6 +54,23 @@
     pub held_known: Option<(PeerName, u64)>,
 }
 
+impl RelayPoll {
+    /// Returns a poll that tells nothing but who asks.
+    #[must_use]
+    pub fn new(from: PeerCard, purpose: PollPurpose) -> Self {
+        Self {
+            from,
+            purpose,
+            known: None,
+            wait: Millis(0),
+            evidence: Vec::new(),
+            loads: LoadSum::default(),
+            held_sessions: HeldNews::default(),
+            held_known: None,
+        }
+    }
+}
+
 /// How fresh a VM's reading of a stream is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedAge {
--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -124,6 +124,12 @@
         f64::from(1_u32 << steps)
     }
 
+    /// Returns whether nothing more happens: the store has a record of how it ended.
+    #[must_use]
+    pub const fn is_over(&self) -> bool {
+        self.state.is_final() && self.is_recorded
+    }
+
     /// Takes in a stage that the store has a record of.
     pub fn raise(&mut self, now: Millis, stage: u8) {
         if stage > self.stage {
@@ -190,8 +196,7 @@
     /// Returns what this VM has seen, if it has seen anything.
     #[must_use]
     pub fn own_evidence(&self, identity: &VmIdentity) -> Option<EvidenceRecord> {
-        let is_over = self.state.is_final() && self.is_recorded;
-        let has_any = !is_over && self.own != AnswerTally::default();
+        let has_any = !self.is_over() && self.own != AnswerTally::default();
         has_any.then(|| self.evidence(identity, self.own))
     }
 
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -55,8 +55,7 @@
 
     /// Follows the records of roll-outs, if one is under way and this VM reads the store itself.
     pub(super) fn follow_rollouts(&mut self) {
-        let is_over = |track: &RolloutTrack| track.state.is_final() && track.is_recorded;
-        if self.relay.reader.is_some() || self.rollouts.values().all(is_over) {
+        if self.relay.reader.is_some() || self.rollouts.values().all(RolloutTrack::is_over) {
             return;
         }
         for stream in [StoreStream::Rollouts, StoreStream::Evidence] {
@@ -85,8 +84,7 @@
 
     /// Stops following the records of roll-outs once all have ended.
     fn stop_feeds(&mut self) {
-        let is_over = |track: &RolloutTrack| track.state.is_final() && track.is_recorded;
-        if self.rollouts.values().all(is_over) {
+        if self.rollouts.values().all(RolloutTrack::is_over) {
             self.feeds.remove(&StoreStream::Rollouts);
             self.feeds.remove(&StoreStream::Evidence);
         }
@@ -131,21 +129,27 @@
         }
     }
 
-    fn lead_rollout(&mut self, now: Millis, pool: &PoolId) {
-        let delay = Millis(xxh3_64(self.identity.vm.as_str().as_bytes()) % Self::SPREAD_MS);
+    /// Withdraws a version that the evidence speaks against.
+    fn withdraw_bad(&mut self, pool: &PoolId) {
         let Some(track) = self.rollouts.get_mut(pool) else { return };
-        if track.state == RolloutState::Running && track.is_bad() {
-            let (sum, target) = (track.sum(), &track.order.target);
-            tracing::warn!(%pool, %target, good = sum.good, bad = sum.bad, "version withdrawn");
-            track.state = RolloutState::Withdrawn;
-            track.is_recorded = false;
-            self.release_sessions();
+        if track.state != RolloutState::Running || !track.is_bad() {
+            return;
         }
+        let (sum, target) = (track.sum(), &track.order.target);
+        tracing::warn!(%pool, %target, good = sum.good, bad = sum.bad, "version withdrawn");
+        track.state = RolloutState::Withdrawn;
+        track.is_recorded = false;
+        self.release_sessions();
+    }
+
+    fn lead_rollout(&mut self, now: Millis, pool: &PoolId) {
+        self.withdraw_bad(pool);
+        let delay = Millis(xxh3_64(self.identity.vm.as_str().as_bytes()) % Self::SPREAD_MS);
         let Some(track) = self.rollouts.get_mut(pool) else { return };
         let is_final = track.state.is_final();
-        let is_due = track.is_due(Millis(now.since(delay).0));
+        let is_due = track.is_due(now.since(delay));
         let is_new = !track.is_recorded && now.since(track.learned) >= delay;
-        let due_stage = track.due_stage(Millis(now.since(delay).0));
+        let due_stage = track.due_stage(now.since(delay));
         let record = if is_due {
             Some(RolloutRecord { state: RolloutState::Completed, ..track.record() })
         } else if let Some(stage) = due_stage.filter(|_| track.is_recorded) {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -111,10 +111,7 @@
         let Some(state) = self.requests.get(&request) else { return };
         let (pool, is_stream) = (state.pool.clone(), state.route.kind.is_stream());
         if let Some(server) = self.servers.get_mut(&run.server) {
-            server.ended();
-            if run.stage == RunStage::Waiting {
-                server.prompt_read(run.work_ms);
-            }
+            server.release(run);
             match outcome {
                 RunOutcome::Whole { head } => {
                     server.answered(head.status >= 500);
