Serve, connect and count through one piece of code each

No behaviour changes.

- PageClient repeated MetricClient's methods: MetricPage now hands out a MetricClient.
- serve of GatewayVm and the macro of EntryVm waited for a server by the same lines: ServerThread::start.

Ruled out: one shared client for all (their idle times, retries and bodies differ).

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -19,6 +19,7 @@
 mod metrics;
 mod peer_client;
 mod relay_client;
+mod server_thread;
 
 pub use {
     control_handle::{ControlHandle, ControlInput},
@@ -33,9 +34,10 @@
 
 use {
     control_thread::ControlThread,
-    entry_vm::{KEEP_ALIVE_SECONDS, ServerThread, listen},
+    entry_vm::{KEEP_ALIVE_SECONDS, listen},
     errands::ErrandRunner,
     gateway_thread::GatewayThread,
     peer_client::PeerClient,
     relay_client::RelayClient,
+    server_thread::ServerThread,
 };
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -1,6 +1,5 @@
 use super::*;
 use std::{io, net::TcpListener, thread::JoinHandle};
-use xitca_server::ServerHandle;
 use xitca_web::HttpServer;
 
 /// A running entry VM.
@@ -172,12 +171,6 @@
     }
 }
 
-/// A listener's thread, and what stops it.
-pub(super) struct ServerThread {
-    pub(super) handle: ServerHandle,
-    pub(super) thread: JoinHandle<()>,
-}
-
 fn address(listener: &TcpListener) -> io::Result<SocketAddr> {
     listener.local_addr()
 }
@@ -222,30 +215,19 @@
 
 macro_rules! serve_with {
     ($name:ident, $listener:ty, $desk:ty) => {
-        fn $name(
-            listener: $listener,
-            threads: usize,
-            desk: $desk,
-        ) -> io::Result<ServerThread> {
+        fn $name(listener: $listener, threads: usize, desk: $desk) -> io::Result<ServerThread> {
             let desk = Arc::new(desk);
             let service = xitca_web::service::fn_service(move |request: WebRequest| {
                 let desk = Arc::clone(&desk);
                 async move { Ok::<_, Infallible>(desk.serve(request).await) }
             });
-            let mut server = HttpServer::serve(service)
+            let server = HttpServer::serve(service)
                 .worker_threads(threads)
                 .disable_signal()
                 .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
                 .listen(listener)?
                 .run();
-            let handle = server.handle()?;
-            let thread =
-                std::thread::Builder::new().name(stringify!($name).into()).spawn(move || {
-                    if let Err(error) = server.wait() {
-                        tracing::error!(%error, "listener ended");
-                    }
-                })?;
-            Ok(ServerThread { handle, thread })
+            ServerThread::start(stringify!($name), server)
         }
     };
 }
--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -1,4 +1,4 @@
-use super::{gateway_handle::GatewayInbox, metric_page::PageClient, *};
+use super::{gateway_handle::GatewayInbox, *};
 
 /// Runs the gateway's core, passes its commands on and calls the store.
 pub(super) struct GatewayThread {
@@ -9,7 +9,7 @@
     pub(super) store: Arc<dyn RecordStore>,
     pub(super) flags: Arc<GatewayFlags>,
     pub(super) connections: Arc<ConnectionTable>,
-    pub(super) metrics: PageClient,
+    pub(super) metrics: MetricClient,
     pub(super) mailboxes: FxHashMap<RequestNumber, GatewayMailbox>,
     pub(super) swept: Millis,
     pub(super) relay: Arc<RelayClient>,
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -150,12 +150,5 @@
     for listener in others.into_iter().flatten() {
         server = server.listen(listener)?;
     }
-    let mut server = server.run();
-    let handle = server.handle()?;
-    let thread = std::thread::Builder::new().name("serve_routes".into()).spawn(move || {
-        if let Err(error) = server.wait() {
-            tracing::error!(%error, "listener ended");
-        }
-    })?;
-    Ok(ServerThread { handle, thread })
+    ServerThread::start("serve_routes", server.run())
 }
--- a/src/driver/metric_page.rs
+++ b/src/driver/metric_page.rs
@@ -1,5 +1,5 @@
 use super::*;
-use cadence::{Counted, CountedExt, Gauged, Histogrammed, MetricSink, StatsdClient};
+use cadence::MetricSink;
 use hdrhistogram::Histogram;
 
 /// Keeps the counters, gauges and histograms of this process as text for whoever asks.
@@ -19,8 +19,8 @@
 
     /// Returns a client that writes to the page.
     #[must_use]
-    pub fn client(&self) -> PageClient {
-        PageClient { client: Arc::new(StatsdClient::from_sink(Self::PREFIX, self.clone())) }
+    pub fn client(&self) -> MetricClient {
+        MetricClient::to_sink(Self::PREFIX, self.clone())
     }
 
     /// Returns the page: a line for each value, and four for each histogram.
@@ -78,31 +78,3 @@
         Ok(metric.len())
     }
 }
-
-/// Writes metrics to a page.
-#[derive(Clone, Debug)]
-pub struct PageClient {
-    client: Arc<StatsdClient>,
-}
-
-impl PageClient {
-    /// Counts one occurrence.
-    pub fn count(&self, name: &str) {
-        let _ = self.client.incr(name);
-    }
-
-    /// Counts one occurrence of a kind.
-    pub fn count_by(&self, name: &str, kind: &str) {
-        let _ = self.client.count_with_tags(name, 1).with_tag("kind", kind).try_send();
-    }
-
-    /// Reports a level.
-    pub fn gauge(&self, name: &str, value: u64) {
-        let _ = self.client.gauge(name, value);
-    }
-
-    /// Enters a time in milliseconds into a histogram.
-    pub fn time(&self, name: &str, value: u64) {
-        let _ = self.client.histogram(name, value);
-    }
-}
--- a/src/driver/metrics.rs
+++ b/src/driver/metrics.rs
@@ -1,11 +1,11 @@
 use super::*;
 use cadence::{
-    BufferedUdpMetricSink, Counted, CountedExt, Gauged, NopMetricSink, QueuingMetricSink,
-    StatsdClient,
+    BufferedUdpMetricSink, Counted, CountedExt, Gauged, MetricSink, NopMetricSink,
+    QueuingMetricSink, StatsdClient,
 };
-use std::{io, net::UdpSocket};
+use std::{io, net::UdpSocket, panic::RefUnwindSafe};
 
-/// Sends metrics to a `StatsD` server, or nowhere.
+/// Sends metrics to a `StatsD` server, to a [`MetricPage`], or nowhere.
 #[derive(Clone, Debug)]
 pub struct MetricClient {
     client: Arc<StatsdClient>,
@@ -19,8 +19,7 @@
     /// Returns why no socket could be opened.
     pub fn new(settings: Option<&MetricSettings>) -> io::Result<Self> {
         let Some(settings) = settings else {
-            let client = StatsdClient::from_sink("guavapass", NopMetricSink);
-            return Ok(Self { client: Arc::new(client) });
+            return Ok(Self::to_sink("guavapass", NopMetricSink));
         };
         let any: SocketAddr = match settings.statsd {
             SocketAddr::V4(_) => SocketAddr::from(([0, 0, 0, 0], 0)),
@@ -31,7 +30,15 @@
         let sink =
             BufferedUdpMetricSink::from(settings.statsd, socket).map_err(io::Error::other)?;
         let sink = QueuingMetricSink::from(sink);
-        Ok(Self { client: Arc::new(StatsdClient::from_sink(&settings.prefix, sink)) })
+        Ok(Self::to_sink(&settings.prefix, sink))
+    }
+
+    /// Returns a client that writes to a sink, with a prefix before each name.
+    pub(super) fn to_sink(
+        prefix: &str,
+        sink: impl MetricSink + Sync + Send + RefUnwindSafe + 'static,
+    ) -> Self {
+        Self { client: Arc::new(StatsdClient::from_sink(prefix, sink)) }
     }
 
     /// Counts one occurrence.
--- a/src/driver/peer_client.rs
+++ b/src/driver/peer_client.rs
@@ -32,9 +32,7 @@
     const ANSWER_LIMIT_BYTES: usize = 4_096;
 
     pub(super) fn new(seal: Arc<Mutex<PeerSeal>>, handle: ControlHandle) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(Self::CONNECT_TIMEOUT_MS)));
+        let connector = http_connector(Millis(Self::CONNECT_TIMEOUT_MS));
         let client = Client::builder(hyper_util::rt::TokioExecutor::new())
             .pool_idle_timeout(Duration::from_millis(Self::IDLE_TIMEOUT_MS))
             .pool_max_idle_per_host(Self::IDLE_CONNECTIONS)
--- a/src/driver/relay_client.rs
+++ b/src/driver/relay_client.rs
@@ -17,9 +17,7 @@
     const ANSWER_LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
 
     pub(super) fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(Self::CONNECT_TIMEOUT_MS)));
+        let connector = http_connector(Millis(Self::CONNECT_TIMEOUT_MS));
         let client = Client::builder(hyper_util::rt::TokioExecutor::new())
             .pool_idle_timeout(Duration::from_millis(Self::IDLE_MS))
             .pool_max_idle_per_host(1)
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -56,10 +56,8 @@
     /// Returns a client of the store at an address.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
+        let mut connector = http_connector(Millis(Self::CONNECT_TIMEOUT_MS));
         let probe = Duration::from_millis(Self::PROBE_MS);
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(Self::CONNECT_TIMEOUT_MS)));
         connector.set_keepalive(Some(probe));
         connector.set_keepalive_interval(Some(probe));
         connector.set_keepalive_retries(Some(Self::PROBE_COUNT));
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -7,6 +7,7 @@
 use super::*;
 
 mod error;
+mod http_connector;
 mod http_orders;
 mod http_platform;
 mod log;
@@ -17,6 +18,7 @@
 
 pub use {
     error::PlatformError,
+    http_connector::http_connector,
     http_orders::HttpOrders,
     http_platform::HttpPlatform,
     log::{LogPage, LogRecord},
--- /dev/null
+++ b/src/ports/http_connector.rs
@@ -0,0 +1,11 @@
+use super::*;
+use hyper_util::client::legacy::connect::HttpConnector;
+
+/// Returns a connector that sends small segments at once and waits a time for a connection.
+#[must_use]
+pub fn http_connector(connect_timeout: Millis) -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect_timeout.duration()));
+    connector
+}
--- a/src/ports/http_platform.rs
+++ b/src/ports/http_platform.rs
@@ -19,9 +19,7 @@
     /// Returns a client of the platform at an address; it must be used inside a tokio runtime.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(Self::CONNECT_TIMEOUT_MS)));
+        let connector = http_connector(Millis(Self::CONNECT_TIMEOUT_MS));
         let client = Client::builder(hyper_util::rt::TokioExecutor::new())
             .retry_canceled_requests(false)
             .build(connector);
--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -18,9 +18,7 @@
 
 /// Returns the client of a traffic thread.
 pub(super) fn client() -> UpstreamClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+    let connector = http_connector(Millis(CONNECT_TIMEOUT_MS));
     Client::builder(hyper_util::rt::TokioExecutor::new())
         .retry_canceled_requests(false)
         .build(connector)
