Name each header and key of the platform once; swallow no error of a record

The header of the caller's id, the one of a request that did not run and the prefix of roll-outs' keys stood in two files of the adapter each. A roll-out's record that could not be written would have become an empty value, which removes its key: the error is now returned like that of evidence (it cannot be provoked from outside, so there is no test). The demo's check of single bills copied each bill's stage to read its cost.

No behaviour changes otherwise.

--- a/src/command/demo/promise_check.rs
+++ b/src/command/demo/promise_check.rs
@@ -135,17 +135,18 @@
     /// Describes the bills of single requests that are not what their team owes.
     fn differing_bills(stage: &DemoStage, record: &TrafficRecord) -> Vec<String> {
         let settled = record.bills.bills().filter_map(|(_, state)| match state {
-            BillState::Settled(bill) => Some((bill.request.to_string(), bill)),
-            BillState::Unsettled(_) => None,
+            BillState::Settled(BillRecord {
+                request,
+                stage: BillStage::Final { cost, .. },
+                ..
+            }) => Some((request.to_string(), *cost)),
+            BillState::Settled(_) | BillState::Unsettled(_) => None,
         });
-        let settled: BTreeMap<String, &BillRecord> = settled.collect();
+        let settled: BTreeMap<String, Cost> = settled.collect();
         let mut differing = Vec::new();
         for result in DemoResult::billable(&record.results) {
             let request = result.outcome.header("guavapass-request").unwrap_or_default();
-            let stage_of = |bill: &&BillRecord| bill.stage.clone();
-            let Some(BillStage::Final { cost, .. }) = settled.get(request).map(stage_of) else {
-                continue;
-            };
+            let Some(cost) = settled.get(request) else { continue };
             let due = stage.due(result);
             if (cost.0 - due.0).abs() > Self::COST_TOLERANCE {
                 differing.push(format!("{request} was billed {cost} and owes {due}"));
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -2,10 +2,11 @@
 
 use super::*;
 use http::{HeaderMap, HeaderValue, header};
+use request_headers::CALLER_ID;
 
-const CALLER_ID: &str = "x-attempt-id";
 const SIGNATURE: &str = "x-response-signature";
-const NOT_RUN: &str = "x-not-executed";
+/// Says that a server did not run a request.
+pub(super) const NOT_RUN: &str = "x-not-executed";
 const LOAD: &str = "x-server-load";
 const CONFIDENCE: &str = "x-confidence";
 
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -332,14 +332,15 @@
 
 /// Returns the stream of a record that entry VMs write, and its bytes there.
 fn content(record: &StoreRecord) -> Result<(StoreStream, Vec<u8>), StoreError> {
+    let malformed = |error: &dyn Display| StoreError::Malformed { cause: error.to_string().into() };
     match record {
         StoreRecord::Rollout(record) => {
-            let content = write_keyed(&rollout_key(record), &write_rollout_record(record));
-            Ok((StoreStream::Rollouts, content))
+            let value = write_rollout_record(record).map_err(|error| malformed(&error))?;
+            Ok((StoreStream::Rollouts, write_keyed(&rollout_key(record), &value)))
         }
         StoreRecord::Evidence(evidence) => rmp_serde::to_vec(evidence)
             .map(|content| (StoreStream::Evidence, content))
-            .map_err(|error| StoreError::Malformed { cause: error.to_string().into() }),
+            .map_err(|error| malformed(&error)),
         StoreRecord::Configuration(_)
         | StoreRecord::Order(_)
         | StoreRecord::Server(_)
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -3,7 +3,6 @@
 use super::*;
 
 const CONFIGURATION_KEY: &str = "config";
-const ROLLOUT_PREFIX: &str = "rollout/";
 
 #[derive(Debug, Deserialize)]
 struct WireConfiguration {
@@ -71,7 +70,7 @@
 pub fn read_operator_record(key: &str, value: &[u8]) -> Option<StoreRecord> {
     let record = if key == CONFIGURATION_KEY {
         read_configuration(value)
-    } else if key.starts_with(ROLLOUT_PREFIX) {
+    } else if key.starts_with(rollout_records::KEY_PREFIX) {
         read_rollout(value)
     } else {
         return None;
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -1,12 +1,14 @@
 //! The headers of callers' requests, and those that backend servers get.
 
 use super::*;
+use answer_headers::NOT_RUN;
 use http::{HeaderMap, HeaderValue, header};
 
 /// The path at which the balancer asks whether this VM takes new work.
 pub const READY_PATH: &str = "/-/readyz";
 
-const CALLER_ID: &str = "x-attempt-id";
+/// The caller's id of a request, which its answer repeats.
+pub(super) const CALLER_ID: &str = "x-attempt-id";
 const DEADLINE: &str = "x-deadline-ms";
 const KEY: &str = "api-key";
 const SESSION: &str = "session";
@@ -34,7 +36,7 @@
     "x-kv-backup",
     "kv-from",
     "kv-fetch",
-    "x-not-executed",
+    NOT_RUN,
 ];
 
 /// Why the head of a request cannot be used.
--- a/src/platform/rollout_records.rs
+++ b/src/platform/rollout_records.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 
-const KEY_PREFIX: &str = "rollout/";
+/// What the keys of orders and states of roll-outs begin with; the pool follows.
+pub(super) const KEY_PREFIX: &str = "rollout/";
 
 #[derive(Debug, Serialize, Deserialize)]
 struct WireRolloutState {
@@ -28,7 +29,11 @@
 }
 
 /// Returns the value of a roll-out's record.
-pub(super) fn write_rollout_record(record: &RolloutRecord) -> Vec<u8> {
+///
+/// # Errors
+///
+/// Returns why it cannot be written.
+pub(super) fn write_rollout_record(record: &RolloutRecord) -> serde_json::Result<Vec<u8>> {
     let state = match record.state {
         RolloutState::Running => WireState::Running,
         RolloutState::Completed => WireState::Completed,
@@ -40,7 +45,7 @@
         state,
         stage: record.stage,
     };
-    serde_json::to_vec(&wire).unwrap_or_default()
+    serde_json::to_vec(&wire)
 }
 
 /// Reads the state of a roll-out; none if the key is not one of a roll-out.
