Let VMs that lose the store ask others, and bound the calls of all together

Cause: each VM that its reader or the store failed went back to the store by itself, with a pause of its own, and each VM read all of the store when it started.

Ruled out: longer pauses of each VM. The sum still grows with the VMs, and knowledge ages past the bound on keys.

Now the first rank of a data centre (most processor first) is its hub, which reads; the next rank reads while the store does not serve the hub; a VM without fresh knowledge asks who offers more, the next ranks and other data centres' hubs; only then do VMs look at the store, four times a second for a data centre, however many they are. A VM that starts greets a seed first and learns everything from the hub. A read that is 400 ms late counts as a failure, and a read waits 1 s instead of 1.25 s.

--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -44,7 +44,8 @@
         let mut gateway = Gateway::new(identity.clone(), settings.bounds);
         if let (Some(address), Some(relay)) = (peer_address, &settings.peers) {
             let VmIdentity { vm, incarnation, data_centre } = identity;
-            let card = PeerCard { vm, incarnation, data_centre, address };
+            let processor = settings.processor_percent();
+            let card = PeerCard { vm, incarnation, data_centre, address, processor };
             gateway.set_relay(card, relay.seeds.clone());
         }
         let (handle, inbox) = GatewayHandle::new();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,8 +9,8 @@
 //! A request passes through these steps: it is admitted ([`admit`]) and sent to a server ([`send`]).
 //! Each run ends in an answer that is delivered, dropped for one of a larger model ([`escalate`]), or
 //! in a fault ([`runs`]), after which the request is sent once more ([`resend`]) or refused
-//! ([`finish`]). The store is followed in [`reads`], or through another VM in [`relay`]; roll-outs are
-//! led in [`rollouts`].
+//! ([`finish`]). The store is followed in [`reads`], or through another VM in [`relay`], which
+//! [`store_access`] decides; roll-outs are led in [`rollouts`].
 
 use super::*;
 
@@ -41,6 +41,7 @@
 mod relay_answers;
 mod relay_message;
 mod relay_peers;
+mod relay_start;
 mod resend;
 mod resend_budget;
 mod rollout_order;
@@ -60,6 +61,7 @@
 mod session_versions;
 mod sessions;
 mod shared_loads;
+mod store_access;
 mod store_error;
 mod store_feed;
 mod store_record;
@@ -103,6 +105,7 @@
 };
 
 use {
-    held_marks::HeldMarks, part_homes::PartHomes, place_estimate::PlaceEstimate, relay::RelayState,
-    relay_answers::WaitingPoll,
+    held_marks::HeldMarks, part_homes::PartHomes,
+    place_estimate::PlaceEstimate, relay::RelayState, relay_answers::WaitingPoll,
+    relay_start::RelayStart, store_access::StoreAccess, 
 };
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -11,6 +11,9 @@
     pub(super) listed: Option<BTreeSet<ServerId>>,
     pub(super) records: RecordBook,
     pub(super) relay: RelayState,
+    pub(super) access: StoreAccess,
+    /// When the first event was taken in.
+    pub(super) begun: Option<Millis>,
     pub(super) servers: ServerBook,
     pub(super) paces: BTreeMap<(PoolId, Option<ModelId>), PoolPace>,
     pub(super) pressures: BTreeMap<PoolId, EnginePressure>,
@@ -58,6 +61,8 @@
             listed: Some(BTreeSet::new()),
             records: RecordBook::default(),
             relay: RelayState::default(),
+            access: StoreAccess::default(),
+            begun: None,
             servers: ServerBook::default(),
             paces: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -79,9 +84,10 @@
     }
 
     /// Returns how long the store may wait for something that operators publish: two reads after
-    /// each other, and the way of the second, stay below the bound.
+    /// each other take less than half of the bound, and the rest is for finding another VM that
+    /// knows more when the store fails.
     const fn operator_wait_of(bounds: &GatewayBounds) -> Millis {
-        Millis(bounds.key_removal_ms.0 / 4)
+        Millis(bounds.key_removal_ms.0 / 5)
     }
 
     /// Returns the pause between two reads of the list of servers: one that fails can be repeated,
@@ -100,6 +106,7 @@
 
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: GatewayEvent) -> Vec<GatewayCommand> {
+        self.begun.get_or_insert(now);
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
@@ -119,6 +126,7 @@
         self.leave_silent(now);
         self.lead_rollouts(now);
         self.run_relay(now);
+        self.steer_reads(now);
         self.read_feeds(now);
         self.advance_shutdown(now);
         std::mem::take(&mut self.commands)
@@ -135,7 +143,12 @@
         let look = (leads || self.ending.is_some()).then(|| now + Millis(LOOK_MS));
         let relay = self.relay_next();
         let patience = self.patiences.first().map(|(at, _)| *at);
-        [end, patience, read, look, relay].into_iter().flatten().min().unwrap_or(Millis::MAX)
+        let access = self.access.next();
+        [end, patience, read, look, relay, access]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(Millis::MAX)
     }
 
     /// Returns whether the VM takes new work: it knows a configuration that keyed requests may be
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -29,7 +29,10 @@
         }
         let FeedStep::Caught { sent } = step else { return };
         match stream {
-            StoreStream::Operators => self.lease.renew(sent),
+            StoreStream::Operators => {
+                self.lease.renew(sent);
+                self.end_look();
+            }
             StoreStream::Servers => {
                 self.note_servers_read(sent);
                 self.end_listing(now, is_newest);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,12 +1,14 @@
-//! Reading the store once for a data centre.
+//! Learning what the store has from other entry VMs.
 //!
 //! Each call to the store has a price, and within a data centre messages have none. So the entry
-//! VMs of a data centre let the one that ranks first read the store, and ask it for what has
-//! changed. An answer tells how old the reading is, and the lease on what operators publish starts
-//! where that reading was sent. A VM whose reader does not answer at once, or has not heard from
-//! the store lately, reads the store itself; so does each VM at its start, and one that knows no
-//! other. Nothing is agreed upon: two readers only cost calls, and two VMs that ask each other see
-//! their answers age and go back to the store.
+//! VMs of a data centre ask its hub, the one that ranks first, for what has changed. An answer tells
+//! how old the reading is that it rests on, and the lease on what operators publish starts where
+//! that reading was sent. Who calls the store, and how often, is decided in [`reads`].
+//!
+//! A VM whose hub is silent, or knows only what is old, asks others: those that say that they know
+//! more, the next ranks of its data centre and the hubs of others. So does a hub that the store does
+//! not serve. Nothing is agreed upon: an answer is taken for what it tells, whoever gives it, and two
+//! VMs that ask each other see their answers age and go on to a third.
 
 use super::*;
 
@@ -17,14 +19,18 @@
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) peers: RelayPeers,
     /// The VM that this one relies on instead of the store.
-    pub(super) reader: Option<VmId>,
-    /// Whether the reader is one that has just followed another and is yet to answer.
-    is_handed_over: bool,
-    known: Option<(PeerName, u64)>,
-    asked: Option<AskedReader>,
-    next: Millis,
-    greetings: u32,
-    greet_next: Millis,
+    pub(super) source: Option<VmId>,
+    /// The VM whose reading of the store was last relied on.
+    pub(super) origin: Option<VmId>,
+    /// Whether this VM is the hub of its data centre.
+    pub(super) is_hub: bool,
+    /// Whether the store does not serve the hub, by its own word.
+    pub(super) hub_lacks_store: bool,
+    /// The last change that is known of each VM that was asked.
+    known: BTreeMap<PeerName, u64>,
+    asked: Option<AskedPeer>,
+    pub(super) next: Millis,
+    pub(super) start: RelayStart,
     pub(super) waiting: Vec<WaitingPoll>,
     pub(super) loads: SharedLoads,
     exchange_next: Millis,
@@ -35,7 +41,7 @@
 
 /// A poll for records that is under way.
 #[derive(Clone, Debug)]
-struct AskedReader {
+struct AskedPeer {
     card: PeerCard,
     sent: Millis,
     /// Whether all records were asked for, and not only the changes since an earlier answer.
@@ -43,47 +49,52 @@
 }
 
 impl Gateway {
-    /// How long a reader holds an answer back for a change. Short, because a VM whose reader has
-    /// stopped learns of it only by the missing answer.
+    /// How long a VM holds an answer back for a change. Short, because a VM whose hub has stopped
+    /// learns of it only by the missing answer.
     const RELAY_WAIT_MS: u64 = 100;
     /// The pause between two exchanges of loads with another data centre.
     const EXCHANGE_MS: u64 = 100;
-    /// The pause between two polls after one that failed, or led to no reader.
-    const RELAY_PAUSE_MS: u64 = 500;
-    /// The pauses between the greetings of a seed: the first ones find VMs that start together.
-    const GREETINGS_MS: [u64; 4] = [300, 1_500, 4_000, 20_000];
-    /// How long a VM whose reader has an old reading waits before it asks the next one, which has
-    /// noticed as much and reads the store: an answer that is held, and a call to the store.
-    const HANDOVER_MS: u64 = 250;
-    /// How much older than the pause between two reads a reader's list of servers may be.
-    const SERVERS_SLACK_MS: u64 = 350;
+    /// The pause before a VM that has nobody to ask looks again.
+    const RELAY_PAUSE_MS: u64 = 100;
+    /// The pause before a VM is asked again that has just started itself.
+    const STARTING_MS: u64 = 150;
+    /// How much older than the pause between two reads the list of servers may be that another VM
+    /// tells: a read, and the way over two VMs that hold answers back.
+    const SERVERS_SLACK_MS: u64 = 500;
+    /// How much older than two reads, one that is answered and one under way, what operators publish
+    /// may be that another VM tells: the way over two VMs that hold answers back.
+    const OPERATORS_SLACK_MS: u64 = 350;
 
     /// Lets this VM ask others, and be asked.
     pub fn set_relay(&mut self, card: PeerCard, seeds: Vec<SocketAddr>) {
         self.relay.seeds = seeds.into_iter().filter(|seed| *seed != card.address).collect();
         self.relay.card = Some(card);
+        self.relay.is_hub = true;
+        if self.relay.seeds.is_empty() || self.knows_all() {
+            self.relay.start.decide();
+        }
     }
 
     /// Returns when the relay has something to do.
     pub(super) fn relay_next(&self) -> Option<Millis> {
         self.relay.card.as_ref()?;
         let held = self.relay.waiting.iter().map(WaitingPoll::due);
-        let ask = self.relay.asked.is_none().then_some(self.relay.next);
-        let greet = (!self.relay.seeds.is_empty()).then_some(self.relay.greet_next);
-        let exchange = self.relay.reader.is_none().then_some(self.relay.exchange_next);
-        held.chain(ask).chain(greet).chain(exchange).min()
+        let may_ask = self.relay.asked.is_none() && self.relay.start.is_decided();
+        let ask = may_ask.then_some(self.relay.next);
+        let exchange = self.relay.is_hub.then_some(self.relay.exchange_next);
+        held.chain(ask).chain(self.greet_next()).chain(exchange).min()
     }
 
     pub(super) fn run_relay(&mut self, now: Millis) {
         self.answer_polls(now);
         self.greet_seed(now);
-        self.ask_reader(now);
+        self.ask_source(now);
         self.exchange_loads(now);
     }
 
-    /// Exchanges loads with the readers of other data centres, if this VM reads the store itself.
+    /// Exchanges loads with the hubs of other data centres, if this VM is one.
     fn exchange_loads(&mut self, now: Millis) {
-        if self.relay.reader.is_some() || now < self.relay.exchange_next {
+        if !self.relay.is_hub || now < self.relay.exchange_next {
             return;
         }
         self.relay.exchange_next = now + Millis(Self::EXCHANGE_MS);
@@ -100,36 +111,61 @@
         }
     }
 
-    /// Asks the VM that reads the store, once this VM knows everything from the store itself.
-    fn ask_reader(&mut self, now: Millis) {
-        if self.relay.asked.is_some() || now < self.relay.next || self.relay.card.is_none() {
-            return;
-        }
-        if !self.knows_all() {
-            self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
+    /// Asks another VM for what the store has: the hub, or another one while that knows too little.
+    fn ask_source(&mut self, now: Millis) {
+        if self.relay.asked.is_some() || now < self.relay.next || !self.relay.start.is_decided() {
             return;
         }
-        let Some(card) = self.relay.peers.reader(now, &self.identity).cloned() else {
-            self.read_store_again(now, "this VM ranks first");
+        let Some(from) = self.relay.card.clone() else { return };
+        self.note_hub(now, &from);
+        let Some(card) = self.next_asked(now, &from) else {
             self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
             return;
         };
-        let is_reader = self.relay.reader.as_ref() == Some(&card.vm);
-        let wait = if is_reader { Millis(Self::RELAY_WAIT_MS) } else { Millis(0) };
-        let Some(from) = self.relay.card.clone() else { return };
-        let known = self.relay.known.clone().filter(|(name, _)| *name == card.name());
+        let is_followed = self.relay.source.as_ref() == Some(&card.vm) || self.is_reading(now);
+        let wait = if is_followed { Millis(Self::RELAY_WAIT_MS) } else { Millis(0) };
+        let known = self.relay.known.get(&card.name()).map(|change| (card.name(), *change));
         let evidence =
             self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
         let is_whole = known.is_none();
+        let is_near = card.data_centre == from.data_centre;
         let poll = RelayPoll {
             known,
             wait,
+            age: self.lease.age(now),
             evidence: evidence.collect(),
-            loads: self.servers.own_loads(),
+            loads: if is_near { self.servers.own_loads() } else { LoadSum::default() },
             ..self.poll_with_held(from, PollPurpose::Records, &card)
         };
         self.ask_peer(&card, poll);
-        self.relay.asked = Some(AskedReader { card, sent: now, is_whole });
+        self.relay.asked = Some(AskedPeer { card, sent: now, is_whole });
+    }
+
+    /// Notes whether this VM is the hub of its data centre.
+    fn note_hub(&mut self, now: Millis, own: &PeerCard) {
+        let hub = self.relay.peers.hub(now, own).map(|card| card.vm.clone());
+        if hub.is_none() != self.relay.is_hub {
+            self.relay.is_hub = hub.is_none();
+            let hub = hub.as_ref().map(VmId::as_str);
+            tracing::info!(
+                hub,
+                "this data centre's hub is another VM, or this one if none is named"
+            );
+        }
+    }
+
+    /// Returns the VM to ask now.
+    fn next_asked(&self, now: Millis, own: &PeerCard) -> Option<PeerCard> {
+        let peers = &self.relay.peers;
+        if let Some(hub) = peers.hub(now, own).filter(|hub| peers.may_know(now, &hub.vm)) {
+            return Some(hub.clone());
+        }
+        if self.relay.is_hub && self.is_reading(now) {
+            return None;
+        }
+        let source = self.relay.source.as_ref().filter(|vm| peers.may_know(now, vm));
+        let card = source.and_then(|vm| peers.card(vm)).or_else(|| peers.candidate(now, own));
+        card.cloned()
     }
 
     fn ask_peer(&mut self, asked: &PeerCard, poll: RelayPoll) {
@@ -154,23 +190,6 @@
         self.document.is_some() && knows_servers
     }
 
-    /// Tells a seed about this VM, and learns the VMs of its data centre.
-    fn greet_seed(&mut self, now: Millis) {
-        if now < self.relay.greet_next || self.relay.seeds.is_empty() {
-            return;
-        }
-        let Some(from) = self.relay.card.clone() else { return };
-        let turn = self.relay.greetings as usize;
-        let last = Self::GREETINGS_MS.len() - 1;
-        self.relay.greetings += 1;
-        self.relay.greet_next = now + Millis(Self::GREETINGS_MS[turn.min(last)]);
-        self.relay.peers.forget_silent(now);
-        self.held_marks.keep(|vm| self.relay.peers.knows(vm));
-        let address = self.relay.seeds[turn % self.relay.seeds.len()];
-        let poll = RelayPoll::new(from, PollPurpose::Greeting);
-        self.emit(GatewayCommand::AskPeer { peer: None, address, poll: Box::new(poll) });
-    }
-
     /// Notes when the newest read of the list of servers was sent.
     pub(super) fn note_servers_read(&mut self, sent: Millis) {
         self.relay.servers_read = self.relay.servers_read.max(Some(sent));
@@ -186,6 +205,7 @@
     ) {
         if let Some(answer) = &result {
             self.relay.peers.heard(now, &answer.from);
+            self.relay.peers.answered(&answer.from.vm);
             let others = answer.cards.iter().filter(|card| card.vm != self.identity.vm);
             for card in others {
                 self.relay.peers.heard(now, card);
@@ -198,110 +218,118 @@
         match (purpose, peer) {
             (PollPurpose::Records, _) => self.on_records(now, result),
             (PollPurpose::Loads, Some(peer)) => self.on_loads(now, &peer, result),
-            (PollPurpose::Loads, None) | (PollPurpose::Greeting, _) => {}
+            (PollPurpose::Loads, None) => {}
+            (PollPurpose::Greeting, _) => self.on_greeting(now, result.as_ref()),
         }
     }
 
     fn on_loads(&mut self, now: Millis, peer: &VmId, result: Option<RelayAnswer>) {
         self.relay.exchanging.remove(peer);
         match result {
-            Some(answer) if answer.reads_store => {
+            Some(answer) if answer.is_hub => {
                 let centre = &answer.from.data_centre;
                 self.relay.loads.take_centre(now, centre, answer.loads);
             }
-            _ => self.relay.peers.failed(now, peer),
+            // Whoever answers for it next may be the hub.
+            _ => self.relay.peers.silent(now, peer),
         }
     }
 
     fn on_records(&mut self, now: Millis, result: Option<RelayAnswer>) {
         let Some(asked) = self.relay.asked.take() else { return };
-        let reader = asked.card.vm.clone();
-        match result {
-            Some(answer) if self.is_fresh_answer(&answer) => self.follow(now, &asked, &answer),
-            Some(_) => self.leave_old_reader(now, &reader),
-            None => self.leave_reader(now, &reader, "it does not answer"),
+        let vm = asked.card.vm.clone();
+        let Some(answer) = result else {
+            self.relay.peers.silent(now, &vm);
+            self.leave_source(&vm, "it does not answer");
+            self.relay.next = now;
+            return;
+        };
+        let is_fresh = self.is_fresh_answer(&answer);
+        self.take_answer(now, &asked, &answer);
+        let is_own = answer.origin.as_ref() == Some(&self.identity.vm);
+        let is_near = answer.from.data_centre == self.identity.data_centre;
+        if answer.is_hub && is_near && answer.operators.is_some() {
+            self.relay.hub_lacks_store = answer.lacks_store || !is_fresh;
+        }
+        if is_fresh && !is_own {
+            self.follow(now, &answer);
+        } else if is_fresh && self.is_reading(now) {
+            // The others rely on this VM.
+            self.relay.next = now;
+        } else if answer.operators.is_none() && self.relay.start.is_recent(now) {
+            self.relay.next = now + Millis(Self::STARTING_MS);
+        } else {
+            self.relay.peers.old(now, &vm);
+            self.leave_source(&vm, "what it knows of the store is old");
+            self.relay.next = now;
         }
     }
 
-    /// Returns whether a VM has heard from the store lately enough to be relied on.
+    /// Returns whether a VM's knowledge is young enough to be relied on.
     fn is_fresh_answer(&self, answer: &RelayAnswer) -> bool {
         let (Some(operators), Some(servers)) = (answer.operators, answer.servers) else {
             return false;
         };
-        let pause = self.server_pause();
-        let operators_limit = Millis(self.operator_wait().0 * 2 + Self::SERVERS_SLACK_MS);
-        servers.age <= pause + Millis(Self::SERVERS_SLACK_MS) && operators.age <= operators_limit
+        let servers_limit = self.server_pause() + Millis(Self::SERVERS_SLACK_MS);
+        servers.age <= servers_limit && operators.age <= self.old_age()
     }
 
-    fn follow(&mut self, now: Millis, asked: &AskedReader, answer: &RelayAnswer) {
-        let from = &answer.from;
-        if self.relay.reader.as_ref() != Some(&from.vm) {
-            tracing::info!(reader = %from.vm, "another VM reads the store for this one");
-            self.relay.reader = Some(from.vm.clone());
+    /// Returns the age from which knowledge of what operators publish is old.
+    pub(super) const fn old_age(&self) -> Millis {
+        Millis(self.operator_wait().0 * 2 + Self::OPERATORS_SLACK_MS)
+    }
+
+    /// Takes in what an answer tells, however old it is.
+    fn take_answer(&mut self, now: Millis, asked: &AskedPeer, answer: &RelayAnswer) {
+        let is_near = answer.from.data_centre == self.identity.data_centre;
+        if answer.is_hub && is_near {
+            self.relay.loads.take_reader(now, answer.loads.clone());
+            self.servers.note_others(&answer.loads);
         }
-        self.relay.is_handed_over = false;
-        self.relay.known = Some((from.name(), answer.change));
-        self.relay.next = now;
-        self.relay.loads.take_reader(now, answer.loads.clone());
-        self.servers.note_others(&answer.loads);
         self.take_records(now, &answer.records);
-        if let Some(servers) = answer.servers.filter(|_| asked.is_whole) {
-            // A reader that has just started never knew servers that were removed before.
+        let (Some(operators), Some(servers)) = (answer.operators, answer.servers) else { return };
+        self.relay.known.insert(answer.from.name(), answer.change);
+        if asked.is_whole {
+            // A VM that has just started never knew servers that were removed before.
             let listed = answer.records.iter().filter_map(KeptRecord::listed_server).collect();
             self.remove_unlisted(now, servers.end, &listed);
+            self.listed = None;
         }
         let answered = asked.sent + answer.held;
-        if let Some(operators) = answer.operators {
-            self.lease.renew(answered.since(operators.age));
-            self.pause_feed(StoreStream::Operators, operators.end);
-        }
-        if let Some(servers) = answer.servers {
-            self.note_servers_read(answered.since(servers.age));
-            self.pause_feed(StoreStream::Servers, servers.end);
+        self.lease.renew(answered.since(operators.age));
+        self.note_servers_read(answered.since(servers.age));
+        for (stream, age) in [(StoreStream::Operators, operators), (StoreStream::Servers, servers)]
+        {
+            if let Some(feed) = self.feeds.get_mut(&stream) {
+                feed.skip_to(age.end);
+            }
         }
-        self.feeds.remove(&StoreStream::Rollouts);
-        self.feeds.remove(&StoreStream::Evidence);
     }
 
-    fn pause_feed(&mut self, stream: StoreStream, end: Offset) {
-        if let Some(feed) = self.feeds.get_mut(&stream) {
-            feed.pause_at(end);
+    /// Relies on a VM that has told what is fresh.
+    fn follow(&mut self, now: Millis, answer: &RelayAnswer) {
+        let from = &answer.from.vm;
+        if self.relay.source.as_ref() != Some(from) {
+            let origin = answer.origin.as_ref().map(VmId::as_str);
+            tracing::info!(source = %from, origin, "another VM tells what the store has");
+            self.relay.source = Some(from.clone());
         }
+        self.relay.origin.clone_from(&answer.origin);
+        self.relay.next = now;
     }
 
-    /// Goes on to the next VM that reads the store, unless that has just been done: if a reader is
-    /// cut off from the store, one of its followers has to call there and not all of them. What this
-    /// VM knows is young enough to wait so long.
-    fn leave_old_reader(&mut self, now: Millis, reader: &VmId) {
-        let reason = "its reading of the store is old";
-        self.relay.peers.failed(now, reader);
-        let is_followed = self.relay.reader.as_ref() == Some(reader) && !self.relay.is_handed_over;
-        let next = self.relay.peers.reader(now, &self.identity).filter(|_| is_followed);
-        let Some(next) = next.map(|card| card.vm.clone()) else {
-            self.leave_reader(now, reader, reason);
-            return;
-        };
-        tracing::info!(%reader, %next, reason, "the next VM is asked for what the store has");
-        self.relay.reader = Some(next);
-        self.relay.is_handed_over = true;
-        self.relay.next = now + Millis(Self::HANDOVER_MS);
-    }
-
-    fn leave_reader(&mut self, now: Millis, reader: &VmId, reason: &'static str) {
-        self.relay.peers.failed(now, reader);
-        self.relay.next = now + Millis(Self::RELAY_PAUSE_MS);
-        self.read_store_again(now, reason);
+    fn leave_source(&mut self, vm: &VmId, reason: &'static str) {
+        if self.relay.source.as_ref() == Some(vm) {
+            tracing::info!(source = %vm, reason, "source of records left");
+            self.relay.source = None;
+        }
     }
 
-    /// Goes back to reading the store.
-    fn read_store_again(&mut self, now: Millis, reason: &'static str) {
-        let Some(reader) = self.relay.reader.take() else { return };
-        self.relay.is_handed_over = false;
-        self.relay.exchange_next = now;
-        tracing::info!(%reader, reason, "this VM reads the store itself again");
-        for feed in self.feeds.values_mut() {
-            feed.resume(now);
-        }
-        self.follow_rollouts();
+    /// Forgets what concerns VMs that have not been heard of for long.
+    pub(super) fn forget_silent_peers(&mut self, now: Millis) {
+        self.relay.peers.forget_silent(now);
+        self.held_marks.keep(|vm| self.relay.peers.knows(vm));
+        let peers = &self.relay.peers;
+        self.relay.known.retain(|name, _| peers.knows(&name.vm));
     }
 }
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -30,6 +30,7 @@
         if poll.purpose != PollPurpose::Greeting {
             self.take_held(poll.from.name(), &poll.held_sessions);
         }
+        self.note_offer(now, &poll);
         for evidence in &poll.evidence {
             if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
                 track.take_follower(evidence);
@@ -38,6 +39,25 @@
         self.relay.waiting.push(WaitingPoll { call, poll, arrived: now });
     }
 
+    /// Notes that a VM asks that knows more, while this one knows too little.
+    fn note_offer(&mut self, now: Millis, poll: &RelayPoll) {
+        /// More than the way to the asker and back, and the time for which an answer is held.
+        const MARGIN_MS: u64 = 300;
+        let (Some(told), false) = (poll.age, self.is_reading(now)) else { return };
+        if self.lease.age(now).is_none_or(|age| age > told + Millis(MARGIN_MS)) {
+            self.relay.peers.offers(now, &poll.from.vm);
+        }
+    }
+
+    /// Returns the VM whose reading of the store this one's knowledge rests on.
+    fn origin(&self, now: Millis) -> Option<VmId> {
+        if self.is_reading(now) {
+            Some(self.identity.vm.clone())
+        } else {
+            self.relay.origin.clone()
+        }
+    }
+
     /// Answers the questions for which there is a change, or whose wait is over.
     pub(super) fn answer_polls(&mut self, now: Millis) {
         let change = self.records.last_change();
@@ -72,7 +92,10 @@
             loads: LoadSum::default(),
             held_sessions: HeldNews::default(),
             held_heard: self.held_marks.heard_from(&poll.from.name()),
-            reads_store: self.relay.reader.is_none(),
+            running: now.since(self.begun.unwrap_or(now)),
+            is_hub: self.relay.is_hub,
+            lacks_store: self.lacks_store(now),
+            origin: self.origin(now),
             cards: Vec::new(),
         };
         let held_sessions = || self.held.since(last_known(poll.held_known.as_ref()));
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -11,6 +11,8 @@
     pub data_centre: DataCentreId,
     /// The address of its listener for other entry VMs.
     pub address: SocketAddr,
+    /// Its share of a processor, in percent.
+    pub processor: u32,
 }
 
 impl PeerCard {
@@ -19,6 +21,13 @@
     pub fn name(&self) -> PeerName {
         PeerName { vm: self.vm.clone(), incarnation: self.incarnation }
     }
+
+    /// Returns what orders the VMs of a data centre: those with most processor first, since a hub
+    /// answers all others; among equals a hash, so that none is set aside by its name.
+    #[must_use]
+    pub fn rank(&self) -> (Reverse<u32>, u64) {
+        (Reverse(self.processor), xxh3_64(self.vm.as_str().as_bytes()))
+    }
 }
 
 /// What a poll is for.
@@ -43,6 +52,8 @@
     pub known: Option<(PeerName, u64)>,
     /// How long the answer may wait for a change.
     pub wait: Millis,
+    /// How old the asker's knowledge is of what operators publish.
+    pub age: Option<Millis>,
     /// What the asker has seen of versions that are brought in.
     pub evidence: Vec<EvidenceRecord>,
     /// What the asker has sent to the backend servers, or its data centre for [`PollPurpose::Loads`].
@@ -63,6 +74,7 @@
             purpose,
             known: None,
             wait: Millis(0),
+            age: None,
             evidence: Vec::new(),
             loads: LoadSum::default(),
             held_sessions: HeldNews::default(),
@@ -103,8 +115,14 @@
     pub held_sessions: HeldNews,
     /// The last of the asker's held sessions that who answers has.
     pub held_heard: u64,
-    /// Whether who answers reads the store itself.
-    pub reads_store: bool,
+    /// How long who answers has been running.
+    pub running: Millis,
+    /// Whether who answers is the hub of its data centre.
+    pub is_hub: bool,
+    /// Whether the store does not answer who answers.
+    pub lacks_store: bool,
+    /// The VM whose reading of the store the answer rests on.
+    pub origin: Option<VmId>,
     /// For [`PollPurpose::Greeting`], the entry VMs of the asker's data centre and some of others.
     pub cards: Vec<PeerCard>,
 }
--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -193,11 +193,12 @@
         }
     }
 
-    /// Returns what this VM has seen, if it has seen anything.
+    /// Returns what this VM and its followers have seen, if that is anything.
     #[must_use]
     pub fn own_evidence(&self, identity: &VmIdentity) -> Option<EvidenceRecord> {
-        let has_any = !self.is_over() && self.own != AnswerTally::default();
-        has_any.then(|| self.evidence(identity, self.own))
+        let gathered = self.gathered();
+        let has_any = !self.is_over() && gathered != AnswerTally::default();
+        has_any.then(|| self.evidence(identity, gathered))
     }
 
     /// Returns what this VM and its followers have seen.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -50,12 +50,12 @@
         }
         self.rollouts.insert(order.pool.clone(), track);
         self.hold_sessions(now, target);
-        self.follow_rollouts();
+        self.follow_rollouts(now);
     }
 
     /// Follows the records of roll-outs, if one is under way and this VM reads the store itself.
-    pub(super) fn follow_rollouts(&mut self) {
-        if self.relay.reader.is_some() || self.rollouts.values().all(RolloutTrack::is_over) {
+    pub(super) fn follow_rollouts(&mut self, now: Millis) {
+        if !self.is_reading(now) || self.rollouts.values().all(RolloutTrack::is_over) {
             return;
         }
         for stream in [StoreStream::Rollouts, StoreStream::Evidence] {
@@ -159,8 +159,8 @@
         } else {
             None
         };
-        let is_told_by_reader = self.relay.reader.is_some();
-        let evidence = if is_final || is_told_by_reader || now < self.evidence_next {
+        let is_told_by_source = self.relay.source.is_some();
+        let evidence = if is_final || is_told_by_source || now < self.evidence_next {
             None
         } else {
             track.report(&self.identity)
--- a/src/gateway/store_feed.rs
+++ b/src/gateway/store_feed.rs
@@ -65,12 +65,19 @@
     /// The time between polls.
     pause: Millis,
     sent: Option<Millis>,
+    /// How long the store may wait with the answer to the read under way.
+    sent_wait: Millis,
+    /// Whether the next read is to be answered at once: that the store is there has to be learned.
+    is_pressing: bool,
     next: Millis,
     failures: u32,
     is_paused: bool,
 }
 
 impl StoreFeed {
+    /// How much longer than the wait that it asked for a read may take before its answer counts as
+    /// late: a store that is 60 times as slow as usual answers in a quarter of a second.
+    const OVERDUE_MS: u64 = 400;
     /// The pause after the first failure; doubles with each further one.
     const FIRST_BACKOFF_MS: u64 = 100;
     /// The longest pause after a failure; half of the shortest bound (2 s) that depends on a feed.
@@ -90,6 +97,8 @@
             wait,
             pause,
             sent: None,
+            sent_wait: Millis(0),
+            is_pressing: false,
             next: Millis(0),
             failures: 0,
             is_paused: false,
@@ -102,6 +111,19 @@
         if self.sent.is_some() || self.is_paused { None } else { Some(self.next) }
     }
 
+    /// Returns whether a read is under way.
+    #[must_use]
+    pub const fn is_reading(&self) -> bool {
+        self.sent.is_some()
+    }
+
+    /// Returns whether the answer to the read under way is late.
+    #[must_use]
+    pub fn is_overdue(&self, now: Millis) -> bool {
+        let due = self.sent.map(|sent| sent + self.sent_wait + Millis(Self::OVERDUE_MS));
+        due.is_some_and(|due| now > due)
+    }
+
     /// Returns whether the newest records of all keys have been read once.
     #[must_use]
     pub const fn is_following(&self) -> bool {
@@ -123,25 +145,36 @@
         self.failures
     }
 
+    /// Takes the stream to be served again, since another one is.
+    pub const fn forget_failures(&mut self) {
+        self.failures = 0;
+    }
+
     /// Reads again as soon as possible.
     pub fn hurry(&mut self, now: Millis) {
         self.next = self.next.min(now);
     }
 
-    /// Reads no more; the records up to an offset come from elsewhere.
-    pub const fn pause_at(&mut self, end: Offset) {
-        self.is_paused = true;
-        if let FeedStage::Following { from } = &mut self.stage
-            && from.0 < end.0
-        {
-            *from = end;
+    /// Notes that all records up to an offset are known from elsewhere.
+    pub fn skip_to(&mut self, end: Offset) {
+        match &mut self.stage {
+            FeedStage::Following { from } if from.0 >= end.0 => {}
+            stage => *stage = FeedStage::Following { from: end },
         }
     }
 
-    /// Reads again.
+    /// Reads no more.
+    pub const fn pause(&mut self) {
+        self.is_paused = true;
+    }
+
+    /// Reads again, at once if it has rested.
     pub fn resume(&mut self, now: Millis) {
-        self.is_paused = false;
-        self.next = now;
+        if self.is_paused {
+            self.is_paused = false;
+            self.is_pressing = true;
+            self.next = now;
+        }
     }
 
     /// Returns the read that is due, if any, and notes that it is sent.
@@ -151,11 +184,12 @@
         }
         self.sent = Some(now);
         let stream = self.stream;
+        let is_pressing = std::mem::take(&mut self.is_pressing) || self.failures > 0;
+        let wait = if is_pressing || !self.is_following() { Millis(0) } else { self.wait };
+        self.sent_wait = wait;
         Some(match &self.stage {
             FeedStage::Newest { after, .. } => FeedRead::Newest { stream, after: after.clone() },
-            FeedStage::Following { from } => {
-                FeedRead::From { stream, from: *from, wait: self.wait }
-            }
+            FeedStage::Following { from } => FeedRead::From { stream, from: *from, wait },
         })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
     serde::{Deserialize, Deserializer, Serialize, Serializer},
     smol_str::SmolStr,
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet, VecDeque},
         convert::Infallible,
         ffi::OsString,
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -8,6 +8,9 @@
     pub vm: VmId,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// The processor time that it may use, in cores: those with most serve others.
+    #[serde(default = "default_processor_cores")]
+    pub processor_cores: f64,
     /// The listener for callers.
     pub callers: RouteListener,
     /// The listener for the balancer's questions and for metrics.
@@ -59,7 +62,17 @@
     ByteSize(4 * 1_024 * 1_024)
 }
 
+const fn default_processor_cores() -> f64 {
+    1.0
+}
+
 impl GatewaySettings {
+    /// Returns the processor time that the VM may use, in hundredths of a core.
+    #[must_use]
+    pub fn processor_percent(&self) -> u32 {
+        (self.processor_cores * 100.0).round() as u32
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -69,6 +82,15 @@
         let settings: Self = read_document(path)?;
         let file = SmolStr::new(path.display().to_string());
         let bounds = settings.bounds;
+        if !(settings.processor_cores > 0.0 && settings.processor_cores <= Self::MOST_CORES) {
+            let found = settings.processor_cores.to_string().into();
+            return Err(SettingsError::Range {
+                file,
+                field: "processor_cores",
+                found,
+                expected: "a number of cores above 0, at most 1024",
+            });
+        }
         let lengths = [
             ("bounds.key_removal_ms", bounds.key_removal_ms),
             ("bounds.drain_ms", bounds.drain_ms),
@@ -91,4 +113,6 @@
 
     /// Bounds below this leave no time for two reads of the store after each other.
     const LEAST_BOUND_MS: u64 = 500;
+    /// More than any machine has; a larger number is a mistake of unit.
+    const MOST_CORES: f64 = 1_024.0;
 }
--- /dev/null
+++ b/tests/support/gateway_crowd.rs
@@ -0,0 +1,424 @@
+//! Many gateway cores in virtual time: queues in memory stand for the store and the network.
+
+use guavapass::{
+    control::VmIdentity,
+    gateway::*,
+    ids::{CallId, DataCentreId, Incarnation, Offset, Revision, VmId},
+    units::Millis,
+};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use super::gateway_world::{bounds, document, said, server, text};
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMood {
+    /// It answers.
+    Serves,
+    /// It refuses at once.
+    Refuses,
+    /// It does not answer.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+enum Delivery {
+    /// To an entry VM, unless it has started anew since.
+    Event { vm: usize, start: u64, event: Box<GatewayEvent> },
+    /// A call arrives at the store.
+    Call { vm: usize, start: u64, read: FeedRead },
+    /// The wait of a read at the store is over.
+    Waited { id: u64 },
+    /// A poll arrives at an entry VM.
+    Poll { id: u64, to: usize, poll: Box<RelayPoll> },
+    /// The patience with a poll is over.
+    Unanswered { id: u64 },
+}
+
+struct CrowdVm {
+    gateway: Gateway,
+    card: PeerCard,
+    start: u64,
+    is_running: bool,
+    frozen_until: Millis,
+    /// Its calls to the store, and when it made them.
+    pub calls: Vec<Millis>,
+}
+
+struct AskedPoll {
+    from: usize,
+    start: u64,
+    peer: Option<VmId>,
+    purpose: PollPurpose,
+}
+
+struct HeldRead {
+    id: u64,
+    vm: usize,
+    start: u64,
+    stream: StoreStream,
+    from: Offset,
+}
+
+/// The entry VMs of some data centres and the store.
+pub struct GatewayCrowd {
+    pub now: Millis,
+    vms: Vec<CrowdVm>,
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    deliveries: BTreeMap<u64, Delivery>,
+    sequence: u64,
+    polls: BTreeMap<u64, AskedPoll>,
+    calls: u64,
+    held: Vec<HeldRead>,
+    operators: Vec<KeptRecord>,
+    servers: Vec<KeptRecord>,
+    /// When each revision was published.
+    published: Vec<(Revision, Millis)>,
+    pub moods: BTreeMap<usize, StoreMood>,
+    /// Entry VMs that reach no other one.
+    pub cut: BTreeSet<usize>,
+    seeds: Vec<SocketAddr>,
+}
+
+impl GatewayCrowd {
+    const HOP_MS: u64 = 1;
+    const STORE_MS: u64 = 4;
+    const CALL_TIMEOUT_MS: u64 = 1_200;
+    const POLL_TIMEOUT_MS: u64 = 250;
+
+    /// Returns entry VMs that have not started, `size` in each data centre.
+    pub fn new(centres: &[&str], size: usize) -> Self {
+        let names = centres.iter().flat_map(|centre| (0..size).map(move |vm| (*centre, vm)));
+        let cards: Vec<PeerCard> = names
+            .enumerate()
+            .map(|(index, (centre, vm))| PeerCard {
+                vm: text::<VmId>(&format!("{centre}-{vm}")),
+                incarnation: Incarnation(0),
+                data_centre: text::<DataCentreId>(centre),
+                address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
+                processor: 12,
+            })
+            .collect();
+        let seeds = cards.iter().step_by(size.max(2) - 1).map(|card| card.address).take(3);
+        let seeds = seeds.collect();
+        let vms = cards.into_iter().map(|card| CrowdVm {
+            gateway: Gateway::new(Self::identity(&card), bounds()),
+            card,
+            start: 0,
+            is_running: false,
+            frozen_until: Millis(0),
+            calls: Vec::new(),
+        });
+        let vms = vms.collect();
+        let listed = (1..=6).map(|number| said(server(&format!("e{number}"), "engines", "v1")));
+        let servers = listed
+            .enumerate()
+            .map(|(offset, record)| KeptRecord { offset: Offset(offset as u64), record });
+        let servers = servers.collect();
+        let mut crowd = Self {
+            now: Millis(1_000),
+            vms,
+            queue: BinaryHeap::new(),
+            deliveries: BTreeMap::new(),
+            sequence: 0,
+            polls: BTreeMap::new(),
+            calls: 0,
+            held: Vec::new(),
+            operators: Vec::new(),
+            servers,
+            published: Vec::new(),
+            moods: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            seeds,
+        };
+        crowd.publish();
+        crowd
+    }
+
+    fn identity(card: &PeerCard) -> VmIdentity {
+        let PeerCard { vm, incarnation, data_centre, .. } = card.clone();
+        VmIdentity { vm, incarnation, data_centre }
+    }
+
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Publishes a next configuration.
+    pub fn publish(&mut self) {
+        let revision = self.operators.len() as u64 + 1;
+        let record = StoreRecord::Configuration(Arc::new(document(revision)));
+        self.operators.push(KeptRecord { offset: Offset(revision - 1), record });
+        self.published.push((Revision(revision), self.now));
+        let (due, held) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition::<Vec<_>, _>(|held| held.stream == StoreStream::Operators);
+        self.held = held;
+        for held in due {
+            self.answer_read(held.vm, held.start, held.stream, held.from);
+        }
+    }
+
+    /// Starts an entry VM, anew if it has run before.
+    pub fn start(&mut self, vm: usize) {
+        let (now, seeds) = (self.now, self.seeds.clone());
+        let state = &mut self.vms[vm];
+        state.start += 1;
+        state.is_running = true;
+        state.card.incarnation = Incarnation(now.0);
+        state.gateway = Gateway::new(Self::identity(&state.card), bounds());
+        state.gateway.set_relay(state.card.clone(), seeds);
+        self.handle(vm, GatewayEvent::Tick);
+    }
+
+    /// Starts all entry VMs within a tenth of a second.
+    pub fn start_all(&mut self) {
+        for vm in 0..self.len() {
+            self.start(vm);
+            if vm % 10 == 9 {
+                self.run(1);
+            }
+        }
+    }
+
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm].is_running = false;
+        self.vms[vm].start += 1;
+    }
+
+    pub fn freeze(&mut self, vm: usize, ms: u64) {
+        self.vms[vm].frozen_until = self.now + Millis(ms);
+    }
+
+    pub fn is_ready(&self, vm: usize) -> bool {
+        self.vms[vm].is_running && self.vms[vm].gateway.is_ready(self.now)
+    }
+
+    pub fn ready(&self) -> usize {
+        (0..self.len()).filter(|vm| self.is_ready(*vm)).count()
+    }
+
+    /// Returns the calls to the store from a moment on.
+    pub fn calls_since(&self, from: Millis) -> usize {
+        self.vms.iter().flat_map(|vm| &vm.calls).filter(|at| **at >= from).count()
+    }
+
+    /// Returns the entry VMs that called the store from a moment on.
+    pub fn callers_since(&self, from: Millis) -> Vec<usize> {
+        let calls = |vm: &usize| self.vms[*vm].calls.iter().any(|at| *at >= from);
+        (0..self.len()).filter(calls).collect()
+    }
+
+    /// Returns the newest revision that an entry VM knows.
+    pub fn revision(&self, vm: usize) -> Option<Revision> {
+        self.vms[vm].gateway.document().map(|document| document.revision)
+    }
+
+    /// Lets time pass. No entry VM may take keyed work with a configuration that was replaced
+    /// longer ago than the bound.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + Millis(ms);
+        loop {
+            let delivery = self.queue.peek().map(|Reverse((at, _))| *at);
+            let wake = (0..self.len()).filter(|vm| self.is_awake(*vm)).map(|vm| {
+                let wake = self.vms[vm].gateway.next_wake(self.now).max(self.now + Millis(1));
+                (wake, vm)
+            });
+            let wake = wake.min();
+            let next = delivery.into_iter().chain(wake.map(|(at, _)| at)).min();
+            let Some(next) = next.filter(|next| *next <= end) else { break };
+            self.now = self.now.max(next);
+            if delivery.is_some_and(|at| at <= next) {
+                let Some(Reverse((_, id))) = self.queue.pop() else { break };
+                let delivery = self.deliveries.remove(&id).unwrap();
+                self.deliver(delivery);
+            } else if let Some((_, vm)) = wake {
+                self.handle(vm, GatewayEvent::Tick);
+            }
+            self.check();
+        }
+        self.now = end;
+    }
+
+    fn check(&self) {
+        let bound = bounds().key_removal_ms;
+        let due = self.published.iter().rfind(|(_, at)| *at + bound < self.now);
+        let Some((due, _)) = due else { return };
+        for vm in (0..self.len()).filter(|vm| self.is_awake(*vm) && self.is_ready(*vm)) {
+            let known = self.revision(vm);
+            assert!(known >= Some(*due), "{vm} takes keyed work with {known:?}, not {due:?}");
+        }
+    }
+
+    fn is_awake(&self, vm: usize) -> bool {
+        self.vms[vm].is_running && self.now >= self.vms[vm].frozen_until
+    }
+
+    fn send(&mut self, at: Millis, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence)));
+        self.deliveries.insert(self.sequence, delivery);
+    }
+
+    fn send_event(&mut self, after: u64, vm: usize, start: u64, event: GatewayEvent) {
+        let event = Box::new(event);
+        self.send(self.now + Millis(after), Delivery::Event { vm, start, event });
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        let target = match &delivery {
+            Delivery::Event { vm, .. } => Some(*vm),
+            Delivery::Poll { to, .. } => Some(*to),
+            Delivery::Call { .. } | Delivery::Waited { .. } | Delivery::Unanswered { .. } => None,
+        };
+        if let Some(frozen) = target.map(|vm| self.vms[vm].frozen_until)
+            && self.now < frozen
+        {
+            self.send(frozen, delivery);
+            return;
+        }
+        match delivery {
+            Delivery::Event { vm, start, event } => {
+                if self.vms[vm].is_running && self.vms[vm].start == start {
+                    self.handle(vm, *event);
+                }
+            }
+            Delivery::Call { vm, start, read } => self.take_call(vm, start, &read),
+            Delivery::Waited { id } => {
+                let Some(index) = self.held.iter().position(|held| held.id == id) else { return };
+                let held = self.held.swap_remove(index);
+                self.answer_read(held.vm, held.start, held.stream, held.from);
+            }
+            Delivery::Poll { id, to, poll } => {
+                if self.vms[to].is_running {
+                    self.handle(to, GatewayEvent::Polled { call: CallId(id), poll });
+                }
+            }
+            Delivery::Unanswered { id } => {
+                if let Some(asked) = self.polls.remove(&id) {
+                    let AskedPoll { from, start, peer, purpose } = asked;
+                    let event = GatewayEvent::PeerAnswered { peer, purpose, answer: None };
+                    self.send_event(0, from, start, event);
+                }
+            }
+        }
+    }
+
+    fn take_call(&mut self, vm: usize, start: u64, read: &FeedRead) {
+        let (stream, from, wait) = match read {
+            FeedRead::Newest { stream, .. } => (*stream, None, Millis(0)),
+            FeedRead::From { stream, from, wait } => (*stream, Some(*from), *wait),
+        };
+        let Some(from) = from else {
+            let all = self.stream(stream);
+            let page = NewestPage {
+                records: all.to_vec(),
+                end: Offset(all.len() as u64),
+                more_after: None,
+            };
+            let answer = FeedAnswer::Newest(Ok(page));
+            let event = GatewayEvent::Read { stream, answer };
+            self.send_event(Self::STORE_MS / 2, vm, start, event);
+            return;
+        };
+        let has_news = (from.0 as usize) < self.stream(stream).len();
+        if has_news || wait == Millis(0) {
+            self.answer_read(vm, start, stream, from);
+            return;
+        }
+        self.calls += 1;
+        let id = self.calls;
+        self.held.push(HeldRead { id, vm, start, stream, from });
+        self.send(self.now + wait, Delivery::Waited { id });
+    }
+
+    fn stream(&self, stream: StoreStream) -> &[KeptRecord] {
+        match stream {
+            StoreStream::Operators => &self.operators,
+            StoreStream::Servers => &self.servers,
+            StoreStream::Rollouts | StoreStream::Evidence => &[],
+        }
+    }
+
+    fn answer_read(&mut self, vm: usize, start: u64, stream: StoreStream, from: Offset) {
+        let all = self.stream(stream);
+        let end = Offset(all.len() as u64);
+        let records = all[(from.0 as usize).min(all.len())..].to_vec();
+        let answer = FeedAnswer::From(Ok(StorePage { records, next: end, end }));
+        self.send_event(Self::STORE_MS / 2, vm, start, GatewayEvent::Read { stream, answer });
+    }
+
+    fn handle(&mut self, vm: usize, event: GatewayEvent) {
+        let start = self.vms[vm].start;
+        let commands = self.vms[vm].gateway.handle(self.now, event);
+        for command in commands {
+            match command {
+                GatewayCommand::Read(read) => self.call_store(vm, start, read),
+                GatewayCommand::AskPeer { peer, address, poll } => {
+                    self.ask(vm, peer, address, poll);
+                }
+                GatewayCommand::AnswerPeer { call, answer } => {
+                    let Some(asked) = self.polls.get(&call.0) else { continue };
+                    if self.is_cut(vm, asked.from) {
+                        continue;
+                    }
+                    let Some(asked) = self.polls.remove(&call.0) else { continue };
+                    let AskedPoll { from, start, purpose, .. } = asked;
+                    let peer = Some(answer.from.vm.clone());
+                    let event = GatewayEvent::PeerAnswered { peer, purpose, answer: Some(answer) };
+                    self.send_event(Self::HOP_MS, from, start, event);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn call_store(&mut self, vm: usize, start: u64, read: FeedRead) {
+        self.vms[vm].calls.push(self.now);
+        let (stream, is_newest, wait) = match &read {
+            FeedRead::Newest { stream, .. } => (*stream, true, Millis(0)),
+            FeedRead::From { stream, wait, .. } => (*stream, false, *wait),
+        };
+        let (error, after) = match self.moods.get(&vm).copied().unwrap_or(StoreMood::Serves) {
+            StoreMood::Serves => {
+                let at = self.now + Millis(Self::STORE_MS / 2);
+                self.send(at, Delivery::Call { vm, start, read });
+                return;
+            }
+            StoreMood::Refuses => (StoreError::Refused { status: 503 }, Self::STORE_MS),
+            StoreMood::Silent => {
+                let cause = "no answer in time".into();
+                (StoreError::Lost { cause }, Self::CALL_TIMEOUT_MS + wait.0)
+            }
+        };
+        let answer =
+            if is_newest { FeedAnswer::Newest(Err(error)) } else { FeedAnswer::From(Err(error)) };
+        self.send_event(after, vm, start, GatewayEvent::Read { stream, answer });
+    }
+
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        one != other && (self.cut.contains(&one) || self.cut.contains(&other))
+    }
+
+    fn ask(&mut self, from: usize, peer: Option<VmId>, address: SocketAddr, poll: Box<RelayPoll>) {
+        let start = self.vms[from].start;
+        let to = usize::from(address.port()) - 1_000;
+        self.calls += 1;
+        let id = self.calls;
+        let asked = AskedPoll { from, start, peer, purpose: poll.purpose };
+        self.polls.insert(id, asked);
+        let is_cut = self.is_cut(from, to);
+        let refuses = !is_cut && !self.vms[to].is_running;
+        let patience = if refuses { Self::HOP_MS } else { poll.wait.0 + Self::POLL_TIMEOUT_MS };
+        self.send(self.now + Millis(patience), Delivery::Unanswered { id });
+        if !is_cut {
+            let at = self.now + Millis(Self::HOP_MS);
+            self.send(at, Delivery::Poll { id, to, poll });
+        }
+    }
+}
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -109,6 +109,7 @@
         incarnation: Incarnation(1),
         data_centre: text(data_centre),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
+        processor: 12,
     }
 }
 
