Let a busy moment cost bookings a wait: no idle connections of theirs, no blind send

Cause: connections that had been opened for calls that may run once were kept, up to 16 a VM and server, though no such call ever takes a kept one. In a rush they filled the servers' limit of connections; servers reset the next ones, after the request had been written, so that nobody could say "not run": 502 after some 10 ms.

Ruled out: full slots. Servers were at a third of what they can do (18 slots, 45 ms a call, some 150 calls a second).

Now such connections are closed after their call, at most 4 idle ones to a server are kept, and a once-only call is written only after a server that takes no more connections has had the time to reset it. A call that all servers have turned away unsent waits some 15 ms, up to four times as long if its team sends more than others, while its answer can still be on time; then its caller hears 503, not run.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,8 +8,8 @@
 //!
 //! A request passes through these steps: it is admitted ([`admit`]) and sent to a server ([`send`]).
 //! Each run ends in an answer that is delivered, dropped for one of a larger model ([`escalate`]), or
-//! in a fault ([`runs`]), after which the request is sent once more ([`resend`]) or refused
-//! ([`finish`]). The store is followed in [`reads`], or through another VM in [`relay`], which
+//! in a fault ([`runs`]), after which the request is sent once more ([`resend`]), waits for a server with
+//! room ([`crowded`]) or is refused ([`finish`]). The store is followed in [`reads`], or through another VM in [`relay`], which
 //! [`store_access`] decides; roll-outs are led in [`rollouts`].
 
 use super::*;
@@ -17,6 +17,7 @@
 mod admit;
 mod answer_tally;
 mod backend_server;
+mod crowded;
 mod engine_pressure;
 mod escalate;
 mod finish;
@@ -65,6 +66,7 @@
 mod store_error;
 mod store_feed;
 mod store_record;
+mod team_shares;
 
 pub use {
     answer_tally::AnswerTally,
@@ -105,7 +107,7 @@
 };
 
 use {
-    held_marks::HeldMarks, part_homes::PartHomes,
+    crowded::CrowdedCalls, held_marks::HeldMarks, part_homes::PartHomes,
     place_estimate::PlaceEstimate, relay::RelayState, relay_answers::WaitingPoll,
-    relay_start::RelayStart, store_access::StoreAccess, 
+    relay_start::RelayStart, store_access::StoreAccess, team_shares::TeamShares,
 };
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -85,6 +85,7 @@
         let model = if arrival.any_model { route.models.first().cloned() } else { None };
         let window = self.bounds.resend_window_ms;
         self.budgets.entry(pool.clone()).or_default().earn(now, window);
+        self.note_team(now, team.as_ref());
         let last_event = arrival.last_event;
         let state = RoutedRequest {
             arrival,
@@ -96,6 +97,7 @@
             ends,
             model,
             runs: Vec::new(),
+            turn_start: 0,
             is_delivered: false,
             last_event,
         };
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -32,6 +32,8 @@
     const FIRST_AVOID_MS: u64 = 500;
     /// The longest such pause: most servers that crash are back after some seconds.
     const LAST_AVOID_MS: u64 = 4_000;
+    /// The pause after a server took no more connections: calls end every few milliseconds.
+    const CROWDED_MS: u64 = 10;
     /// The time for which another VM's load is taken to be as the server told it.
     const LOAD_MEMORY_MS: f64 = 1_500.0;
     /// The parts that are remembered for a server.
@@ -114,6 +116,11 @@
         self.fail_share += (1.0 - self.fail_share) * Self::FAIL_WEIGHT;
     }
 
+    /// Notes that it took no more connections: for a moment, others may.
+    pub fn crowded(&mut self, now: Millis) {
+        self.avoid_until = self.avoid_until.max(now + Millis(Self::CROWDED_MS));
+    }
+
     /// Notes that another server has its address. It gets nothing until that may have changed.
     pub fn misdirected(&mut self, now: Millis) {
         self.avoid_until = now + Millis(Self::LAST_AVOID_MS);
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -28,6 +28,7 @@
     pub(super) ends: BTreeSet<(Millis, RequestNumber)>,
     /// When the patience with the run of a request is over.
     pub(super) patiences: BTreeSet<(Millis, RequestNumber)>,
+    pub(super) crowded: CrowdedCalls,
     pub(super) budgets: BTreeMap<PoolId, ResendBudget>,
     pub(super) ending: Option<Millis>,
     pub(super) random: rand_chacha::ChaCha8Rng,
@@ -76,6 +77,7 @@
             requests: FxHashMap::default(),
             ends: BTreeSet::new(),
             patiences: BTreeSet::new(),
+            crowded: CrowdedCalls::default(),
             budgets: BTreeMap::new(),
             ending: None,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
@@ -124,6 +126,7 @@
         }
         self.end_overdue(now);
         self.leave_silent(now);
+        self.send_crowded(now);
         self.lead_rollouts(now);
         self.run_relay(now);
         self.steer_reads(now);
@@ -143,7 +146,7 @@
         let look = (leads || self.ending.is_some()).then(|| now + Millis(LOOK_MS));
         let relay = self.relay_next();
         let patience = self.patiences.first().map(|(at, _)| *at);
-        let access = self.access.next();
+        let access = self.access.next().into_iter().chain(self.crowded.next()).min();
         [end, patience, read, look, relay, access]
             .into_iter()
             .flatten()
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -21,6 +21,8 @@
     pub model: Option<ModelId>,
     /// Its runs, oldest first.
     pub runs: Vec<RunTrack>,
+    /// The runs before it last waited for a server with room.
+    pub turn_start: usize,
     /// Whether the caller has a part of an answer.
     pub is_delivered: bool,
     /// The last event that the caller has.
@@ -85,10 +87,10 @@
         self.runs.iter_mut().find(|run| run.attempt == attempt)
     }
 
-    /// Returns the servers that have failed the request.
+    /// Returns the servers that have failed the request, since it last waited for room.
     #[must_use]
     pub fn tried(&self) -> Vec<ServerId> {
-        let failed = self.runs.iter().filter(|run| !run.is_dropped);
+        let failed = self.runs.iter().skip(self.turn_start).filter(|run| !run.is_dropped);
         failed.map(|run| run.server.clone()).collect()
     }
 
@@ -123,8 +125,9 @@
     /// Returns whether the route's limits let the request be sent once more.
     #[must_use]
     pub fn may_send_again(&self) -> bool {
-        let unsent = self.runs.iter().filter(|run| run.stage == RunStage::Unsent).count();
-        let sent = self.runs.len() - unsent;
+        let is_unsent = |run: &&RunTrack| run.stage == RunStage::Unsent;
+        let sent = self.runs.len() - self.runs.iter().filter(is_unsent).count();
+        let unsent = self.runs.iter().skip(self.turn_start).filter(is_unsent).count();
         let repeats = self.run_state() == RunState::NotRun || self.route.kind.may_repeat();
         repeats && sent < self.route.attempt_limit as usize && unsent < Self::UNSENT_LIMIT
     }
--- a/src/gateway/run_report.rs
+++ b/src/gateway/run_report.rs
@@ -52,6 +52,8 @@
 pub enum NotRunCause {
     /// No connection could be opened.
     Unreachable,
+    /// The server takes no more connections.
+    Crowded,
     /// The server is full, or leaving.
     Full,
     /// Another server has the address.
@@ -64,6 +66,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
             Self::Unreachable => "unreachable",
+            Self::Crowded => "crowded",
             Self::Full => "full",
             Self::Misdirected => "misdirected",
             Self::Rejected => "rejected",
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -81,7 +81,9 @@
         }
         let before = run.clone();
         run.stage = match outcome {
-            RunOutcome::NotRun { cause: NotRunCause::Unreachable, .. } => RunStage::Unsent,
+            RunOutcome::NotRun {
+                cause: NotRunCause::Unreachable | NotRunCause::Crowded, ..
+            } => RunStage::Unsent,
             RunOutcome::NotRun { .. } => RunStage::NotRun,
             RunOutcome::Whole { .. } | RunOutcome::Broken { .. } => RunStage::Over,
         };
@@ -123,6 +125,7 @@
                 }
                 RunOutcome::NotRun { cause: NotRunCause::Unreachable, .. }
                 | RunOutcome::Broken { fault: AttemptFault::Silent, .. } => server.missed(now),
+                RunOutcome::NotRun { cause: NotRunCause::Crowded, .. } => server.crowded(now),
                 RunOutcome::NotRun { cause: NotRunCause::Misdirected, .. } => {
                     server.misdirected(now);
                 }
@@ -173,6 +176,7 @@
                 self.emit(GatewayCommand::Deliver { request, attempt });
                 self.finish(now, request);
             }
+            RunOutcome::NotRun { cause: NotRunCause::Crowded, .. } => self.on_crowded(now, request),
             RunOutcome::NotRun { .. } => self.try_again(now, request, "the server did not run it"),
             RunOutcome::Broken { .. } => self.try_again(now, request, "the answer broke"),
         }
--- a/src/traffic/server_links.rs
+++ b/src/traffic/server_links.rs
@@ -34,6 +34,10 @@
     /// The time in which a server in reach accepts a connection: many times the way there and back
     /// (3 ms), short against the shortest objective (100 ms) that a second try may still meet.
     const CONNECT_TIMEOUT_MS: u64 = 250;
+    /// The time in which a server decides whether it takes a connection.
+    const SETTLE_MS: u64 = 2;
+    /// The longest wait for that decision: a small part of the shortest objective (100 ms).
+    const LONGEST_SETTLE_MS: u64 = 10;
     /// The time after which a connection without traffic is probed: longer than most pauses of a
     /// stream.
     const PROBE_AFTER_MS: u64 = 700;
@@ -48,8 +52,9 @@
     const DEFAULT_IDLE_MS: u64 = 2_000;
     /// How long before the server an idle connection is given up here.
     const IDLE_MARGIN_MS: u64 = 1_000;
-    /// The idle connections kept to one server.
-    const IDLE_LIMIT: usize = 16;
+    /// The idle connections kept to one server. They count against what the server takes from all
+    /// entry VMs together: 295 of them keep a little over half of 2,100.
+    const IDLE_LIMIT: usize = 4;
 
     /// Returns an idle connection to a server.
     pub(super) fn take(server: &ServerId) -> Option<Self> {
@@ -62,15 +67,40 @@
     }
 
     /// Opens a connection.
-    pub(super) async fn open(address: SocketAddr) -> Option<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub(super) async fn open(address: SocketAddr) -> Result<Self, NotRunCause> {
         let timeout = Duration::from_millis(Self::CONNECT_TIMEOUT_MS);
         let connect = tokio::net::TcpStream::connect(address);
-        let stream = tokio::time::timeout(timeout, connect).await.ok()?.ok()?;
+        let connected = tokio::time::timeout(timeout, connect).await;
+        let connected = connected.map_err(|_| NotRunCause::Unreachable)?;
+        let stream = connected.map_err(|error| match error.kind() {
+            std::io::ErrorKind::ConnectionReset => NotRunCause::Crowded,
+            _ => NotRunCause::Unreachable,
+        })?;
         let _ = stream.set_nodelay(true);
         Self::probe_when_silent(&stream);
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|_| NotRunCause::Unreachable)?;
         let task = tokio::spawn(connection).abort_handle();
-        Some(Self { sender, is_kept: false, task })
+        Ok(Self { sender, is_kept: false, task })
+    }
+
+    /// Opens a connection and waits until a server that takes no more of them has closed it again:
+    /// it does so when it sees the connection, which is a way there and back after this end has
+    /// opened it. What has been sent by then may have run, so nothing is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no connection.
+    pub(super) async fn open_settled(address: SocketAddr) -> Result<Self, NotRunCause> {
+        let begun = Instant::now();
+        let link = Self::open(address).await?;
+        let settle = begun.elapsed() + Duration::from_millis(Self::SETTLE_MS);
+        tokio::time::sleep(settle.min(Duration::from_millis(Self::LONGEST_SETTLE_MS))).await;
+        if link.sender.is_closed() { Err(NotRunCause::Crowded) } else { Ok(link) }
     }
 
     /// Lets the system close a connection whose other end has fallen silent.
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -32,6 +32,9 @@
     last_event: Option<u64>,
 }
 
+/// A connection and the head of the answer on it, or why nothing was sent.
+type SendResult = Result<(ServerLink, http::Response<Incoming>), NotRunCause>;
+
 impl From<AttemptFault> for RunFault {
     fn from(fault: AttemptFault) -> Self {
         Self { fault, last_event: None }
@@ -66,8 +69,10 @@
     }
 
     async fn exchange(&self) -> Result<RunOutcome, RunFault> {
-        let unsent = RunOutcome::NotRun { cause: NotRunCause::Unreachable, load: None };
-        let Some((link, response)) = self.send().await? else { return Ok(unsent) };
+        let (link, response) = match self.send().await? {
+            Ok(sent) => sent,
+            Err(cause) => return Ok(RunOutcome::NotRun { cause, load: None }),
+        };
         let (head, body) = response.into_parts();
         let facts = read_answer(head.status, &head.headers);
         tracing::debug!(
@@ -81,7 +86,7 @@
             return Err(AttemptFault::Malformed.into());
         }
         if let Some(cause) = facts.not_run {
-            if self.collect(body).await.is_ok() && facts.keeps {
+            if self.collect(body).await.is_ok() && self.may_keep(&facts) {
                 link.put_back(&self.order.server, facts.idle_limit);
             }
             return Ok(RunOutcome::NotRun { cause, load: facts.head.load });
@@ -94,28 +99,39 @@
         } else {
             self.pass_whole(head, body, facts.head).await?
         };
-        if facts.keeps {
+        if self.may_keep(&facts) {
             link.put_back(&self.order.server, facts.idle_limit);
         }
         Ok(outcome)
     }
 
-    /// Sends the request; returns nothing if no byte of it was sent.
-    async fn send(&self) -> Result<Option<(ServerLink, http::Response<Incoming>)>, AttemptFault> {
+    /// Returns whether the connection is kept. One that was opened for a call that may run once is
+    /// not: such calls never take a kept one, so that those of a rush would fill the server's limit.
+    fn may_keep(&self, facts: &AnswerFacts) -> bool {
+        facts.keeps && self.order.repeat == RepeatRule::Repeatable
+    }
+
+    /// Sends the request; returns why not if no byte of it was sent.
+    async fn send(&self) -> Result<SendResult, AttemptFault> {
         let mut request = self.upstream_request().ok_or(AttemptFault::Malformed)?;
         let may_be_kept = self.order.repeat == RepeatRule::Repeatable;
         let mut kept = if may_be_kept { ServerLink::take(&self.order.server) } else { None };
         loop {
             let link = match kept.take() {
-                Some(link) => Some(link),
-                None => ServerLink::open(self.order.address).await,
+                Some(link) => Ok(link),
+                None if may_be_kept => ServerLink::open(self.order.address).await,
+                None => ServerLink::open_settled(self.order.address).await,
+            };
+            let mut link = match link {
+                Ok(link) => link,
+                Err(cause) => return Ok(Err(cause)),
             };
-            let Some(mut link) = link else { return Ok(None) };
             match link.sender.try_send_request(request).await {
-                Ok(response) => return Ok(Some((link, response))),
+                Ok(response) => return Ok(Ok((link, response))),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if link.is_kept => request = unsent,
-                    Some(_) => return Ok(None),
+                    Some(_) if may_be_kept => return Ok(Err(NotRunCause::Unreachable)),
+                    Some(_) => return Ok(Err(NotRunCause::Crowded)),
                     None => return Err(AttemptFault::Closed),
                 },
             }
--- a/tests/gateway_sockets.rs
+++ b/tests/gateway_sockets.rs
@@ -81,6 +81,7 @@
             let settings = GatewaySettings {
                 vm: format!("front-{number}").parse().unwrap(),
                 data_centre: "norte".parse().unwrap(),
+                processor_cores: 1.0,
                 callers: RouteListener {
                     listen: "127.0.0.1:0".parse().unwrap(),
                     answer_limit_bytes: ByteSize(100_000),
@@ -344,3 +345,37 @@
         });
     }
 }
+
+#[test]
+fn book_waits_while_connections_are_reset() {
+    let stage = Stage::start(2, 1);
+    for server in &stage.servers {
+        server.reset_next(3);
+    }
+    let answer = stage.call("POST", "/book/a");
+    assert_eq!(answer.status, 200, "a busy moment costs a wait: {}", answer.body);
+    assert_eq!(stage.seen(), 1, "it was sent once");
+}
+
+#[test]
+fn book_not_run_while_connections_are_reset() {
+    let stage = Stage::start(2, 1);
+    for server in &stage.servers {
+        server.reset_next(usize::MAX);
+    }
+    let begun = Instant::now();
+    let answer = stage.call("POST", "/book/a");
+    assert_eq!(answer.status, 503, "nothing was sent, so the caller may come back");
+    assert!(answer.head.contains("retry-after"), "{}", answer.head);
+    assert!(begun.elapsed() < Duration::from_secs(2), "before the objective has passed");
+    assert_eq!(stage.seen(), 0);
+}
+
+#[test]
+fn book_keeps_no_connections() {
+    let stage = Stage::start(1, 1);
+    for _ in 0..8 {
+        assert_eq!(stage.call("POST", "/book/a").status, 200);
+    }
+    eventually("no connection that nobody uses", || stage.servers[0].open() == 0);
+}
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -43,8 +43,11 @@
 #[derive(Default)]
 struct ServerScript {
     moves: Vec<ServerMove>,
+    /// The connections that it resets as soon as it sees them.
+    resets: usize,
     seen: Vec<SeenRequest>,
     hung_up: usize,
+    open: usize,
 }
 
 #[derive(Clone)]
@@ -66,6 +69,11 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = accepting.clone();
+                if server.takes_reset() {
+                    let linger = Some(Duration::ZERO);
+                    socket2::SockRef::from(&stream).set_linger(linger).unwrap();
+                    continue;
+                }
                 std::thread::spawn(move || server.serve(&stream));
             }
         });
@@ -77,6 +85,23 @@
         self.script.lock().unwrap().moves = moves.to_vec();
     }
 
+    /// Lets the server reset its next connections, as one does that has as many as it takes.
+    pub fn reset_next(&self, connections: usize) {
+        self.script.lock().unwrap().resets = connections;
+    }
+
+    fn takes_reset(&self) -> bool {
+        let mut script = self.script.lock().unwrap();
+        let is_reset = script.resets > 0;
+        script.resets = script.resets.saturating_sub(1);
+        is_reset
+    }
+
+    /// Returns the connections that are open now.
+    pub fn open(&self) -> usize {
+        self.script.lock().unwrap().open
+    }
+
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.script.lock().unwrap().seen.clone()
     }
@@ -87,6 +112,12 @@
     }
 
     fn serve(&self, stream: &TcpStream) {
+        self.script.lock().unwrap().open += 1;
+        self.serve_requests(stream);
+        self.script.lock().unwrap().open -= 1;
+    }
+
+    fn serve_requests(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_request(&mut reader) {
             let next = {
