Split the second sends that need no requests over the VMs that may exist

Cause: each VM had a reserve of 2, whatever the bound. 353 VMs (295 and 58 spare ones) have 706, the bound of the large site is 630.

Also here: the crowd of tests/gateway_crowd.rs woke one VM a millisecond, which starved VMs of a crowd in trouble (refused_for_first_ranks failed once by it); it now wakes all that are due.

--- a/src/gateway/gateway_bounds.rs
+++ b/src/gateway/gateway_bounds.rs
@@ -12,6 +12,8 @@
     pub shutdown_ms: Millis,
     /// The share of second sends among the requests of a pool, over all entry VMs.
     pub resend_share: Share,
+    /// The second sends in a window that need no requests, over all entry VMs.
+    pub resend_extra: u32,
     /// The window over which second sends are counted.
     pub resend_window_ms: Millis,
     /// The time within which requests with the same session belong together, in seconds.
@@ -28,6 +30,7 @@
             drain_ms: Millis(2_000),
             shutdown_ms: Millis(8_000),
             resend_share: Share::new(0.2).unwrap_or(Share::ZERO),
+            resend_extra: 10,
             resend_window_ms: Millis(10_000),
             session_s: 10.0,
             exposure_share: Share::new(0.1).unwrap_or(Share::ZERO),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,6 +26,10 @@
     pub(super) is_hub: bool,
     /// Whether the store does not serve the hub, by its own word.
     pub(super) hub_lacks_store: bool,
+    /// The VMs of other data centres, as their hubs have told this one.
+    centre_vms: BTreeMap<DataCentreId, u32>,
+    /// The VMs of all data centres, as this one's hub has told.
+    all_vms: u32,
     /// The last change that is known of each VM that was asked.
     known: BTreeMap<PeerName, u64>,
     asked: Option<AskedPeer>,
@@ -48,6 +52,13 @@
     is_whole: bool,
 }
 
+impl RelayState {
+    /// Notes how many VMs another data centre has. Those that are cut off count on.
+    pub(super) fn note_centre(&mut self, centre: &DataCentreId, vms: u32) {
+        self.centre_vms.insert(centre.clone(), vms);
+    }
+}
+
 impl Gateway {
     /// How long a VM holds an answer back for a change. Short, because a VM whose hub has stopped
     /// learns of it only by the missing answer.
@@ -107,7 +118,8 @@
                 continue;
             }
             let poll = self.poll_with_held(from.clone(), PollPurpose::Loads, &card);
-            self.ask_peer(&card, RelayPoll { loads: loads.clone(), ..poll });
+            let centre_vms = self.centre_vms();
+            self.ask_peer(&card, RelayPoll { loads: loads.clone(), centre_vms, ..poll });
         }
     }
 
@@ -184,6 +196,23 @@
         }
     }
 
+    /// Returns how many VMs are known of this data centre.
+    pub(super) fn centre_vms(&self) -> u32 {
+        self.relay.peers.count(&self.identity.data_centre) + 1
+    }
+
+    /// Returns how many VMs are known; none as long as that of other data centres is not.
+    pub(super) fn known_vms(&self) -> u32 {
+        if self.relay.card.is_none() {
+            return 1;
+        }
+        let others: u32 = self.relay.centre_vms.values().sum();
+        let own = self.centre_vms() + others;
+        let has_others = self.relay.peers.has_other_centre(&self.identity.data_centre);
+        let is_known = !has_others || others > 0 || self.relay.all_vms > 0;
+        if is_known { own.max(self.relay.all_vms) } else { 0 }
+    }
+
     pub(super) fn knows_all(&self) -> bool {
         let knows_servers =
             self.feeds.get(&StoreStream::Servers).is_some_and(StoreFeed::is_following);
@@ -228,6 +257,7 @@
         match result {
             Some(answer) if answer.is_hub => {
                 let centre = &answer.from.data_centre;
+                self.relay.note_centre(centre, answer.centre_vms);
                 self.relay.loads.take_centre(now, centre, answer.loads);
             }
             // Whoever answers for it next may be the hub.
@@ -283,6 +313,7 @@
     fn take_answer(&mut self, now: Millis, asked: &AskedPeer, answer: &RelayAnswer) {
         let is_near = answer.from.data_centre == self.identity.data_centre;
         if answer.is_hub && is_near {
+            self.relay.all_vms = answer.all_vms;
             self.relay.loads.take_reader(now, answer.loads.clone());
             self.servers.note_others(&answer.loads);
         }
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -24,7 +24,10 @@
         let loads = std::mem::take(&mut poll.loads);
         match poll.purpose {
             PollPurpose::Records => self.relay.loads.take_follower(now, &poll.from.vm, loads),
-            PollPurpose::Loads => self.relay.loads.take_centre(now, &poll.from.data_centre, loads),
+            PollPurpose::Loads => {
+                self.relay.loads.take_centre(now, &poll.from.data_centre, loads);
+                self.relay.note_centre(&poll.from.data_centre, poll.centre_vms);
+            }
             PollPurpose::Greeting => {}
         }
         if poll.purpose != PollPurpose::Greeting {
@@ -93,6 +96,8 @@
             held_sessions: HeldNews::default(),
             held_heard: self.held_marks.heard_from(&poll.from.name()),
             running: now.since(self.begun.unwrap_or(now)),
+            centre_vms: self.centre_vms(),
+            all_vms: self.known_vms(),
             is_hub: self.relay.is_hub,
             lacks_store: self.lacks_store(now),
             origin: self.origin(now),
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -52,6 +52,8 @@
     pub known: Option<(PeerName, u64)>,
     /// How long the answer may wait for a change.
     pub wait: Millis,
+    /// The VMs that are known of the asker's data centre.
+    pub centre_vms: u32,
     /// How old the asker's knowledge is of what operators publish.
     pub age: Option<Millis>,
     /// What the asker has seen of versions that are brought in.
@@ -74,6 +76,7 @@
             purpose,
             known: None,
             wait: Millis(0),
+            centre_vms: 0,
             age: None,
             evidence: Vec::new(),
             loads: LoadSum::default(),
@@ -117,6 +120,10 @@
     pub held_heard: u64,
     /// How long who answers has been running.
     pub running: Millis,
+    /// The VMs that are known of the data centre of who answers.
+    pub centre_vms: u32,
+    /// The VMs that are known of all data centres.
+    pub all_vms: u32,
     /// Whether who answers is the hub of its data centre.
     pub is_hub: bool,
     /// Whether the store does not answer who answers.
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -128,6 +128,19 @@
         self.peers.is_empty()
     }
 
+    /// Returns how many VMs of a data centre are known.
+    #[must_use]
+    pub fn count(&self, data_centre: &DataCentreId) -> u32 {
+        let known = self.peers.values().filter(|track| track.card.data_centre == *data_centre);
+        known.count() as u32
+    }
+
+    /// Returns whether a VM of another data centre is known.
+    #[must_use]
+    pub fn has_other_centre(&self, data_centre: &DataCentreId) -> bool {
+        self.peers.values().any(|track| track.card.data_centre != *data_centre)
+    }
+
     /// Returns how a VM is reached.
     #[must_use]
     pub fn card(&self, vm: &VmId) -> Option<&PeerCard> {
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -40,7 +40,8 @@
     pub(super) fn take_resend(&mut self, now: Millis, pool: &PoolId) -> bool {
         let window = self.bounds.resend_window_ms;
         let share = self.bounds.resend_share.get() * Self::RESEND_PART;
-        self.budgets.entry(pool.clone()).or_default().take(now, window, share)
+        let reserve = ResendBudget::reserve(self.bounds.resend_extra, self.known_vms());
+        self.budgets.entry(pool.clone()).or_default().take(now, window, share, reserve)
     }
 
     /// Sends calls elsewhere whose server has not answered within the objective. They are late
@@ -55,9 +56,34 @@
         }
     }
 
-    pub(super) fn leave_silent_run(&mut self, now: Millis, request: RequestNumber) {
-        let Some(state) = self.requests.get(&request) else { return };
-        let Some(run) = state.open_run().cloned() else { return };
+    fn leave_silent_run(&mut self, now: Millis, request: RequestNumber) {
+        self.leave_run(now, request, "the server is silent");
+    }
+
+    /// Lets another server go on with a stream that has stalled, or the same one if there is none.
+    pub(super) fn on_stalled(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        attempt: AttemptId,
+        last_event: Option<u64>,
+    ) {
+        let Some(state) = self.requests.get_mut(&request) else { return };
+        if state.open_run().is_none_or(|run| run.attempt != attempt) {
+            return;
+        }
+        state.last_event = state.last_event.max(last_event);
+        let is_left = self.leave_run(now, request, "the stream has stalled");
+        tracing::info!(request = request.0, attempt = attempt.0, last_event, is_left, "stalled");
+        if !is_left {
+            self.emit(GatewayCommand::Continue { request, attempt });
+        }
+    }
+
+    /// Sends a request elsewhere whose server gives no answer; returns whether it does.
+    fn leave_run(&mut self, now: Millis, request: RequestNumber, reason: &'static str) -> bool {
+        let Some(state) = self.requests.get(&request) else { return false };
+        let Some(run) = state.open_run().cloned() else { return false };
         let mut left = state.clone();
         if let Some(run) = left.run_mut(run.attempt) {
             run.stage = RunStage::Over;
@@ -65,7 +91,7 @@
         let is_only =
             self.find_place(now, &left).is_none_or(|(place, _)| place.server == run.server);
         if is_only || !left.may_send_again() || !self.take_resend(now, &left.pool) {
-            return;
+            return false;
         }
         self.drop_open_run(request);
         if let Some(server) = self.servers.get_mut(&run.server) {
@@ -74,8 +100,12 @@
         self.requests.insert(request, left);
         let attempt = run.attempt;
         self.emit(GatewayCommand::Cancel { request, attempt });
-        if let Err(refusal) = self.send(now, request, "the server is silent") {
+        let Err(refusal) = self.send(now, request, reason) else { return true };
+        if self.requests.get(&request).is_some_and(|state| state.is_delivered) {
+            self.break_off(now, request, "no server can go on with a stream that has stalled");
+        } else {
             self.refuse(now, request, refusal);
         }
+        true
     }
 }
--- a/src/gateway/resend_budget.rs
+++ b/src/gateway/resend_budget.rs
@@ -2,8 +2,8 @@
 
 /// A budget of second sends of a pool's requests, over a sliding window.
 ///
-/// The bound holds for the sum over all entry VMs. Each keeps to the share of what it has seen
-/// itself, so that no VM has to know how many others there are.
+/// The bound holds for the sum over all entry VMs. Each keeps to the share of the requests that it
+/// has seen itself, and to its part of the second sends that the bound has without requests.
 #[derive(Clone, Debug, Default)]
 pub struct ResendBudget {
     slices: VecDeque<WindowSlice>,
@@ -19,20 +19,36 @@
 impl ResendBudget {
     /// The parts of a window that are counted apart.
     const SLICES: u64 = 20;
-    /// The second sends of one VM that need no requests; the bound has about as many for each VM.
-    const RESERVE: f64 = 2.0;
+    /// The most second sends of one VM that need no requests.
+    const MOST_RESERVE: f64 = 2.0;
+    /// The part of the second sends without requests that all VMs together use.
+    const RESERVE_PART: f64 = 0.9;
+    /// How many times the VMs that are known there may be: some are not listed yet, have just been
+    /// added, or are cut off with their part.
+    const UNKNOWN_VMS: f64 = 1.25;
+
+    /// Returns one VM's part of the second sends that the bound has without requests, if so many VMs
+    /// are known. A VM that knows of no other data centre's VMs yet has none.
+    #[must_use]
+    pub fn reserve(extra: u32, vms: u32) -> f64 {
+        if vms == 0 {
+            return 0.0;
+        }
+        let all = f64::from(extra) * Self::RESERVE_PART;
+        (all / (f64::from(vms) * Self::UNKNOWN_VMS)).min(Self::MOST_RESERVE)
+    }
 
     /// Counts a request.
     pub fn earn(&mut self, now: Millis, window: Millis) {
         self.slice(now, window).requests += 1;
     }
 
-    /// Takes one second send if the window has it.
-    pub fn take(&mut self, now: Millis, window: Millis, share: f64) -> bool {
+    /// Takes one second send if the window has it, or the reserve.
+    pub fn take(&mut self, now: Millis, window: Millis, share: f64, reserve: f64) -> bool {
         self.slice(now, window);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let resends: u32 = self.slices.iter().map(|slice| slice.resends).sum();
-        let limit = f64::from(requests) * share + Self::RESERVE;
+        let limit = f64::from(requests) * share + reserve;
         let has = f64::from(resends + 1) <= limit;
         if has {
             self.slice(now, window).resends += 1;
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -48,6 +48,8 @@
         held_sessions: HeldNews::default(),
         held_heard: 0,
         running: Millis(60_000),
+        centre_vms: 3,
+        all_vms: 6,
         is_hub: true,
         lacks_store: false,
         origin: Some(text(from)),
@@ -233,6 +235,7 @@
             (guavapass::peer::PeerName { vm, incarnation }, change)
         }),
         wait: Millis(400),
+        centre_vms: 3,
         age: None,
         evidence: Vec::new(),
         loads: LoadSum::default(),
--- a/tests/support/gateway_crowd.rs
+++ b/tests/support/gateway_crowd.rs
@@ -46,6 +46,8 @@
     start: u64,
     is_running: bool,
     frozen_until: Millis,
+    /// When it was last woken without an event.
+    ticked: Millis,
     /// Its calls to the store, and when it made them.
     pub calls: Vec<Millis>,
 }
@@ -112,6 +114,7 @@
             start: 0,
             is_running: false,
             frozen_until: Millis(0),
+            ticked: Millis(0),
             calls: Vec::new(),
         });
         let vms = vms.collect();
@@ -226,8 +229,10 @@
         loop {
             let delivery = self.queue.peek().map(|Reverse((at, _))| *at);
             let wake = (0..self.len()).filter(|vm| self.is_awake(*vm)).map(|vm| {
-                let wake = self.vms[vm].gateway.next_wake(self.now).max(self.now + Millis(1));
-                (wake, vm)
+                let state = &self.vms[vm];
+                // Once a millisecond, in case that it wants to be woken again at once.
+                let least = u64::from(state.ticked == self.now);
+                (state.gateway.next_wake(self.now).max(self.now + Millis(least)), vm)
             });
             let wake = wake.min();
             let next = delivery.into_iter().chain(wake.map(|(at, _)| at)).min();
@@ -238,6 +243,7 @@
                 let delivery = self.deliveries.remove(&id).unwrap();
                 self.deliver(delivery);
             } else if let Some((_, vm)) = wake {
+                self.vms[vm].ticked = self.now;
                 self.handle(vm, GatewayEvent::Tick);
             }
             self.check();
