End stalled streams, gaps and bytes without end; never cut slow, sound streams

Cause: pass_events counted any bytes, and had no notion of progress: a stream that sent a comment line or an old event now and then held its caller to the deadline; an event after a gap was passed on. The library bounds a head, but neither interim answers nor the zeros of a chunk's size: both held a call for its whole time (504).

Now a resumable stream that brings no whole new event for four of its route's pauses (3 s at least) reports that it has stalled and passes nothing on until the core decides: another server goes on after the last event if the budget, the route and the pool let it, else the same one. A step of more than one in a stream that has counted by one is a gap. A connection that brings 1 MB without a head or a piece of a body is closed. The body of a "not run" answer is waited for 100 ms.

Ruled out: ending a stalled stream in its task. Without budget or another server the core would have to cut it, however sound.

--- a/src/driver/gateway_directive.rs
+++ b/src/driver/gateway_directive.rs
@@ -7,6 +7,8 @@
     Start(Box<RunOrder>),
     /// Give a run's answer to the caller.
     Deliver(AttemptId),
+    /// Let a run go on that has stalled.
+    Continue(AttemptId),
     /// End a run and drop what it has answered.
     Cancel(AttemptId),
     /// Give the caller its final answer.
--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -95,6 +95,9 @@
             GatewayCommand::Cancel { request, attempt } => {
                 self.post(request, GatewayDirective::Cancel(attempt));
             }
+            GatewayCommand::Continue { request, attempt } => {
+                self.post(request, GatewayDirective::Continue(attempt));
+            }
             GatewayCommand::Refuse { request, refusal } => {
                 self.metrics.count_by("refusals", refusal.code.as_str());
                 self.post(request, GatewayDirective::Refuse(refusal));
--- a/src/gateway/gateway_command.rs
+++ b/src/gateway/gateway_command.rs
@@ -19,6 +19,13 @@
         /// The run.
         attempt: AttemptId,
     },
+    /// Let a run go on that has stalled.
+    Continue {
+        /// The request.
+        request: RequestNumber,
+        /// The run.
+        attempt: AttemptId,
+    },
     /// Give a caller its final answer.
     Refuse {
         /// The request.
--- a/src/gateway/route_entry.rs
+++ b/src/gateway/route_entry.rs
@@ -52,6 +52,8 @@
     pub timeout: Millis,
     /// The time within which an answer, or its first event, is on time.
     pub objective: Millis,
+    /// The longest pause between two events of a stream that callers accept, if operators say.
+    pub pause: Option<Millis>,
     /// The servers to which one request may be sent.
     pub attempt_limit: u32,
     /// The rank; 0 goes first.
--- a/src/gateway/run_order.rs
+++ b/src/gateway/run_order.rs
@@ -15,6 +15,8 @@
     pub repeat: RepeatRule,
     /// Whether the answer is a stream of events.
     pub is_stream: bool,
+    /// The time without a whole new event after which a stream that has begun counts as stalled.
+    pub stall: Option<Millis>,
     /// The time that the server has.
     pub time_left: Millis,
     /// The model that is to answer, where the router chooses it.
--- a/src/gateway/run_report.rs
+++ b/src/gateway/run_report.rs
@@ -8,6 +8,12 @@
         /// The head of the answer.
         head: AnswerHead,
     },
+    /// No whole new event of a stream that has begun has come for too long. The run passes nothing
+    /// on until it hears whether it is to go on.
+    Stalled {
+        /// The last whole event that was passed on.
+        last_event: Option<u64>,
+    },
     /// The run is over.
     Ended(RunOutcome),
 }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -12,6 +12,9 @@
     ) {
         match report {
             RunReport::Began { head } => self.on_began(now, request, attempt, head),
+            RunReport::Stalled { last_event } => {
+                self.on_stalled(now, request, attempt, last_event);
+            }
             RunReport::Ended(outcome) => self.on_ended(now, request, attempt, &outcome),
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -93,6 +93,7 @@
             address: place.address,
             repeat,
             is_stream: state.route.kind.is_stream(),
+            stall: Self::stall_limit(state),
             time_left: state.ends.since(now),
             model: state.model.clone(),
             rank: is_engine.then(|| Self::engine_rank(state)),
@@ -119,6 +120,20 @@
         self.emit(GatewayCommand::Start(Box::new(order)));
     }
 
+    /// Returns the time without an event after which another server is to go on with a stream. A
+    /// stream is sound as long as its events come within the pause that callers accept, and of use
+    /// as long as they wait, which is eight times that pause. One that no other server may go on
+    /// with is never given up for slowness.
+    fn stall_limit(state: &RoutedRequest) -> Option<Millis> {
+        /// Half of what callers wait: the server that goes on has the other half.
+        const STALL_PAUSES: u64 = 4;
+        /// Shorter pauses come from an engine that has put a stream back for more urgent ones.
+        const LEAST_STALL_MS: u64 = 3_000;
+        let is_resumable = state.route.kind == RouteKind::Stream { resumable: true };
+        let pause = state.route.pause.filter(|_| is_resumable)?;
+        Some(Millis((pause.0 * STALL_PAUSES).max(LEAST_STALL_MS)))
+    }
+
     /// Returns the rank of a request in an engine's queue. Short work goes first: a larger model
     /// takes many times as long to read a prompt, and what waits behind it would be late too.
     pub(super) fn engine_rank(state: &RoutedRequest) -> u8 {
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -36,6 +36,7 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    gap_aim_ms: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -126,6 +127,7 @@
         kind,
         timeout,
         objective: wire.target_latency_ms.map_or(timeout, |objective| Millis(objective as u64)),
+        pause: wire.gap_aim_ms.map(|pause| Millis(pause as u64)),
         attempt_limit: wire.max_attempts.unwrap_or(1).max(1),
         rank: wire.priority,
         keyless: wire.public,
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -21,10 +21,12 @@
 mod gateway_exchange;
 mod operator_desk;
 mod peer_desk;
+mod progress_limit;
 pub(crate) mod reply;
 mod server_links;
 mod server_run;
 mod sse_scanner;
+mod stream_order;
 mod upstream;
 
 pub use {
@@ -39,6 +41,7 @@
     operator_desk::{OPERATOR_PATH, OperatorDesk},
     peer_desk::{PEER_PATH, PeerDesk},
     sse_scanner::SseScanner,
+    stream_order::{EventPlace, StreamOrder},
 };
 
 use {
@@ -48,6 +51,7 @@
     exchange::CallerExchange,
     exchange_count::CountedBody,
     gateway_exchange::GatewayExchange,
+    progress_limit::{ProgressAllowance, ProgressLimited},
     server_links::ServerLink,
     server_run::{RunPart, ServerRun},
 };
--- a/src/traffic/event_framer.rs
+++ b/src/traffic/event_framer.rs
@@ -15,6 +15,8 @@
     pub bytes: Bytes,
     /// Its number.
     pub id: Option<u64>,
+    /// Whether it has a field, and is not only a comment.
+    pub has_content: bool,
 }
 
 impl EventFramer {
@@ -30,7 +32,8 @@
         let rest = self.buffer.split_off(end);
         let bytes = Bytes::from(std::mem::replace(&mut self.buffer, rest));
         let id = Self::event_id(&bytes);
-        Some(FramedEvent { bytes, id })
+        let has_content = Self::has_content(&bytes);
+        Some(FramedEvent { bytes, id, has_content })
     }
 
     /// Returns whether the bytes so far end with a whole event.
@@ -61,6 +64,12 @@
         None
     }
 
+    /// Returns whether a line of an event is neither blank nor a comment.
+    fn has_content(event: &[u8]) -> bool {
+        let mut lines = event.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii_end);
+        lines.any(|line| !line.is_empty() && line[0] != b':')
+    }
+
     fn event_id(event: &[u8]) -> Option<u64> {
         let lines = event.split(|byte| *byte == b'\n');
         let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -11,11 +11,18 @@
     number: RequestNumber,
     directives: UnboundedReceiver<GatewayDirective>,
     connection: Arc<CallerConnection>,
-    runs: Vec<(AttemptId, Receiver<RunPart>)>,
-    delivering: Option<Receiver<RunPart>>,
+    runs: Vec<RunLink>,
+    delivering: Option<RunLink>,
     is_answered: bool,
 }
 
+/// The exchange's end of a run.
+struct RunLink {
+    attempt: AttemptId,
+    parts: Receiver<RunPart>,
+    go_on: Arc<tokio::sync::Notify>,
+}
+
 /// What happens next in an exchange.
 enum Step {
     Directive(Option<GatewayDirective>),
@@ -90,7 +97,7 @@
 
     async fn next_step(&mut self) -> Step {
         loop {
-            let Some(parts) = &mut self.delivering else {
+            let Some(RunLink { parts, .. }) = &mut self.delivering else {
                 return Step::Directive(self.directives.recv().await);
             };
             tokio::select! {
@@ -115,19 +122,33 @@
         match directive {
             GatewayDirective::Start(order) => self.start(*order),
             GatewayDirective::Deliver(attempt) => {
-                let found = self.runs.iter().position(|(id, _)| *id == attempt);
-                self.delivering = found.map(|index| self.runs.swap_remove(index).1);
+                let found = self.runs.iter().position(|run| run.attempt == attempt);
+                self.delivering = found.map(|index| self.runs.swap_remove(index));
+            }
+            GatewayDirective::Continue(attempt) => {
+                let runs = self.delivering.iter().chain(&self.runs);
+                if let Some(run) = runs.into_iter().find(|run| run.attempt == attempt) {
+                    run.go_on.notify_one();
+                }
+            }
+            GatewayDirective::Cancel(attempt) => {
+                self.runs.retain(|run| run.attempt != attempt);
+                // What it has passed on already is still delivered.
+                if let Some(run) = self.delivering.as_mut().filter(|run| run.attempt == attempt) {
+                    run.parts.close();
+                }
             }
-            GatewayDirective::Cancel(attempt) => self.runs.retain(|(id, _)| *id != attempt),
             GatewayDirective::Refuse(_) | GatewayDirective::BreakOff => {}
         }
     }
 
     fn start(&mut self, order: RunOrder) {
         let (sender, receiver) = tokio::sync::mpsc::channel(Self::PART_LIMIT);
-        self.runs.push((order.attempt, receiver));
+        let go_on = Arc::<tokio::sync::Notify>::default();
+        let attempt = order.attempt;
+        self.runs.push(RunLink { attempt, parts: receiver, go_on: Arc::clone(&go_on) });
         let (call, desk) = (Arc::clone(&self.call), Arc::clone(&self.desk));
-        let run = ServerRun { order, call, desk, parts: sender };
+        let run = ServerRun { order, call, desk, parts: sender, go_on };
         tokio::spawn(run.run());
     }
 
--- /dev/null
+++ b/src/traffic/progress_limit.rs
@@ -0,0 +1,93 @@
+//! A bound on the bytes that a backend server sends without bringing a head or a piece of a body.
+//!
+//! The library bounds a single head, but reads any number of interim answers before it, and any
+//! number of zeros before the size of a chunk. A server that sends such bytes without end would keep
+//! its request until the deadline.
+
+use super::*;
+use std::{
+    io,
+    task::{Context, Poll},
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The bytes that a connection may still bring before the next head or piece of a body.
+#[derive(Clone, Debug)]
+pub(super) struct ProgressAllowance {
+    left: Arc<AtomicU64>,
+}
+
+impl ProgressAllowance {
+    /// More than a head and what the library reads of a body with it (400 KB).
+    const STEP_BYTES: u64 = 1_024 * 1_024;
+    /// No bound, while the connection rests.
+    const UNBOUNDED: u64 = u64::MAX;
+
+    /// Bounds what comes up to the next head or piece.
+    pub(super) fn start(&self) {
+        self.left.store(Self::STEP_BYTES, Ordering::Relaxed);
+    }
+
+    /// Ends the bound, since the answer is whole.
+    pub(super) fn lift(&self) {
+        self.left.store(Self::UNBOUNDED, Ordering::Relaxed);
+    }
+
+    /// Takes bytes that have come; returns whether they were allowed.
+    fn take(&self, bytes: u64) -> bool {
+        let left = self.left.load(Ordering::Relaxed);
+        if left != Self::UNBOUNDED {
+            self.left.store(left.saturating_sub(bytes), Ordering::Relaxed);
+        }
+        bytes <= left
+    }
+}
+
+impl Default for ProgressAllowance {
+    fn default() -> Self {
+        Self { left: Arc::new(AtomicU64::new(Self::UNBOUNDED)) }
+    }
+}
+
+/// A connection with such a bound.
+#[derive(Debug)]
+pub(super) struct ProgressLimited<S> {
+    pub(super) stream: S,
+    pub(super) allowance: ProgressAllowance,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for ProgressLimited<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        if self.allowance.take(read as u64) {
+            return polled;
+        }
+        let text = "The server sends bytes without end that are no part of an answer.";
+        tracing::warn!(limit = ProgressAllowance::STEP_BYTES, "{text} Its connection is closed.");
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for ProgressLimited<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/traffic/server_links.rs
+++ b/src/traffic/server_links.rs
@@ -12,6 +12,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     /// Whether it has carried a request before.
     pub(super) is_kept: bool,
+    /// Bounds what the server sends that is no part of an answer.
+    pub(super) allowance: ProgressAllowance,
     task: AbortHandle,
 }
 
@@ -82,10 +84,12 @@
         })?;
         let _ = stream.set_nodelay(true);
         Self::probe_when_silent(&stream);
+        let allowance = ProgressAllowance::default();
+        let stream = ProgressLimited { stream, allowance: allowance.clone() };
         let (sender, connection) =
             handshake(TokioIo::new(stream)).await.map_err(|_| NotRunCause::Unreachable)?;
         let task = tokio::spawn(connection).abort_handle();
-        Ok(Self { sender, is_kept: false, task })
+        Ok(Self { sender, is_kept: false, allowance, task })
     }
 
     /// Opens a connection and waits until a server that takes no more of them has closed it again:
@@ -127,6 +131,7 @@
             return;
         }
         self.is_kept = true;
+        self.allowance.lift();
         let ends = Instant::now() + limit.duration();
         IDLE.with_borrow_mut(|idle| {
             Self::sweep(idle, Instant::now());
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -24,6 +24,8 @@
     pub(super) call: Arc<RoutedCall>,
     pub(super) desk: Arc<GatewayShared>,
     pub(super) parts: Sender<RunPart>,
+    /// Tells a run that has stalled to go on.
+    pub(super) go_on: Arc<tokio::sync::Notify>,
 }
 
 /// Why a run has no whole answer, before it is told to the core.
@@ -45,6 +47,10 @@
     /// How much longer than its server's time a run may last that nobody waits for any more.
     const GRACE_MS: u64 = 500;
 
+    /// The time that the body may take of an answer that says "not run"; its connection is closed
+    /// otherwise.
+    const REST_MS: u64 = 100;
+
     /// Runs and reports the end. A run that may not be repeated goes on when its caller has gone.
     pub(super) async fn run(self) {
         let parts = self.parts.clone();
@@ -86,7 +92,12 @@
             return Err(AttemptFault::Malformed.into());
         }
         if let Some(cause) = facts.not_run {
-            if self.collect(body).await.is_ok() && self.may_keep(&facts) {
+            let rest = Duration::from_millis(Self::REST_MS);
+            let is_read = matches!(
+                tokio::time::timeout(rest, self.collect(body, &link.allowance)).await,
+                Ok(Ok(_))
+            );
+            if is_read && self.may_keep(&facts) {
                 link.put_back(&self.order.server, facts.idle_limit);
             }
             return Ok(RunOutcome::NotRun { cause, load: facts.head.load });
@@ -95,9 +106,9 @@
             return Err(AttemptFault::Malformed.into());
         }
         let outcome = if self.order.is_stream && head.status.is_success() {
-            self.pass_stream(head, body, facts.head).await?
+            self.pass_stream(head, body, facts.head, &link.allowance).await?
         } else {
-            self.pass_whole(head, body, facts.head).await?
+            self.pass_whole(head, body, facts.head, &link.allowance).await?
         };
         if self.may_keep(&facts) {
             link.put_back(&self.order.server, facts.idle_limit);
@@ -126,8 +137,12 @@
                 Ok(link) => link,
                 Err(cause) => return Ok(Err(cause)),
             };
+            link.allowance.start();
             match link.sender.try_send_request(request).await {
-                Ok(response) => return Ok(Ok((link, response))),
+                Ok(response) => {
+                    link.allowance.start();
+                    return Ok(Ok((link, response)));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if link.is_kept => request = unsent,
                     Some(_) if may_be_kept => return Ok(Err(NotRunCause::Unreachable)),
@@ -148,9 +163,14 @@
         Some(request)
     }
 
-    async fn collect(&self, mut body: Incoming) -> Result<Bytes, AttemptFault> {
+    async fn collect(
+        &self,
+        mut body: Incoming,
+        allowance: &ProgressAllowance,
+    ) -> Result<Bytes, AttemptFault> {
         let mut bytes = Vec::new();
         while let Some(frame) = body.frame().await {
+            allowance.start();
             let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else {
                 continue;
             };
@@ -167,8 +187,9 @@
         head: http::response::Parts,
         body: Incoming,
         facts: AnswerHead,
+        allowance: &ProgressAllowance,
     ) -> Result<RunOutcome, RunFault> {
-        let body = self.collect(body).await?;
+        let body = self.collect(body, allowance).await?;
         self.pass(RunPart::Head(Box::new(head))).await?;
         self.pass(RunPart::Body(body)).await?;
         Ok(RunOutcome::Whole { head: facts })
@@ -179,11 +200,11 @@
         head: http::response::Parts,
         body: Incoming,
         facts: AnswerHead,
+        allowance: &ProgressAllowance,
     ) -> Result<RunOutcome, RunFault> {
-        let mut last_event = self.order.after_event;
-        self.pass_events(head, body, facts, &mut last_event)
-            .await
-            .map_err(|fault| RunFault { fault, last_event })
+        let mut order = StreamOrder::after(self.order.after_event);
+        let passed = self.pass_events(head, body, facts, allowance, &mut order).await;
+        passed.map_err(|fault| RunFault { fault, last_event: order.last() })
     }
 
     async fn pass_events(
@@ -191,26 +212,48 @@
         head: http::response::Parts,
         mut body: Incoming,
         facts: AnswerHead,
-        last_event: &mut Option<u64>,
+        allowance: &ProgressAllowance,
+        order: &mut StreamOrder,
     ) -> Result<RunOutcome, AttemptFault> {
         /// Many times the size of an event; a stream without an end of event is none.
         const EVENT_LIMIT_BYTES: usize = 256 * 1_024;
         let mut framer = EventFramer::default();
         let mut head = Some(head);
-        while let Some(frame) = body.frame().await {
+        let mut progress = Instant::now();
+        loop {
+            let has_begun = head.is_none() || self.order.after_event.is_some();
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = self.stalled(progress, has_begun) => {
+                    self.report(RunReport::Stalled { last_event: order.last() });
+                    // A run that is left is ended from outside.
+                    self.go_on.notified().await;
+                    progress = Instant::now();
+                    continue;
+                }
+            };
+            let Some(frame) = frame else { break };
+            allowance.start();
             let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else {
                 continue;
             };
             framer.feed(&data);
             tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
-                if event.id.is_some() && event.id <= *last_event {
-                    continue;
+                match order.place(event.id) {
+                    EventPlace::Next => {}
+                    EventPlace::Repeated => continue,
+                    EventPlace::AfterGap => return Err(AttemptFault::Truncated),
                 }
+                // Comments and events that were there before are no progress.
+                let is_progress = event.has_content;
                 self.begin(&mut head, facts).await?;
-                let id = event.id;
                 self.pass(RunPart::Event(event.bytes)).await?;
-                *last_event = id.or(*last_event);
+                order.passed(event.id);
+                if is_progress {
+                    progress = Instant::now();
+                }
             }
             if framer.held_bytes() > EVENT_LIMIT_BYTES {
                 return Err(AttemptFault::Malformed);
@@ -224,6 +267,17 @@
         Ok(RunOutcome::Whole { head: facts })
     }
 
+    /// Waits until a stream that has begun counts as stalled: whole new events count, not bytes.
+    async fn stalled(&self, progress: Instant, has_begun: bool) {
+        match self.order.stall.filter(|_| has_begun) {
+            Some(limit) => {
+                let ends = progress + limit.duration();
+                tokio::time::sleep_until(ends.into()).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
     /// Reports that a stream has begun, once, and passes its head on.
     async fn begin(
         &self,
--- a/tests/gateway_sockets.rs
+++ b/tests/gateway_sockets.rs
@@ -1,167 +1,20 @@
 //! The whole path of routes over real sockets: callers, entry VMs, backend servers and the store.
 
+#[path = "support/gateway_stage.rs"]
+#[allow(dead_code)]
+mod gateway_stage;
 #[path = "support/route_server.rs"]
 #[allow(dead_code)]
 mod route_server;
 
-use guavapass::{
-    driver::GatewayVm,
-    gateway::GatewayBounds,
-    platform::{HttpStore, write_keyed},
-    settings::{
-        GatewaySettings, LogSettings, PlatformSettings, RelayListener, RouteListener,
-        StatusListener,
-    },
-    stand_in::PlatformStandIn,
-    units::{ByteSize, Millis},
-};
-use route_server::{RouteServer, ServerMove};
-use serde_json::{Value, json};
+use gateway_stage::*;
+use route_server::ServerMove;
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpStream},
-    sync::Arc,
+    io::Write,
+    net::TcpStream,
     time::{Duration, Instant},
 };
 
-/// A store, backend servers and entry VMs.
-struct Stage {
-    platform: PlatformStandIn,
-    servers: Vec<RouteServer>,
-    vms: Vec<GatewayVm>,
-}
-
-const WAIT: Duration = Duration::from_secs(20);
-
-/// Waits until something holds; fails after a time that no machine needs.
-fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < WAIT, "{what} does not come about");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-fn configuration(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, kind: &str, attempts: u32| {
-        json!({
-            "name": name, "host": "plaza.example", "path_prefix": format!("/{name}/"),
-            "kind": kind, "timeout_ms": 4000, "target_latency_ms": 2000, "priority": 1,
-            "service": "booking", "max_attempts": attempts, "public": false, "resumable": true,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [route("slot", "safe", 3), route("book", "unsafe", 1), route("plan", "streaming", 3)],
-        "services": [{"name": "booking", "health_path": "/healthz", "max_connections": 100}],
-        "limits": {"max_header_bytes": 4096, "max_body_bytes": 1000},
-        "tenants": [{"name": "plaza", "api_keys": keys}],
-    })
-}
-
-impl Stage {
-    fn start(server_count: usize, vm_count: usize) -> Self {
-        let platform = PlatformStandIn::start();
-        let servers: Vec<_> =
-            (1..=server_count).map(|number| RouteServer::start(&format!("s{number}"))).collect();
-        let mut stage = Self { platform, servers, vms: Vec::new() };
-        stage.publish(&configuration(1, &["key-1", "key-2"]));
-        for index in 0..server_count {
-            stage.say(index, "ready");
-        }
-        let mut seeds = Vec::new();
-        for number in 1..=vm_count {
-            let peers = free_address();
-            seeds.push(peers);
-            let settings = GatewaySettings {
-                vm: format!("front-{number}").parse().unwrap(),
-                data_centre: "norte".parse().unwrap(),
-                processor_cores: 1.0,
-                callers: RouteListener {
-                    listen: "127.0.0.1:0".parse().unwrap(),
-                    answer_limit_bytes: ByteSize(100_000),
-                },
-                status: StatusListener { listen: "127.0.0.1:0".parse().unwrap() },
-                peers: Some(RelayListener { listen: peers, seeds: seeds.clone() }),
-                store: PlatformSettings { address: stage.platform.address() },
-                bounds: GatewayBounds { shutdown_ms: Millis(8_000), ..GatewayBounds::default() },
-                log: LogSettings::default(),
-            };
-            let store = stage.platform.address();
-            let vm = GatewayVm::start(&settings, move || Arc::new(HttpStore::new(store))).unwrap();
-            stage.vms.push(vm);
-        }
-        for index in 0..vm_count {
-            eventually("readiness", || stage.is_ready(index));
-        }
-        stage
-    }
-
-    fn publish(&self, configuration: &Value) {
-        let record = write_keyed("config", configuration.to_string().as_bytes());
-        self.platform.log().append("keyed.op", [record.into()]);
-    }
-
-    fn say(&self, index: usize, state: &str) {
-        let server = &self.servers[index];
-        let entry = json!({
-            "service": "booking", "address": server.address, "zone": "norte", "version": "v1",
-            "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1,
-        });
-        let record = write_keyed(&server.id, entry.to_string().as_bytes());
-        self.platform.log().append("keyed.servers", [record.into()]);
-    }
-
-    fn is_ready(&self, index: usize) -> bool {
-        let request = "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        send(self.vms[index].status, request).status == 200
-    }
-
-    fn call(&self, method: &str, path: &str) -> CallAnswer {
-        self.call_with(0, method, path, "key-1", "")
-    }
-
-    fn call_with(&self, vm: usize, method: &str, path: &str, key: &str, more: &str) -> CallAnswer {
-        let body = if method == "POST" { "the body" } else { "" };
-        let request = format!(
-            "{method} {path} HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: call-7\r\n\
-             Api-Key: {key}\r\nX-Deadline-Ms: 3000\r\n{more}Content-Length: {}\r\n\
-             Connection: close\r\n\r\n{body}",
-            body.len()
-        );
-        send(self.vms[vm].callers, &request)
-    }
-
-    fn seen(&self) -> usize {
-        self.servers.iter().map(|server| server.seen().len()).sum()
-    }
-}
-
-/// An answer, and whether it ended as a whole one does.
-#[derive(Debug)]
-struct CallAnswer {
-    status: u16,
-    head: String,
-    body: String,
-}
-
-fn send(address: SocketAddr, request: &str) -> CallAnswer {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
-    stream.write_all(request.as_bytes()).unwrap();
-    let mut text = Vec::new();
-    let _ = stream.read_to_end(&mut text);
-    let text = String::from_utf8_lossy(&text).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-    let status = head.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
-    CallAnswer { status, head: head.to_ascii_lowercase(), body: body.into() }
-}
-
 #[test]
 fn call_forwarded_unchanged() {
     let stage = Stage::start(1, 1);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -30,6 +30,7 @@
         server: "i-1".parse().unwrap(),
         address: ([127, 0, 0, 1], 80).into(),
         repeat: RepeatRule::Repeatable,
+        stall: None,
         is_stream: true,
         time_left: Millis(900),
         model: Some("large".parse().unwrap()),
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -24,6 +24,37 @@
     Crossed,
     /// Never answers.
     Hang,
+    /// Sends an event of a stream each so many milliseconds.
+    Slow(u64),
+    /// Sends two events of a stream, then comment lines and an old event without end.
+    Drip,
+    /// Sends the events of a stream with these numbers, and a whole end.
+    Events(&'static [u64]),
+    /// Sends bytes without end, until its caller closes.
+    Flood(FloodPlace),
+}
+
+/// Where bytes without end stand in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FloodPlace {
+    /// In the status line.
+    StatusLine,
+    /// In the value of a header.
+    Header,
+    /// In further headers.
+    Headers,
+    /// In interim answers.
+    Interim,
+    /// In the size of a chunk.
+    ChunkSize,
+    /// In the extension of a chunk.
+    ChunkExtension,
+    /// In the trailers.
+    Trailers,
+    /// In the body.
+    Body,
+    /// In an event.
+    Event,
 }
 
 /// A request as the server got it.
@@ -60,6 +91,8 @@
 impl RouteServer {
     /// The events of a whole stream.
     pub const EVENTS: u64 = 6;
+    /// The events of a whole stream that is slow.
+    pub const SLOW_EVENTS: u64 = 20;
 
     pub fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -146,6 +179,14 @@
                 stream.write_all(text.as_bytes()).is_ok()
             }
             ServerMove::Close => false,
+            ServerMove::Slow(pause) => self.slow(stream, request, pause),
+            ServerMove::Drip => self.drip(stream, request),
+            ServerMove::Events(ids) => {
+                let chunks: String = ids.iter().map(|event| Self::event_chunk(*event)).collect();
+                let text = format!("{}{chunks}0\r\n\r\n", self.stream_head(id));
+                stream.write_all(text.as_bytes()).is_ok()
+            }
+            ServerMove::Flood(place) => self.flood(stream, id, place),
             ServerMove::Hang => {
                 let mut rest = [0_u8; 16];
                 let _ = stream.read(&mut rest);
@@ -165,6 +206,75 @@
         stream.write_all(text.as_bytes()).is_ok()
     }
 
+    fn stream_head(&self, id: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        )
+    }
+
+    fn event_chunk(event: u64) -> String {
+        Self::chunk(&format!("id: {event}\ndata: piece {event}\n\n"))
+    }
+
+    fn chunk(text: &str) -> String {
+        format!("{:x}\r\n{text}\r\n", text.len())
+    }
+
+    /// Sends all events of a stream, one at a time.
+    fn slow(&self, mut stream: &TcpStream, request: &SeenRequest, pause: u64) -> bool {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let mut is_open = stream.write_all(self.stream_head(id).as_bytes()).is_ok();
+        for event in 1..=Self::SLOW_EVENTS {
+            is_open = is_open && stream.write_all(Self::event_chunk(event).as_bytes()).is_ok();
+            std::thread::sleep(Duration::from_millis(pause));
+        }
+        is_open && stream.write_all(b"0\r\n\r\n").is_ok()
+    }
+
+    fn drip(&self, mut stream: &TcpStream, request: &SeenRequest) -> bool {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let events = [1, 2].map(Self::event_chunk).concat();
+        let mut text = format!("{}{events}", self.stream_head(id));
+        while stream.write_all(text.as_bytes()).is_ok() {
+            text = format!("{}{}", Self::chunk(": still there\n\n"), Self::event_chunk(2));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        self.script.lock().unwrap().hung_up += 1;
+        false
+    }
+
+    fn flood(&self, mut stream: &TcpStream, id: &str, place: FloodPlace) -> bool {
+        let signed = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n",
+            self.id
+        );
+        let (start, more) = match place {
+            FloodPlace::StatusLine => ("HTTP/1.1 200 ".into(), "x".repeat(1_000)),
+            FloodPlace::Header => (format!("{signed}X-Long: "), "x".repeat(1_000)),
+            FloodPlace::Headers => (signed, "X-More: value\r\n".repeat(50)),
+            FloodPlace::Interim => {
+                (String::new(), "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n".repeat(20))
+            }
+            FloodPlace::ChunkSize => (self.stream_head(id), "0".repeat(1_000)),
+            FloodPlace::ChunkExtension => {
+                (format!("{}5;", self.stream_head(id)), "x".repeat(1_000))
+            }
+            FloodPlace::Trailers => {
+                (format!("{}0\r\n", self.stream_head(id)), "X-More: value\r\n".repeat(50))
+            }
+            FloodPlace::Body => (format!("{signed}\r\n"), "x".repeat(10_000)),
+            FloodPlace::Event => (self.stream_head(id), Self::chunk(&"x".repeat(10_000))),
+        };
+        let mut is_open = stream.write_all(start.as_bytes()).is_ok();
+        while is_open {
+            is_open = stream.write_all(more.as_bytes()).is_ok();
+        }
+        self.script.lock().unwrap().hung_up += 1;
+        false
+    }
+
     fn stream(&self, mut stream: &TcpStream, request: &SeenRequest, to: u64, whole: bool) -> bool {
         let id = request.header("x-attempt-id").unwrap_or_default();
         let from = request.header("last-event-id").map_or(0, |last| last.parse().unwrap());
