--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -128,7 +128,12 @@
 
     fn read(&self, read: FeedRead) {
         let (store, handle) = (Arc::clone(&self.store), self.handle.clone());
-        self.metrics.count("store_reads");
+        let (stream, wait) = match &read {
+            FeedRead::Newest { stream, .. } => (*stream, None),
+            FeedRead::From { stream, wait, .. } => (*stream, Some(wait.0)),
+        };
+        tracing::debug!(%stream, wait_ms = wait, "store read");
+        self.metrics.count_by("store_reads", &stream.to_string());
         tokio::spawn(async move {
             let (stream, answer) = match read {
                 FeedRead::Newest { stream, after } => {
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -13,6 +13,9 @@
     /// The time after which a caller may come back that was refused because this VM knows too
     /// little; another VM may serve it at once.
     const ELSEWHERE_MS: u64 = 50;
+    /// The time after which a caller may come back to VMs that start: the balancer sends callers to
+    /// a VM that is not ready only if all of its data centre start, which takes about as long.
+    const STARTING_RETRY_MS: u64 = 400;
     /// The longest time that a request waits whose caller names none.
     const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -42,7 +45,9 @@
     fn admit(&self, now: Millis, arrival: &RoutedArrival) -> Result<Admission, Refusal> {
         let Some(document) = &self.document else {
             let message = "This entry VM knows no configuration yet; ask again.";
-            return Err(Self::elsewhere(message));
+            let pause = Millis(Self::STARTING_RETRY_MS);
+            let refusal = Refusal::not_run(RefusalCode::Unavailable, message);
+            return Err(refusal.with_retry_after(pause));
         };
         let Some(route) = document.routes.find(&arrival.host, &arrival.path) else {
             let message = format!("There is no route for {}{}.", arrival.host, arrival.path);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -68,7 +68,7 @@
     /// The pause before a VM that has nobody to ask looks again.
     const RELAY_PAUSE_MS: u64 = 100;
     /// The pause before a VM is asked again that has just started itself.
-    const STARTING_MS: u64 = 150;
+    const STARTING_MS: u64 = 30;
     /// How much older than the pause between two reads the list of servers may be that another VM
     /// tells: a read, and the way over two VMs that hold answers back.
     const SERVERS_SLACK_MS: u64 = 500;
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -39,10 +39,11 @@
     /// The time after which a VM that was not heard of again is forgotten: more than the longest
     /// pause between two greetings of seeds.
     const FORGET_MS: u64 = 60_000;
-    /// The time for which a VM that did not answer is not asked again; doubles each time.
-    const FIRST_SILENT_MS: u64 = 1_000;
-    /// The longest such time.
-    const LAST_SILENT_MS: u64 = 8_000;
+    /// The time for which a VM that did not answer is not asked again; twice as long later on. Long enough
+    /// for VMs that are cut off together to find the first rank among them, past those out of reach.
+    const FIRST_SILENT_MS: u64 = 4_000;
+    /// The same for a VM that reaches no other one, which has to learn soon that it does again.
+    const CUT_OFF_MS: u64 = 1_000;
     /// The time for which a VM whose knowledge is old is not asked again.
     const OLD_MS: u64 = 300;
     /// The time for which a VM's word counts that its knowledge is younger.
@@ -92,12 +93,20 @@
     /// Notes that a VM has not answered.
     pub fn silent(&mut self, now: Millis, vm: &VmId) {
         self.silences = self.silences.saturating_add(1);
+        let is_cut_off = self.is_cut_off();
         if let Some(track) = self.peers.get_mut(vm) {
-            let doubled = Self::FIRST_SILENT_MS << track.silences.min(3);
-            track.silent_until = now + Millis(doubled.min(Self::LAST_SILENT_MS));
+            let doubled = Self::FIRST_SILENT_MS << track.silences.min(1);
+            let pause = if is_cut_off { Self::CUT_OFF_MS } else { doubled };
+            track.silent_until = now + Millis(pause);
             track.silences = track.silences.saturating_add(1);
             track.offered = None;
         }
+        if self.silences == Self::CUT_OFF_SILENCES {
+            let soon = now + Millis(Self::CUT_OFF_MS);
+            for track in self.peers.values_mut() {
+                track.silent_until = track.silent_until.min(soon);
+            }
+        }
     }
 
     /// Notes that what a VM knows of the store is old.
--- a/src/gateway/relay_start.rs
+++ b/src/gateway/relay_start.rs
@@ -20,7 +20,7 @@
 
 impl RelayStart {
     /// How long a VM waits for others that start at the same time.
-    const SETTLE_MS: u64 = 600;
+    const SETTLE_MS: u64 = 300;
     /// The time after which a VM has learned what the store has, if another one can tell.
     const LEARN_MS: u64 = 2_000;
 
@@ -46,9 +46,9 @@
 impl Gateway {
     /// The pauses between the greetings of seeds that answer. The second one finds VMs that have
     /// started with this one.
-    const GREETINGS_MS: [u64; 4] = [400, 1_500, 4_000, 20_000];
+    const GREETINGS_MS: [u64; 4] = [150, 1_500, 4_000, 20_000];
     /// The pause after a seed has not answered a VM that starts.
-    const GREET_AGAIN_MS: u64 = 100;
+    const GREET_AGAIN_MS: u64 = 40;
     /// The pause after a seed has not answered a VM that has started without others.
     const LONELY_MS: u64 = 500;
     /// The time for which a VM counts as just started.
