--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -95,6 +95,9 @@
             GatewayCommand::Cancel { request, attempt } => {
                 self.post(request, GatewayDirective::Cancel(attempt));
             }
+            GatewayCommand::Continue { request, attempt } => {
+                self.post(request, GatewayDirective::Continue(attempt));
+            }
             GatewayCommand::Refuse { request, refusal } => {
                 self.metrics.count_by("refusals", refusal.code.as_str());
                 self.post(request, GatewayDirective::Refuse(refusal));
@@ -125,7 +128,12 @@
 
     fn read(&self, read: FeedRead) {
         let (store, handle) = (Arc::clone(&self.store), self.handle.clone());
-        self.metrics.count("store_reads");
+        let (stream, wait) = match &read {
+            FeedRead::Newest { stream, .. } => (*stream, None),
+            FeedRead::From { stream, wait, .. } => (*stream, Some(wait.0)),
+        };
+        tracing::debug!(%stream, wait_ms = wait, "store read");
+        self.metrics.count_by("store_reads", &stream.to_string());
         tokio::spawn(async move {
             let (stream, answer) = match read {
                 FeedRead::Newest { stream, after } => {
--- a/tests/support/gateway_crowd.rs
+++ b/tests/support/gateway_crowd.rs
@@ -46,6 +46,8 @@
     start: u64,
     is_running: bool,
     frozen_until: Millis,
+    /// When it was last woken without an event.
+    ticked: Millis,
     /// Its calls to the store, and when it made them.
     pub calls: Vec<Millis>,
 }
@@ -82,6 +84,8 @@
     pub moods: BTreeMap<usize, StoreMood>,
     /// Entry VMs that reach no other one.
     pub cut: BTreeSet<usize>,
+    /// Whether those that are cut off reach each other.
+    pub is_cut_together: bool,
     seeds: Vec<SocketAddr>,
 }
 
@@ -112,6 +116,7 @@
             start: 0,
             is_running: false,
             frozen_until: Millis(0),
+            ticked: Millis(0),
             calls: Vec::new(),
         });
         let vms = vms.collect();
@@ -134,6 +139,7 @@
             published: Vec::new(),
             moods: BTreeMap::new(),
             cut: BTreeSet::new(),
+            is_cut_together: false,
             seeds,
         };
         crowd.publish();
@@ -226,8 +232,10 @@
         loop {
             let delivery = self.queue.peek().map(|Reverse((at, _))| *at);
             let wake = (0..self.len()).filter(|vm| self.is_awake(*vm)).map(|vm| {
-                let wake = self.vms[vm].gateway.next_wake(self.now).max(self.now + Millis(1));
-                (wake, vm)
+                let state = &self.vms[vm];
+                // Once a millisecond, in case that it wants to be woken again at once.
+                let least = u64::from(state.ticked == self.now);
+                (state.gateway.next_wake(self.now).max(self.now + Millis(least)), vm)
             });
             let wake = wake.min();
             let next = delivery.into_iter().chain(wake.map(|(at, _)| at)).min();
@@ -238,6 +246,7 @@
                 let delivery = self.deliveries.remove(&id).unwrap();
                 self.deliver(delivery);
             } else if let Some((_, vm)) = wake {
+                self.vms[vm].ticked = self.now;
                 self.handle(vm, GatewayEvent::Tick);
             }
             self.check();
@@ -402,7 +411,8 @@
     }
 
     fn is_cut(&self, one: usize, other: usize) -> bool {
-        one != other && (self.cut.contains(&one) || self.cut.contains(&other))
+        let (one_cut, other_cut) = (self.cut.contains(&one), self.cut.contains(&other));
+        one != other && (one_cut != other_cut || (one_cut && !self.is_cut_together))
     }
 
     fn ask(&mut self, from: usize, peer: Option<VmId>, address: SocketAddr, poll: Box<RelayPoll>) {
