--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -133,7 +133,8 @@
             FeedRead::From { stream, wait, .. } => (*stream, Some(wait.0)),
         };
         tracing::debug!(%stream, wait_ms = wait, "store read");
-        self.metrics.count_by("store_reads", &stream.to_string());
+        self.metrics.count("store_reads");
+        self.metrics.count_by("store_reads_of", &stream.to_string());
         tokio::spawn(async move {
             let (stream, answer) = match read {
                 FeedRead::Newest { stream, after } => {
