Change the use of the store once, not at each event

Cause: steer_reads resumed or paused all feeds and followed the roll-outs' streams anew at each event. The latter sets the known end of the stream back to where the feed is, so a hub whose append had lost a race appended again at once, at an end that it had been told was passed. follow_rollouts also asked whether the store serves the VM just now, so that a VM without others whose list of servers failed never followed a roll-out.

Now what follows from a use is done when it changes, by change_use, which the end of a look calls too (its own copy and log line go), and follow_rollouts asks for the use alone.

gateway_rollouts: hub_reads_on_before_it_appends_again and rollout_followed_ while_the_list_of_servers_fails fail without it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -107,7 +107,13 @@
 };
 
 use {
-    crowded::CrowdedCalls, held_marks::HeldMarks, part_homes::PartHomes,
-    place_estimate::PlaceEstimate, relay::RelayState, relay_answers::WaitingPoll,
-    relay_start::RelayStart, store_access::StoreAccess, team_shares::TeamShares,
+    crowded::CrowdedCalls,
+    held_marks::HeldMarks,
+    part_homes::PartHomes,
+    place_estimate::PlaceEstimate,
+    relay::RelayState,
+    relay_answers::WaitingPoll,
+    relay_start::RelayStart,
+    store_access::{StoreAccess, StoreUse},
+    team_shares::TeamShares,
 };
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -31,7 +31,7 @@
         match stream {
             StoreStream::Operators => {
                 self.lease.renew(sent);
-                self.end_look();
+                self.end_look(now);
             }
             StoreStream::Servers => {
                 self.note_servers_read(sent);
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -50,12 +50,13 @@
         }
         self.rollouts.insert(order.pool.clone(), track);
         self.hold_sessions(now, target);
-        self.follow_rollouts(now);
+        self.follow_rollouts();
     }
 
-    /// Follows the records of roll-outs, if one is under way and this VM reads the store itself.
-    pub(super) fn follow_rollouts(&mut self, now: Millis) {
-        if !self.is_reading(now) || self.rollouts.values().all(RolloutTrack::is_over) {
+    /// Follows the records of roll-outs, if one is under way and this VM follows the store.
+    pub(super) fn follow_rollouts(&mut self) {
+        let is_following = self.access.current == StoreUse::Follows;
+        if !is_following || self.rollouts.values().all(RolloutTrack::is_over) {
             return;
         }
         for stream in [StoreStream::Rollouts, StoreStream::Evidence] {
--- a/src/gateway/store_access.rs
+++ b/src/gateway/store_access.rs
@@ -66,24 +66,30 @@
         let Some(own) = self.relay.card.clone() else { return };
         let wanted = self.wanted_use(now, &own);
         if wanted != self.access.current {
-            tracing::info!(
-                before = ?self.access.current,
-                after = ?wanted,
-                is_hub = self.relay.is_hub,
-                source = self.relay.source.as_ref().map(VmId::as_str),
-                lacks_store = self.lacks_store(now),
-                knowledge_age_ms = self.lease.age(now).map(|age| age.0),
-                "use of the store changed"
-            );
-            self.access = StoreAccess { current: wanted, look_next: None };
+            self.change_use(now, wanted);
         }
+        if wanted == StoreUse::Looks {
+            self.look(now, &own);
+        }
+    }
+
+    fn change_use(&mut self, now: Millis, wanted: StoreUse) {
+        tracing::info!(
+            before = ?self.access.current,
+            after = ?wanted,
+            is_hub = self.relay.is_hub,
+            source = self.relay.source.as_ref().map(VmId::as_str),
+            lacks_store = self.lacks_store(now),
+            knowledge_age_ms = self.lease.age(now).map(|age| age.0),
+            "use of the store changed"
+        );
+        self.access = StoreAccess { current: wanted, look_next: None };
         match wanted {
             StoreUse::Follows => {
                 self.feeds.values_mut().for_each(|feed| feed.resume(now));
-                self.follow_rollouts(now);
+                self.follow_rollouts();
             }
-            StoreUse::Rests => self.rest(),
-            StoreUse::Looks => self.look(now, &own),
+            StoreUse::Looks | StoreUse::Rests => self.rest(),
         }
     }
 
@@ -121,11 +127,10 @@
     }
 
     /// Follows the store again after a look that was answered.
-    pub(super) fn end_look(&mut self) {
+    pub(super) fn end_look(&mut self, now: Millis) {
         if self.access.current == StoreUse::Looks {
-            self.access = StoreAccess { current: StoreUse::Follows, look_next: None };
             self.feeds.values_mut().for_each(StoreFeed::forget_failures);
-            tracing::info!("the store serves this VM: it is followed");
+            self.change_use(now, StoreUse::Follows);
         }
     }
 
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -205,6 +205,42 @@
     assert_eq!(world.rollout_appends().len(), appends, "nothing is appended before it is read");
 }
 
+#[test]
+fn hub_reads_on_before_it_appends_again() {
+    let mut world = GatewayWorld::new();
+    world.gateway.set_relay(card("front-1", "norte"), Vec::new());
+    world.page(StoreStream::Operators, vec![StoreRecord::Order(order())]);
+    world.newest(StoreStream::Rollouts, Vec::new());
+    world.run_in_touch(1_000);
+    let appends = world.rollout_appends().len();
+    assert_eq!(appends, 1, "the start of the roll-out");
+    let record = StoreRecord::Rollout(RolloutRecord {
+        pool: pool(ENGINES),
+        target: "v2".into(),
+        state: RolloutState::Running,
+        stage: 0,
+    });
+    let moved = Err(StoreError::Moved { end: Offset(99) });
+    world.handle(GatewayEvent::Appended { record, result: moved });
+    world.run_in_touch(1_000);
+    assert_eq!(world.rollout_appends().len(), appends, "nothing is appended before it is read");
+}
+
+#[test]
+fn rollout_followed_while_the_list_of_servers_fails() {
+    let mut world = GatewayWorld::new();
+    let refused = || FeedAnswer::From(Err(StoreError::Refused { status: 503 }));
+    world.handle(GatewayEvent::Read { stream: StoreStream::Servers, answer: refused() });
+    world.commands.clear();
+    world.page(StoreStream::Operators, vec![StoreRecord::Order(order())]);
+    world.tick(10);
+    let is_followed = |command: &GatewayCommand| match command {
+        GatewayCommand::Read(FeedRead::Newest { stream, .. }) => *stream == StoreStream::Rollouts,
+        _ => false,
+    };
+    assert!(world.commands.iter().any(is_followed));
+}
+
 #[test]
 fn overload_of_both_versions_does_not_withdraw() {
     let mut world = world();
