Say "not run" of a crowded call only if it has not run

Cause: crowded_refusal built its own refusal with "not run". An idempotent call whose first run broke, and whose next servers took no connections, was told so although it may have run.

Now it calls final_refusal, as every other refusal does, and only adds the time to come back. gateway_crowded: crowded_after_a_broken_run_ promises_nothing fails without it. Calls that may run once never came there: a broken run ends them.

--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -107,7 +107,8 @@
         let waited = now.since(state.received).0.max(state.route.objective.0 / 4) as f64;
         let pause = waited * Self::CROWDED_RETURN * (0.5 + draw);
         let message = "All backend servers of the pool are full; ask again.";
-        let refusal = Refusal::not_run(RefusalCode::Unavailable, message);
-        Some(refusal.with_retry_after(Millis(pause as u64)))
+        let refusal = Self::final_refusal(state, RefusalCode::Unavailable, message);
+        let is_not_run = refusal.run == RunState::NotRun;
+        Some(if is_not_run { refusal.with_retry_after(Millis(pause as u64)) } else { refusal })
     }
 }
--- a/tests/gateway_crowded.rs
+++ b/tests/gateway_crowded.rs
@@ -65,6 +65,22 @@
     assert!(refusal.retry_after.is_some());
 }
 
+#[test]
+fn crowded_after_a_broken_run_promises_nothing() {
+    let mut world = GatewayWorld::new();
+    let request = world.arrive("/slot/1");
+    world.broken(request, 1, None);
+    let mut tries = 1;
+    while world.refusal(request).is_none() {
+        while world.starts(request).len() > tries {
+            tries += 1;
+            world.not_run(request, tries as u64, NotRunCause::Crowded);
+        }
+        world.tick(5);
+    }
+    assert_ne!(world.refusal(request).unwrap().run, RunState::NotRun, "the first run may have run");
+}
+
 #[test]
 fn crowded_heavy_team_waits_longer() {
     let mut world = GatewayWorld::new();
