Log what a request has in common with the same one sent again

Cause of the gap: a caller's id is new for each attempt and the core sees no body, so neither logs nor core can tell that two requests are the same.

Change: the adapter makes a fingerprint of key, method, target and body; the lines "sent" and "run ended" carry it, so that one filter over the logs of all VMs shows every send of a request. No decision uses it yet.

--- a/src/gateway/routed_arrival.rs
+++ b/src/gateway/routed_arrival.rs
@@ -16,6 +16,8 @@
     pub request: RequestNumber,
     /// The caller's id of it, for logs.
     pub caller_id: SmolStr,
+    /// What it has in common with the same request sent again.
+    pub fingerprint: RequestFingerprint,
     /// The host that the caller named.
     pub host: SmolStr,
     /// The path without its query.
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -95,6 +95,7 @@
         }
         tracing::info!(
             request = request.0,
+            fingerprint = %state.arrival.fingerprint,
             attempt = attempt.0,
             server = %before.server,
             took_ms = now.since(before.started).0,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -64,6 +64,7 @@
         tracing::info!(
             request = request.0,
             caller_id = %state.arrival.caller_id,
+            fingerprint = %state.arrival.fingerprint,
             attempt = attempt.0,
             route = %state.route.name,
             pool = %state.pool,
--- a/src/health.rs
+++ b/src/health.rs
@@ -11,6 +11,7 @@
 mod peer_share;
 mod pool_servers;
 mod quantile_estimate;
+mod request_fingerprint;
 mod server_choice;
 mod server_state;
 mod server_table;
@@ -20,6 +21,7 @@
     attempt_budget::AttemptBudget,
     pace_book::{PaceBook, PaceKey},
     quantile_estimate::QuantileEstimate,
+    request_fingerprint::RequestFingerprint,
     server_choice::StartWish,
     server_state::{ServerState, ServerTrouble},
     server_table::ServerTable,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,7 +32,7 @@
         body::{Body, RequestBody, ResponseBody, StreamDataBody},
         http::RequestExt,
     },
-    xxhash_rust::xxh3::xxh3_64,
+    xxhash_rust::xxh3::{Xxh3, xxh3_64},
 };
 
 pub mod admission;
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -58,7 +58,7 @@
     },
 }
 
-/// Reads the head of a caller's request.
+/// Reads a caller's request.
 ///
 /// # Errors
 ///
@@ -66,12 +66,15 @@
 pub fn read_arrival(
     request: RequestNumber,
     head: &http::request::Parts,
+    body: &[u8],
 ) -> Result<RoutedArrival, HeadError> {
     let headers = &head.headers;
     let caller_id = text(headers, CALLER_ID)?.ok_or(HeadError::Missing { name: CALLER_ID })?;
     let host =
         head.uri.host().or(text(headers, "host")?).ok_or(HeadError::Missing { name: "host" })?;
-    let key = text(headers, KEY)?.map(SmolStr::new);
+    let key = text(headers, KEY)?;
+    let target = head.uri.path_and_query().map_or("", http::uri::PathAndQuery::as_str);
+    let fingerprint = RequestFingerprint::of(key, head.method.as_str(), target, body);
     let (prompt_tokens, output_limit) = match text(headers, TOKENS)? {
         Some(tokens) => token_usage(tokens)?,
         None => (Tokens(0), Tokens(0)),
@@ -80,9 +83,10 @@
     Ok(RoutedArrival {
         request,
         caller_id: caller_id.into(),
+        fingerprint,
         host: host.into(),
         path: head.uri.path().into(),
-        key,
+        key: key.map(SmolStr::new),
         deadline: number(headers, DEADLINE)?.map(Millis),
         session: text(headers, SESSION)?.map(SmolStr::new),
         any_model: text(headers, MODEL)? == Some(ANY_MODEL),
--- a/src/traffic/gateway_desk.rs
+++ b/src/traffic/gateway_desk.rs
@@ -203,7 +203,7 @@
             .await
             .map_err(|_| RequestError::TooSlow { limit: Millis(Self::BODY_TIMEOUT_MS) }.refusal())?
             .map_err(|error| error.refusal())?;
-        let arrival = read_arrival(number, &head)
+        let arrival = read_arrival(number, &head, &body)
             .map_err(|error| Refusal::not_run(RefusalCode::BadRequest, error.to_string()))?;
         Ok((RoutedCall { caller_id: arrival.caller_id.clone(), head, body }, arrival))
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -95,19 +95,30 @@
         ("x-prompt-prefix", "5c:800,91:410"),
         ("last-event-id", "3"),
     ]);
-    let arrival = read_arrival(RequestNumber(1), &head).unwrap();
+    let arrival = read_arrival(RequestNumber(1), &head, b"").unwrap();
     assert!(arrival.any_model);
     assert_eq!((arrival.prompt_tokens, arrival.output_limit), (Tokens(1_460), Tokens(80)));
     assert_eq!((arrival.parts.len(), arrival.last_event), (2, Some(3)));
     assert_eq!(arrival.path, "/lohu930/2f");
 }
 
+#[test]
+fn arrival_fingerprint() {
+    let fingerprint = |attempt: &'static str, key: &'static str, body: &[u8]| {
+        let head = head(&[("host", "f"), ("x-attempt-id", attempt), ("api-key", key)]);
+        read_arrival(RequestNumber(1), &head, body).unwrap().fingerprint
+    };
+    assert_eq!(fingerprint("a", "k", b"x"), fingerprint("b", "k", b"x"), "sent again");
+    assert_ne!(fingerprint("a", "k", b"x"), fingerprint("a", "l", b"x"), "another caller");
+    assert_ne!(fingerprint("a", "k", b"x"), fingerprint("a", "k", b"y"), "another body");
+}
+
 #[test]
 fn arrival_wrong_header() {
-    let missing = read_arrival(RequestNumber(1), &head(&[("host", "f")])).unwrap_err();
+    let missing = read_arrival(RequestNumber(1), &head(&[("host", "f")]), b"").unwrap_err();
     assert_eq!(missing.to_string(), "The header x-attempt-id is missing; send it.");
     let wrong = head(&[("host", "f"), ("x-attempt-id", "a"), ("x-deadline-ms", "soon")]);
-    assert!(read_arrival(RequestNumber(1), &wrong).is_err());
+    assert!(read_arrival(RequestNumber(1), &wrong, b"").is_err());
 }
 
 #[test]
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -3,6 +3,7 @@
 use guavapass::{
     control::{Refusal, VmIdentity},
     gateway::*,
+    health::RequestFingerprint,
     ids::{
         AttemptId, Incarnation, ModelId, Offset, PoolId, RequestNumber, Revision, ServerId, TeamId,
     },
@@ -218,6 +219,7 @@
         let mut arrival = RoutedArrival {
             request,
             caller_id: format!("call-{}", self.requests).into(),
+            fingerprint: RequestFingerprint(self.requests),
             host: "plaza.example".into(),
             path: path.into(),
             key: Some(KEY.into()),
