Reproduce the incident: a request ends one server after the other (fails)

Seen by callers: every attempt of one request ends three servers more, at every VM, as long as it comes.

--- /dev/null
+++ b/tests/support/crashing_pool.rs
@@ -0,0 +1,241 @@
+//! Backend servers in virtual time that end when they begin certain requests, before a crowd of
+//! entry VMs.
+
+use super::{gateway_crowd::GatewayCrowd, gateway_world::*};
+use guavapass::{
+    control::{AttemptFault, Refusal},
+    gateway::*,
+    health::RequestFingerprint,
+    ids::{RequestNumber, ServerId},
+    units::{Millis, Tokens},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A run that reached a server.
+#[derive(Clone, Copy, Debug)]
+pub struct SeenRun {
+    pub at: Millis,
+    pub fingerprint: RequestFingerprint,
+}
+
+#[derive(Clone, Debug)]
+struct OpenRun {
+    vm: usize,
+    order: RunOrder,
+    fingerprint: RequestFingerprint,
+    ends: Millis,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PoolServer {
+    down_until: Millis,
+    is_cut: bool,
+    runs: Vec<OpenRun>,
+}
+
+/// The servers, the entry VMs before them, and what came of the calls.
+pub struct CrashingPool {
+    pub crowd: GatewayCrowd,
+    servers: BTreeMap<ServerId, PoolServer>,
+    calls: BTreeMap<(usize, RequestNumber), RequestFingerprint>,
+    next_request: u64,
+    /// Requests that end the servers that begin them.
+    pub killers: BTreeSet<RequestFingerprint>,
+    /// The milliseconds in which every server answers.
+    pub work_ms: u64,
+    pub seen: Vec<SeenRun>,
+    /// When servers ended under a request of [`Self::killers`].
+    pub crashes: Vec<SeenRun>,
+    pub answered: Vec<RequestFingerprint>,
+    pub refused: Vec<(RequestFingerprint, Refusal)>,
+}
+
+impl CrashingPool {
+    const CRASH_AFTER_MS: u64 = 10;
+    const DOWN_MS: u64 = 3_000;
+    const CONNECT_TIMEOUT_MS: u64 = 250;
+
+    pub fn new(crowd: GatewayCrowd) -> Self {
+        Self {
+            crowd,
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_request: 0,
+            killers: BTreeSet::new(),
+            work_ms: 300,
+            seen: Vec::new(),
+            crashes: Vec::new(),
+            answered: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    /// Lets a caller send a request to an entry VM.
+    pub fn call(&mut self, vm: usize, path: &str, fingerprint: RequestFingerprint) {
+        self.next_request += 1;
+        let request = RequestNumber(self.next_request);
+        self.calls.insert((vm, request), fingerprint);
+        let is_engine = path.starts_with("/plan") || path.starts_with("/frail");
+        let part = |id, tokens| PromptPart { id, tokens: Tokens(tokens) };
+        let parts = vec![part(7, 8_000), part(fingerprint.0, 1_000)];
+        let arrival = RoutedArrival {
+            request,
+            caller_id: format!("call-{}", request.0).into(),
+            fingerprint,
+            host: "plaza.example".into(),
+            path: path.into(),
+            key: Some(KEY.into()),
+            deadline: Some(Millis(6_000)),
+            session: None,
+            any_model: false,
+            prompt_tokens: Tokens(if is_engine { 9_000 } else { 0 }),
+            output_limit: Tokens(100),
+            parts: if is_engine { parts } else { Vec::new() },
+            last_event: None,
+        };
+        self.crowd.tell(vm, 0, GatewayEvent::Arrived(Box::new(arrival)));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.crowd.run(1);
+            self.end_runs();
+            for (vm, command) in std::mem::take(&mut self.crowd.outbox) {
+                self.obey(vm, command);
+            }
+        }
+    }
+
+    /// Ends servers, whatever they run; they are back later.
+    pub fn end_servers(&mut self, servers: &[&str]) {
+        for server in servers {
+            self.end_server(&server_id(server));
+        }
+    }
+
+    /// Cuts a server off: what it runs stays unanswered, and nobody reaches it.
+    pub fn cut_server(&mut self, server: &str, is_cut: bool) {
+        self.servers.entry(server_id(server)).or_default().is_cut = is_cut;
+    }
+
+    /// Closes the connections of the runs that are open, while their servers live on.
+    pub fn close_runs(&mut self) {
+        let servers: Vec<ServerId> = self.servers.keys().cloned().collect();
+        servers.iter().for_each(|server| self.break_runs(server));
+    }
+
+    /// Returns the runs of a request that reached servers later than some time after they had ended
+    /// under it so many times.
+    pub fn seen_after_crash(
+        &self,
+        fingerprint: RequestFingerprint,
+        crash: usize,
+        later: Millis,
+    ) -> usize {
+        let is_same = |run: &&SeenRun| run.fingerprint == fingerprint;
+        let crash = self.crashes.iter().filter(is_same).nth(crash - 1);
+        let Some(from) = crash.map(|crash| crash.at + later) else { return 0 };
+        self.seen.iter().filter(is_same).filter(|run| run.at > from).count()
+    }
+
+    pub fn crashes_under(&self, fingerprint: RequestFingerprint) -> usize {
+        self.crashes.iter().filter(|crash| crash.fingerprint == fingerprint).count()
+    }
+
+    pub fn answers_of(&self, fingerprint: RequestFingerprint) -> usize {
+        self.answered.iter().filter(|answered| **answered == fingerprint).count()
+    }
+
+    fn obey(&mut self, vm: usize, command: GatewayCommand) {
+        match command {
+            GatewayCommand::Start(order) => self.take_run(vm, *order),
+            GatewayCommand::Cancel { request, attempt } => {
+                for server in self.servers.values_mut() {
+                    server.runs.retain(|run| {
+                        (run.vm, run.order.request, run.order.attempt) != (vm, request, attempt)
+                    });
+                }
+            }
+            GatewayCommand::Refuse { request, refusal } => {
+                if let Some(fingerprint) = self.calls.remove(&(vm, request)) {
+                    self.refused.push((fingerprint, refusal));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_run(&mut self, vm: usize, order: RunOrder) {
+        let Some(fingerprint) = self.calls.get(&(vm, order.request)).copied() else { return };
+        let now = self.crowd.now;
+        let server = self.servers.entry(order.server.clone()).or_default();
+        if server.is_cut || now < server.down_until {
+            let after = if server.is_cut { Self::CONNECT_TIMEOUT_MS } else { 1 };
+            let cause = NotRunCause::Unreachable;
+            self.report(vm, after, &order, RunOutcome::NotRun { cause, load: None });
+            return;
+        }
+        let is_killer = self.killers.contains(&fingerprint);
+        let takes = if is_killer { Self::CRASH_AFTER_MS } else { self.work_ms };
+        self.seen.push(SeenRun { at: now, fingerprint });
+        server.runs.push(OpenRun { vm, order, fingerprint, ends: now + Millis(takes) });
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.crowd.now;
+        let servers: Vec<ServerId> = self.servers.keys().cloned().collect();
+        for id in servers {
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            if server.is_cut {
+                continue;
+            }
+            let killers = &self.killers;
+            let killer = server
+                .runs
+                .iter()
+                .find(|run| run.ends <= now && killers.contains(&run.fingerprint))
+                .map(|run| run.fingerprint);
+            if let Some(fingerprint) = killer {
+                self.crashes.push(SeenRun { at: now, fingerprint });
+                self.end_server(&id);
+                continue;
+            }
+            let (ended, open) = std::mem::take(&mut server.runs)
+                .into_iter()
+                .partition::<Vec<_>, _>(|run| run.ends <= now);
+            server.runs = open;
+            for run in ended {
+                self.answered.push(run.fingerprint);
+                let head = AnswerHead { status: 200, load: None, confidence: None };
+                if run.order.is_stream {
+                    self.tell_run(run.vm, 1, &run.order, RunReport::Began { head });
+                }
+                self.report(run.vm, 1, &run.order, RunOutcome::Whole { head });
+            }
+        }
+    }
+
+    fn end_server(&mut self, id: &ServerId) {
+        self.break_runs(id);
+        let server = self.servers.entry(id.clone()).or_default();
+        server.down_until = self.crowd.now + Millis(Self::DOWN_MS);
+    }
+
+    fn break_runs(&mut self, id: &ServerId) {
+        let server = self.servers.entry(id.clone()).or_default();
+        for run in std::mem::take(&mut server.runs) {
+            let outcome = RunOutcome::Broken { fault: AttemptFault::Closed, last_event: None };
+            self.report(run.vm, 1, &run.order, outcome);
+        }
+    }
+
+    fn report(&mut self, vm: usize, after: u64, order: &RunOrder, outcome: RunOutcome) {
+        self.tell_run(vm, after, order, RunReport::Ended(outcome));
+    }
+
+    fn tell_run(&mut self, vm: usize, after: u64, order: &RunOrder, report: RunReport) {
+        let (request, attempt) = (order.request, order.attempt);
+        self.crowd.tell(vm, after, GatewayEvent::Run { request, attempt, report });
+    }
+}
--- a/tests/support/gateway_crowd.rs
+++ b/tests/support/gateway_crowd.rs
@@ -13,7 +13,7 @@
     sync::Arc,
 };
 
-use super::gateway_world::{bounds, document, said, server, text};
+use super::gateway_world::{BOOKINGS, ENGINES, bounds, document, said, server, text};
 
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +87,8 @@
     /// Whether those that are cut off reach each other.
     pub is_cut_together: bool,
     seeds: Vec<SocketAddr>,
+    /// What the entry VMs want done that concerns neither the store nor each other.
+    pub outbox: Vec<(usize, GatewayCommand)>,
 }
 
 impl GatewayCrowd {
@@ -120,8 +122,10 @@
             calls: Vec::new(),
         });
         let vms = vms.collect();
-        let listed = (1..=6).map(|number| said(server(&format!("e{number}"), "engines", "v1")));
-        let servers = listed
+        let engines = (1..=6).map(|number| said(server(&format!("e{number}"), ENGINES, "v1")));
+        let bookings = (1..=4).map(|number| said(server(&format!("b{number}"), BOOKINGS, "v1")));
+        let servers = engines
+            .chain(bookings)
             .enumerate()
             .map(|(offset, record)| KeptRecord { offset: Offset(offset as u64), record });
         let servers = servers.collect();
@@ -141,6 +145,7 @@
             cut: BTreeSet::new(),
             is_cut_together: false,
             seeds,
+            outbox: Vec::new(),
         };
         crowd.publish();
         crowd
@@ -382,11 +387,16 @@
                     let event = GatewayEvent::PeerAnswered { peer, purpose, answer: Some(answer) };
                     self.send_event(Self::HOP_MS, from, start, event);
                 }
-                _ => {}
+                other => self.outbox.push((vm, other)),
             }
         }
     }
 
+    /// Lets an entry VM learn something after so many milliseconds, unless it starts anew before.
+    pub fn tell(&mut self, vm: usize, after: u64, event: GatewayEvent) {
+        self.send_event(after, vm, self.vms[vm].start, event);
+    }
+
     fn call_store(&mut self, vm: usize, start: u64, read: FeedRead) {
         self.vms[vm].calls.push(self.now);
         let (stream, is_newest, wait) = match &read {
