Refuse requests that end the servers that run them, at all VMs

Seen by callers: one request that came again ended three servers with each attempt, at every VM and without end, and took the requests beside it along (36 servers in 20 s, 86 of 400 others answered).

Cause: nothing outlived an attempt. RoutedRequest bounds the sends of one attempt of a caller, and a caller's id is new for each; the core had nothing to recognise a request by. The class of fault is a limit kept per attempt where the promise is per request and over all VMs. The callers' interface has SuspectTable for it; the gateway, built later, never got one.

Ruled out: the limit of one attempt (three servers each time); news that is late (one VM alone did the same).

Change: CrashBook keeps the crashes of a request by its fingerprint. A crash is a run whose connection broke at a server whose address then refuses connections (one probe a broken answer). Crashes count one after the other; a whole answer excuses; of requests that were always together the next crash shows the one. The third condemns for 10 minutes: 503, not run, Retry-After. VMs tell each other with their polls (NewsLog, now under the held sessions too). Suspects of one VM are placed on unlike servers.

How a server's end shows was played (srv_crash): plain ones refuse, dark ones are silent, so that they count as no crash.

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -114,6 +114,7 @@
                     let _ = sender.send(*answer);
                 }
             }
+            GatewayCommand::Probe { server, address } => self.probe(server, address),
             GatewayCommand::HangUpIdle => self.connections.hang_up_idle(),
             GatewayCommand::Stop => return ControlFlow::Break(()),
         }
@@ -156,6 +157,15 @@
         });
     }
 
+    fn probe(&self, server: ServerId, address: SocketAddr) {
+        let handle = self.handle.clone();
+        self.metrics.count("probes");
+        tokio::spawn(async move {
+            let result = probe_server(address).await;
+            handle.send(GatewayEvent::Probed { server, result });
+        });
+    }
+
     fn append(&self, record: StoreRecord, at: Option<Offset>) {
         let (store, handle) = (Arc::clone(&self.store), self.handle.clone());
         self.metrics.count("store_appends");
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,7 +9,7 @@
 //! A request passes through these steps: it is admitted ([`admit`]) and sent to a server ([`send`]).
 //! Each run ends in an answer that is delivered, dropped for one of a larger model ([`escalate`]), or
 //! in a fault ([`runs`]), after which the request is sent once more ([`resend`]), waits for a server with
-//! room ([`crowded`]) or is refused ([`finish`]). The store is followed in [`reads`], or through another VM in [`relay`], which
+//! room ([`crowded`]) or is refused ([`finish`]). One under which servers end is not run ([`crashes`]). The store is followed in [`reads`], or through another VM in [`relay`], which
 //! [`store_access`] decides; roll-outs are led in [`rollouts`].
 
 use super::*;
@@ -17,6 +17,7 @@
 mod admit;
 mod answer_tally;
 mod backend_server;
+mod crashes;
 mod crowded;
 mod engine_pressure;
 mod escalate;
@@ -26,15 +27,16 @@
 mod gateway_core;
 mod gateway_document;
 mod gateway_event;
-mod held_marks;
 mod held_sessions;
 mod knowledge_lease;
 mod load_sample;
 mod model_choice;
+mod news_marks;
 mod part_homes;
 mod place_choice;
 mod place_estimate;
 mod pool_pace;
+mod probe_result;
 mod reads;
 mod record_book;
 mod record_store;
@@ -83,6 +85,7 @@
     model_choice::AnswerPrognosis,
     place_choice::{Place, PlaceWish, SoftwareRule, choose_place},
     pool_pace::PoolPace,
+    probe_result::ProbeResult,
     record_book::{KeptRecord, RecordBook},
     record_store::RecordStore,
     relay_message::{FeedAge, PeerCard, PollPurpose, RelayAnswer, RelayPoll},
@@ -107,8 +110,9 @@
 };
 
 use {
+    crashes::CrashWatch,
     crowded::CrowdedCalls,
-    held_marks::HeldMarks,
+    news_marks::NewsMarks,
     part_homes::PartHomes,
     place_estimate::PlaceEstimate,
     relay::RelayState,
--- /dev/null
+++ b/src/gateway/crashes.rs
@@ -0,0 +1,134 @@
+//! Requests that end the backend servers that run them.
+//!
+//! Such a request comes again, at any entry VM, and no attempt of a caller knows of the others. So a
+//! request is known by its fingerprint ([`CrashBook`]), and the VMs tell each other with their polls.
+//!
+//! A broken answer alone shows no crash: servers break off answers and live on, and one that is cut
+//! off is silent. The VM therefore tries to connect. Only a server whose address refuses connections
+//! has ended.
+
+use super::*;
+
+/// What a VM knows of servers that have ended under requests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CrashWatch {
+    pub(super) book: CrashBook,
+    /// How far this VM and others know each other's events.
+    marks: NewsMarks,
+    /// The runs that broke at servers that are being probed.
+    probed: BTreeMap<ServerId, Vec<BrokenRun>>,
+}
+
+#[derive(Clone, Debug)]
+struct BrokenRun {
+    request: RequestNumber,
+    fingerprint: RequestFingerprint,
+    crash: ServerCrash,
+}
+
+impl CrashWatch {
+    /// Returns whether a server has ended, or may have, under a request.
+    fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
+        let mut broken = self.probed.values().flatten();
+        self.book.is_suspect(fingerprint) || broken.any(|run| run.fingerprint == fingerprint)
+    }
+
+    /// Forgets the VMs that this one no longer knows.
+    pub(super) fn keep_marks(&mut self, is_known: impl Fn(&VmId) -> bool) {
+        self.marks.keep(is_known);
+    }
+}
+
+impl Gateway {
+    /// Notes a run whose connection broke, and finds out whether its server has ended.
+    pub(super) fn note_broken(&mut self, now: Millis, request: RequestNumber, run: &RunTrack) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(address) = self.servers.get(&run.server).map(|server| server.entry.address) else {
+            return;
+        };
+        let VmIdentity { vm, incarnation, .. } = &self.identity;
+        let name = format!("{vm} {incarnation} {request} {}", run.attempt);
+        let crash = ServerCrash {
+            server: run.server.clone(),
+            run: xxh3_64(name.as_bytes()),
+            started: run.started,
+            ended: now,
+        };
+        let broken = BrokenRun { request, fingerprint: state.arrival.fingerprint, crash };
+        let runs = self.crashes.probed.entry(run.server.clone()).or_default();
+        runs.push(broken);
+        if runs.len() == 1 {
+            self.emit(GatewayCommand::Probe { server: run.server.clone(), address });
+        }
+    }
+
+    /// Takes in whether a server at which runs broke has ended.
+    pub(super) fn on_probed(&mut self, now: Millis, server: &ServerId, result: ProbeResult) {
+        let runs = self.crashes.probed.remove(server).unwrap_or_default();
+        tracing::info!(%server, ?result, broken_runs = runs.len(), "server probed");
+        if result != ProbeResult::Refused {
+            return;
+        }
+        for BrokenRun { request, fingerprint, crash } in runs {
+            let is_open = self.requests.contains_key(&request);
+            self.crashes.book.crashed(now, fingerprint, crash, is_open);
+            self.log_crash(now, fingerprint, "a server ended while it ran a request");
+        }
+    }
+
+    fn log_crash(&self, now: Millis, fingerprint: RequestFingerprint, message: &'static str) {
+        let book = &self.crashes.book;
+        let servers = book.crashes(fingerprint);
+        let servers: Vec<&str> = servers.iter().map(|crash| crash.server.as_str()).collect();
+        let quarantine_ms = book.quarantine(now, fingerprint).map(|rest| rest.0);
+        tracing::info!(%fingerprint, ?servers, quarantine_ms, "{message}");
+    }
+
+    /// Returns the refusal of a request that is not run, because servers have ended under it.
+    pub(super) fn quarantine_refusal(&self, now: Millis, state: &RoutedRequest) -> Option<Refusal> {
+        let rest = self.crashes.book.quarantine(now, state.arrival.fingerprint)?;
+        let message = "Backend servers ended while they ran this request; it is not run for now.";
+        let refusal = Self::final_refusal(state, RefusalCode::Unavailable, message);
+        let is_not_run = refusal.run == RunState::NotRun;
+        Some(if is_not_run { refusal.with_retry_after(rest) } else { refusal })
+    }
+
+    /// Returns the servers that run another suspect, if a request is one: a server that ends under
+    /// both would not show which of them it was.
+    pub(super) fn servers_of_suspects(&self, state: &RoutedRequest) -> Vec<ServerId> {
+        let fingerprint = state.arrival.fingerprint;
+        if !self.crashes.is_suspect(fingerprint) {
+            return Vec::new();
+        }
+        let others = self.requests.values().filter(|other| {
+            let other = other.arrival.fingerprint;
+            other != fingerprint && self.crashes.is_suspect(other)
+        });
+        others.filter_map(RoutedRequest::open_run).map(|run| run.server.clone()).collect()
+    }
+
+    /// Takes in what another VM tells of requests under which servers have ended.
+    pub(super) fn take_crashes(&mut self, now: Millis, from: PeerName, news: &CrashNews) {
+        for fingerprint in self.crashes.book.take(now, news) {
+            self.log_crash(now, fingerprint, "another VM saw a server end under a request");
+        }
+        self.crashes.marks.note_heard(from, news.last);
+    }
+
+    /// Returns the events that are new to another VM, by the last one that it knows.
+    pub(super) fn crash_news(&self, now: Millis, number: u64) -> CrashNews {
+        self.crashes.book.since(now, number)
+    }
+
+    pub(super) fn crash_news_for(&self, now: Millis, peer: &PeerName) -> CrashNews {
+        self.crash_news(now, self.crashes.marks.told_to(peer))
+    }
+
+    pub(super) fn crashes_heard_from(&self, peer: &PeerName) -> u64 {
+        self.crashes.marks.heard_from(peer)
+    }
+
+    pub(super) fn note_crashes_told(&mut self, peer: PeerName, last: u64) {
+        self.crashes.marks.note_told(peer, last);
+    }
+}
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -73,6 +73,8 @@
 
     pub(super) fn finish(&mut self, now: Millis, request: RequestNumber) {
         if let Some(state) = self.requests.remove(&request) {
+            // A request that was answered whole has no crashes left to tell of.
+            self.crashes.book.tell(state.arrival.fingerprint);
             self.sessions.ended(now, Self::session_hash(&state));
             self.ends.remove(&(state.ends, request));
         }
--- a/src/gateway/gateway_command.rs
+++ b/src/gateway/gateway_command.rs
@@ -63,6 +63,13 @@
         /// The answer.
         answer: Box<RelayAnswer>,
     },
+    /// Try to connect to a backend server, to learn whether it has ended.
+    Probe {
+        /// The server.
+        server: ServerId,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Close the callers' connections on which no request is under way.
     HangUpIdle,
     /// End the process.
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -20,7 +20,8 @@
     pub(super) rollouts: BTreeMap<PoolId, RolloutTrack>,
     pub(super) sessions: SessionVersions,
     pub(super) held: HeldSessions,
-    pub(super) held_marks: HeldMarks,
+    pub(super) held_marks: NewsMarks,
+    pub(super) crashes: CrashWatch,
     pub(super) rollout_end: Option<Offset>,
     pub(super) rollout_append: Option<Millis>,
     pub(super) evidence_next: Millis,
@@ -70,7 +71,8 @@
             rollouts: BTreeMap::new(),
             sessions: SessionVersions::default(),
             held: HeldSessions::default(),
-            held_marks: HeldMarks::default(),
+            held_marks: NewsMarks::default(),
+            crashes: CrashWatch::default(),
             rollout_end: None,
             rollout_append: None,
             evidence_next: Millis(0),
@@ -122,6 +124,7 @@
             GatewayEvent::PeerAnswered { peer, purpose, answer } => {
                 self.on_peer_answer(now, peer, purpose, answer.map(|answer| *answer));
             }
+            GatewayEvent::Probed { server, result } => self.on_probed(now, &server, result),
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
         self.end_overdue(now);
--- a/src/gateway/gateway_event.rs
+++ b/src/gateway/gateway_event.rs
@@ -51,6 +51,13 @@
         /// The answer; none if there was none in time.
         answer: Option<Box<RelayAnswer>>,
     },
+    /// A backend server was probed.
+    Probed {
+        /// The server.
+        server: ServerId,
+        /// What came of it.
+        result: ProbeResult,
+    },
     /// The process was told to end after its work.
     Shutdown,
 }
--- a/src/gateway/held_sessions.rs
+++ b/src/gateway/held_sessions.rs
@@ -7,9 +7,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct HeldSessions {
     known: FxHashSet<u64>,
-    order: VecDeque<u64>,
-    /// The number of the last session that is no longer in `order`.
-    forgotten: u64,
+    log: NewsLog<u64>,
 }
 
 /// What one entry VM tells another about held sessions.
@@ -34,34 +32,22 @@
 
     /// Notes a session.
     pub fn hold(&mut self, session: u64) {
-        if !self.known.insert(session) {
-            return;
-        }
-        self.order.push_back(session);
-        if self.order.len() > Self::LIMIT {
-            self.forget_oldest();
+        if self.known.insert(session)
+            && let Some(oldest) = self.log.push(session, Self::LIMIT)
+        {
+            self.known.remove(&oldest);
         }
     }
 
     /// Forgets all sessions; their numbers are not given again.
     pub fn clear(&mut self) {
-        while !self.order.is_empty() {
-            self.forget_oldest();
-        }
+        while self.log.forget_oldest().is_some() {}
+        self.known.clear();
     }
 
     /// Returns what is new to a VM that knows the sessions up to a number.
     #[must_use]
     pub fn since(&self, number: u64) -> HeldNews {
-        let skipped = number.saturating_sub(self.forgotten) as usize;
-        let sessions = self.order.iter().skip(skipped).copied().collect();
-        HeldNews { sessions, last: self.forgotten + self.order.len() as u64 }
-    }
-
-    fn forget_oldest(&mut self) {
-        if let Some(session) = self.order.pop_front() {
-            self.known.remove(&session);
-            self.forgotten += 1;
-        }
+        HeldNews { sessions: self.log.since(number).copied().collect(), last: self.log.last() }
     }
 }
--- a/src/gateway/held_marks.rs
+++ b/src/gateway/news_marks.rs
@@ -1,26 +1,26 @@
 use super::*;
 
-/// How far this VM and others know each other's held sessions, by the numbers of [`HeldNews`].
+/// How far this VM and others know each other's events, by the numbers of a [`NewsLog`].
 #[derive(Clone, Debug, Default)]
-pub(super) struct HeldMarks {
+pub(super) struct NewsMarks {
     /// The last of this VM's that others are known to have.
     told: BTreeMap<PeerName, u64>,
     /// The last of theirs that this VM has.
     heard: BTreeMap<PeerName, u64>,
 }
 
-impl HeldMarks {
-    /// Returns the last of this VM's sessions that another VM is known to have.
+impl NewsMarks {
+    /// Returns the last of this VM's events that another VM is known to have.
     pub(super) fn told_to(&self, peer: &PeerName) -> u64 {
         self.told.get(peer).copied().unwrap_or_default()
     }
 
-    /// Returns the last of another VM's sessions that this one has.
+    /// Returns the last of another VM's events that this one has.
     pub(super) fn heard_from(&self, peer: &PeerName) -> u64 {
         self.heard.get(peer).copied().unwrap_or_default()
     }
 
-    /// Notes how far another VM has told of its sessions.
+    /// Notes how far another VM has told of its events.
     pub(super) fn note_heard(&mut self, peer: PeerName, last: u64) {
         self.heard.insert(peer, last);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -118,7 +118,7 @@
             if !self.relay.exchanging.insert(card.vm.clone()) {
                 continue;
             }
-            let poll = self.poll_with_held(from.clone(), PollPurpose::Loads, &card);
+            let poll = self.poll_with_news(now, from.clone(), PollPurpose::Loads, &card);
             let centre_vms = self.centre_vms();
             self.ask_peer(&card, RelayPoll { loads: loads.clone(), centre_vms, ..poll });
         }
@@ -148,7 +148,7 @@
             age: self.lease.age(now),
             evidence: evidence.collect(),
             loads: if is_near { self.servers.own_loads() } else { LoadSum::default() },
-            ..self.poll_with_held(from, PollPurpose::Records, &card)
+            ..self.poll_with_news(now, from, PollPurpose::Records, &card)
         };
         self.ask_peer(&card, poll);
         self.relay.asked = Some(AskedPeer { card, sent: now, known: asked });
@@ -186,13 +186,21 @@
         self.emit(GatewayCommand::AskPeer { peer, address, poll: Box::new(poll) });
     }
 
-    /// Returns a poll that tells of the held sessions that are new to who is asked.
-    fn poll_with_held(&self, from: PeerCard, purpose: PollPurpose, asked: &PeerCard) -> RelayPoll {
+    /// Returns a poll that tells of the held sessions and crashes that are new to who is asked.
+    fn poll_with_news(
+        &self,
+        now: Millis,
+        from: PeerCard,
+        purpose: PollPurpose,
+        asked: &PeerCard,
+    ) -> RelayPoll {
         let name = asked.name();
         let last = self.held_marks.heard_from(&name);
         RelayPoll {
             held_sessions: self.held.since(self.held_marks.told_to(&name)),
-            held_known: Some((name, last)),
+            held_known: Some((name.clone(), last)),
+            crashes: self.crash_news_for(now, &name),
+            crashes_known: Some((name.clone(), self.crashes_heard_from(&name))),
             ..RelayPoll::new(from, purpose)
         }
     }
@@ -244,6 +252,8 @@
         if let Some(answer) = result.as_ref().filter(|_| purpose != PollPurpose::Greeting) {
             self.take_held(answer.from.name(), &answer.held_sessions);
             self.held_marks.note_told(answer.from.name(), answer.held_heard);
+            self.take_crashes(now, answer.from.name(), &answer.crashes);
+            self.note_crashes_told(answer.from.name(), answer.crashes_heard);
         }
         match (purpose, peer) {
             (PollPurpose::Records, _) => self.on_records(now, result),
@@ -362,6 +372,7 @@
     pub(super) fn forget_silent_peers(&mut self, now: Millis) {
         self.relay.peers.forget_silent(now);
         self.held_marks.keep(|vm| self.relay.peers.knows(vm));
+        self.crashes.keep_marks(|vm| self.relay.peers.knows(vm));
         let peers = &self.relay.peers;
         self.relay.known.retain(|name, _| peers.knows(&name.vm));
     }
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -32,6 +32,7 @@
         }
         if poll.purpose != PollPurpose::Greeting {
             self.take_held(poll.from.name(), &poll.held_sessions);
+            self.take_crashes(now, poll.from.name(), &poll.crashes);
         }
         self.note_offer(now, &poll);
         for evidence in &poll.evidence {
@@ -95,6 +96,8 @@
             loads: LoadSum::default(),
             held_sessions: HeldNews::default(),
             held_heard: self.held_marks.heard_from(&poll.from.name()),
+            crashes: CrashNews::default(),
+            crashes_heard: self.crashes_heard_from(&poll.from.name()),
             running: now.since(self.begun.unwrap_or(now)),
             centre_vms: self.centre_vms(),
             all_vms: self.known_vms(),
@@ -104,6 +107,7 @@
             cards: Vec::new(),
         };
         let held_sessions = || self.held.since(last_known(poll.held_known.as_ref()));
+        let crashes = || self.crash_news(now, last_known(poll.crashes_known.as_ref()));
         let (loads, own_loads) = (&self.relay.loads, || self.servers.own_loads());
         let answer = match poll.purpose {
             PollPurpose::Greeting => RelayAnswer {
@@ -114,11 +118,13 @@
                 records: self.records.since(last_known(poll.known.as_ref())),
                 loads: loads.all_but(now, &own_loads(), &poll.from.vm),
                 held_sessions: held_sessions(),
+                crashes: crashes(),
                 ..plain
             },
             PollPurpose::Loads => RelayAnswer {
                 loads: loads.of_centre(now, &own_loads()),
                 held_sessions: held_sessions(),
+                crashes: crashes(),
                 ..plain
             },
         };
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -65,6 +65,10 @@
     /// The last of the held sessions of the asked VM, in the start that the asker knows, that the
     /// asker has.
     pub held_known: Option<(PeerName, u64)>,
+    /// The events that are new to who is asked, of requests under which servers have ended.
+    pub crashes: CrashNews,
+    /// The last such event of the asked VM, in the start that the asker knows, that the asker has.
+    pub crashes_known: Option<(PeerName, u64)>,
 }
 
 impl RelayPoll {
@@ -82,6 +86,8 @@
             loads: LoadSum::default(),
             held_sessions: HeldNews::default(),
             held_known: None,
+            crashes: CrashNews::default(),
+            crashes_known: None,
         }
     }
 }
@@ -118,6 +124,10 @@
     pub held_sessions: HeldNews,
     /// The last of the asker's held sessions that who answers has.
     pub held_heard: u64,
+    /// The events that are new to the asker, of requests under which servers have ended.
+    pub crashes: CrashNews,
+    /// The last of the asker's such events that who answers has.
+    pub crashes_heard: u64,
     /// How long who answers has been running.
     pub running: Millis,
     /// The VMs that are known of the data centre of who answers.
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -116,6 +116,7 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         let (pool, is_stream) = (state.pool.clone(), state.route.kind.is_stream());
+        let fingerprint = state.arrival.fingerprint;
         if let Some(server) = self.servers.get_mut(&run.server) {
             server.release(run);
             match outcome {
@@ -150,6 +151,17 @@
             let pace = self.paces.entry(key).or_insert_with(PoolPace::service);
             pace.learn_call(took, load.slots);
         }
+        match outcome {
+            RunOutcome::Whole { head } if head.status < 500 => {
+                self.crashes.book.answered(now, fingerprint);
+            }
+            RunOutcome::Broken {
+                fault: AttemptFault::Closed | AttemptFault::Truncated, ..
+            } => {
+                self.note_broken(now, request, run);
+            }
+            _ => {}
+        }
         self.note_evidence(&pool, run, outcome);
     }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -19,6 +19,9 @@
         if state.ends.since(now).0 < Self::LEAST_TIME_MS {
             return Err(Self::timeout_refusal(state));
         }
+        if let Some(refusal) = self.quarantine_refusal(now, state) {
+            return Err(refusal);
+        }
         let Some((place, side)) = self.find_place(now, state) else {
             return Err(Self::no_server_refusal(state));
         };
@@ -34,7 +37,8 @@
         state: &RoutedRequest,
     ) -> Option<(Place, Option<VersionSide>)> {
         let (side, software) = self.software_rule(now, state);
-        let tried = state.tried();
+        let mut tried = state.tried();
+        tried.extend(self.servers_of_suspects(state));
         let pace = self.pace(state);
         let parts = state.cached_parts();
         let wish = PlaceWish {
--- a/src/health.rs
+++ b/src/health.rs
@@ -2,11 +2,14 @@
 //!
 //! [`ServerTable`] keeps the servers of each pool ordered by load, so that the choice of one does
 //! not look at all. [`PaceBook`] compares servers with their pool; [`AttemptBudget`] bounds hedges
-//! and retries.
+//! and retries. [`CrashBook`] finds requests that end the servers that run them.
 
 use super::*;
 
 mod attempt_budget;
+mod crash_book;
+mod crash_news;
+mod news_log;
 mod pace_book;
 mod peer_share;
 mod pool_servers;
@@ -19,6 +22,9 @@
 
 pub use {
     attempt_budget::AttemptBudget,
+    crash_book::{CrashBook, ServerCrash},
+    crash_news::{CrashNews, CrashNotice},
+    news_log::NewsLog,
     pace_book::{PaceBook, PaceKey},
     quantile_estimate::QuantileEstimate,
     request_fingerprint::RequestFingerprint,
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -24,6 +24,7 @@
 mod progress_limit;
 pub(crate) mod reply;
 mod server_links;
+mod server_probe;
 mod server_run;
 mod sse_scanner;
 mod stream_order;
@@ -40,6 +41,7 @@
     gateway_desk::{GatewayDesk, GatewayFlags, GatewayShared, RELAY_PATH, RoutedCall},
     operator_desk::{OPERATOR_PATH, OperatorDesk},
     peer_desk::{PEER_PATH, PeerDesk},
+    server_probe::probe_server,
     sse_scanner::SseScanner,
     stream_order::{EventPlace, StreamOrder},
 };
--- a/src/traffic/server_links.rs
+++ b/src/traffic/server_links.rs
@@ -35,7 +35,7 @@
 impl ServerLink {
     /// The time in which a server in reach accepts a connection: many times the way there and back
     /// (3 ms), short against the shortest objective (100 ms) that a second try may still meet.
-    const CONNECT_TIMEOUT_MS: u64 = 250;
+    pub(super) const CONNECT_TIMEOUT_MS: u64 = 250;
     /// The time in which a server decides whether it takes a connection.
     const SETTLE_MS: u64 = 2;
     /// The longest wait for that decision: a small part of the shortest objective (100 ms).
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -12,7 +12,10 @@
 
 use crashing_pool::CrashingPool;
 use gateway_crowd::GatewayCrowd;
-use guavapass::{health::RequestFingerprint, units::Millis};
+use guavapass::{
+    health::{CrashBook, RequestFingerprint},
+    units::Millis,
+};
 
 const CENTRES: [&str; 2] = ["norte", "sur"];
 /// The entry VMs of a data centre.
@@ -182,3 +185,58 @@
     pool.run(1_000);
     assert_eq!(pool.answers_of(POPULAR), 1, "no server has ended");
 }
+
+/// Returns the requests that were refused because servers had ended under them.
+fn quarantined(pool: &CrashingPool) -> Vec<RequestFingerprint> {
+    let is_quarantine = |refusal: &guavapass::control::Refusal| refusal.message.contains("ended");
+    let refused = pool.refused.iter().filter(|(_, refusal)| is_quarantine(refusal));
+    refused.map(|(fingerprint, _)| *fingerprint).collect()
+}
+
+#[test]
+fn requests_that_shared_servers_with_a_crashing_one_are_not_blamed() {
+    for vms in [1, 8] {
+        let mut pool = pool();
+        pool.work_ms = 400;
+        // 200 a second on six servers: 13 run beside the killer wherever it goes, and each of them
+        // is sent again where others are too.
+        for step in 0..2_000_usize {
+            pool.call(step % vms, "/plan/1", RequestFingerprint(10_000 + step as u64));
+            if step % 100 == 0 {
+                pool.call(step / 100 % vms, "/plan/1", KILLER);
+            }
+            pool.run(5);
+        }
+        pool.run(3_000);
+        assert_eq!(pool.crashes_under(KILLER), CrashBook::CRASHES, "the third one told them apart");
+        let blamed = quarantined(&pool);
+        assert!(blamed.iter().all(|fingerprint| *fingerprint == KILLER), "{blamed:?}");
+    }
+}
+
+#[test]
+fn two_crashing_requests_stopped_together() {
+    const OTHER: RequestFingerprint = RequestFingerprint(0xdeae);
+    let mut pool = pool();
+    pool.killers.insert(OTHER);
+    let vms = pool.crowd.len();
+    for step in 0..40 {
+        pool.call(step % vms, "/plan/1", KILLER);
+        pool.call(step % vms, "/plan/1", OTHER);
+        pool.run(500);
+    }
+    for killer in [KILLER, OTHER] {
+        let later = pool.seen_after_crash(killer, 3, CONTACT);
+        assert!(later <= LATER_SENDS, "{killer}: {later} sends after the third crash");
+    }
+}
+
+#[test]
+fn crashing_request_refused_by_vms_without_the_store() {
+    let mut pool = pool();
+    for vm in 0..pool.crowd.len() {
+        pool.crowd.moods.insert(vm, gateway_crowd::StoreMood::Silent);
+    }
+    come_again(&mut pool, "/free/1", 20);
+    assert_stopped(&pool);
+}
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -7,6 +7,7 @@
 use gateway_world::*;
 use guavapass::{
     gateway::*,
+    health::CrashNews,
     ids::{CallId, Incarnation, Offset, VmId},
     units::Millis,
 };
@@ -47,6 +48,8 @@
         loads: LoadSum::default(),
         held_sessions: HeldNews::default(),
         held_heard: 0,
+        crashes: CrashNews::default(),
+        crashes_heard: 0,
         running: Millis(60_000),
         centre_vms: 3,
         all_vms: 6,
@@ -241,6 +244,8 @@
         loads: LoadSum::default(),
         held_sessions: HeldNews::default(),
         held_known: None,
+        crashes: CrashNews::default(),
+        crashes_known: None,
     };
     let answers = |world: &GatewayWorld| -> Vec<RelayAnswer> {
         let answers = world.commands.iter().filter_map(|command| match command {
--- a/tests/support/crashing_pool.rs
+++ b/tests/support/crashing_pool.rs
@@ -150,6 +150,16 @@
     fn obey(&mut self, vm: usize, command: GatewayCommand) {
         match command {
             GatewayCommand::Start(order) => self.take_run(vm, *order),
+            GatewayCommand::Probe { server, .. } => {
+                let now = self.crowd.now;
+                let state = self.servers.entry(server.clone()).or_default();
+                let (after, result) = match (state.is_cut, now < state.down_until) {
+                    (true, _) => (Self::CONNECT_TIMEOUT_MS, ProbeResult::Silent),
+                    (false, true) => (1, ProbeResult::Refused),
+                    (false, false) => (1, ProbeResult::Listens),
+                };
+                self.crowd.tell(vm, after, GatewayEvent::Probed { server, result });
+            }
             GatewayCommand::Cancel { request, attempt } => {
                 for server in self.servers.values_mut() {
                     server.runs.retain(|run| {
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, Weak},
     time::Duration,
 };
 
@@ -30,6 +30,8 @@
     Drip,
     /// Sends the events of a stream with these numbers, and a whole end.
     Events(&'static [u64]),
+    /// Ends like a process that crashes: nothing listens any more, all connections close.
+    End,
     /// Sends bytes without end, until its caller closes.
     Flood(FloodPlace),
 }
@@ -79,6 +81,10 @@
     seen: Vec<SeenRequest>,
     hung_up: usize,
     open: usize,
+    /// Its connections, to close them when it ends.
+    streams: Vec<Weak<TcpStream>>,
+    is_ending: bool,
+    has_ended: bool,
 }
 
 #[derive(Clone)]
@@ -102,13 +108,20 @@
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = accepting.clone();
+                if server.script.lock().unwrap().is_ending {
+                    break;
+                }
                 if server.takes_reset() {
                     let linger = Some(Duration::ZERO);
                     socket2::SockRef::from(&stream).set_linger(linger).unwrap();
                     continue;
                 }
+                let stream = Arc::new(stream);
+                server.script.lock().unwrap().streams.push(Arc::downgrade(&stream));
                 std::thread::spawn(move || server.serve(&stream));
             }
+            drop(listener);
+            accepting.script.lock().unwrap().has_ended = true;
         });
         server
     }
@@ -156,7 +169,13 @@
             let next = {
                 let mut script = self.script.lock().unwrap();
                 script.seen.push(request.clone());
-                if script.moves.is_empty() { ServerMove::Answer } else { script.moves.remove(0) }
+                let ends = request.line.contains("/crash");
+                let is_scripted = !script.moves.is_empty();
+                match (ends, is_scripted) {
+                    (true, _) => ServerMove::End,
+                    (false, true) => script.moves.remove(0),
+                    (false, false) => ServerMove::Answer,
+                }
             };
             if !self.act(stream, &request, next) {
                 return;
@@ -179,6 +198,7 @@
                 stream.write_all(text.as_bytes()).is_ok()
             }
             ServerMove::Close => false,
+            ServerMove::End => self.end(),
             ServerMove::Slow(pause) => self.slow(stream, request, pause),
             ServerMove::Drip => self.drip(stream, request),
             ServerMove::Events(ids) => {
@@ -196,6 +216,23 @@
         }
     }
 
+    fn end(&self) -> bool {
+        self.script.lock().unwrap().is_ending = true;
+        let _ = TcpStream::connect(self.address);
+        while !self.has_ended() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        for stream in self.script.lock().unwrap().streams.drain(..).filter_map(|s| s.upgrade()) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        false
+    }
+
+    /// Returns whether the server has ended.
+    pub fn has_ended(&self) -> bool {
+        self.script.lock().unwrap().has_ended
+    }
+
     fn answer(&self, mut stream: &TcpStream, status: &str, id: &str, body: &str) -> bool {
         let text = format!(
             "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
