--- a/tests/support/crashing_pool.rs
+++ b/tests/support/crashing_pool.rs
@@ -122,7 +122,9 @@
     /// Closes the connections of the runs that are open, while their servers live on.
     pub fn close_runs(&mut self) {
         let servers: Vec<ServerId> = self.servers.keys().cloned().collect();
-        servers.iter().for_each(|server| self.break_runs(server));
+        for server in &servers {
+            self.break_runs(server);
+        }
     }
 
     /// Returns the runs of a request that reached servers later than some time after they had ended
