Keep a caller's connection known for 10 s after either side closed it

Cause: ConnectionTable held a weak reference, and the only strong one ended with the watch of the connection. When a stopping VM hung up an idle connection, a request that xitca-web had read in that moment found no connection and was taken for one on the status address, whose unknown paths are 404. Besides, hanging up marked the connection as closed by its caller, which would have ended that request's exchange as well.

Now the table keeps a connection for 10 s after its watch has ended, and only a close that was seen from the caller's side counts as one.

--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -1,5 +1,5 @@
 use super::*;
-use std::{io, net::TcpListener, sync::Weak};
+use std::{io, net::TcpListener, sync::OnceLock};
 use tokio::io::Interest;
 use xitca_io::net::Stream;
 use xitca_server::net::{IntoListener, Listen};
@@ -53,7 +53,8 @@
             () = connection.hang_up.notified() => {
                 // xitca-web sees the end of input, sends what it still has and closes.
                 let _ = socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Read);
-                break;
+                connection.end_watch();
+                return;
             }
         };
         match ready {
@@ -67,14 +68,16 @@
         }
     }
     connection.close();
+    connection.end_watch();
 }
 
 const IDLE_LIMIT: Duration = Duration::from_secs(90);
 
-/// The open connections of callers.
+/// The connections of callers, those included that were closed lately: a request may have been read
+/// from one before.
 #[derive(Debug, Default)]
 pub struct ConnectionTable {
-    connections: Mutex<FxHashMap<SocketAddr, Weak<CallerConnection>>>,
+    connections: Mutex<FxHashMap<SocketAddr, Arc<CallerConnection>>>,
 }
 
 impl ConnectionTable {
@@ -82,9 +85,9 @@
         let connection = Arc::new(CallerConnection::default());
         if let Ok(mut connections) = self.connections.lock() {
             if connections.len() == connections.capacity() {
-                connections.retain(|_, connection| connection.strong_count() > 0);
+                connections.retain(|_, connection| !connection.is_forgotten());
             }
-            connections.insert(address, Arc::downgrade(&connection));
+            connections.insert(address, Arc::clone(&connection));
         }
         connection
     }
@@ -92,21 +95,22 @@
     /// Lets each connection close once its last answer has been sent.
     pub fn hang_up(&self) {
         let Ok(connections) = self.connections.lock() else { return };
-        let open = connections.values().filter_map(Weak::upgrade);
+        let open = connections.values().filter(|connection| connection.is_watched());
         open.for_each(|connection| connection.hang_up.notify_one());
     }
 
     /// Closes the connections on which no request is under way.
     pub fn hang_up_idle(&self) {
         let Ok(connections) = self.connections.lock() else { return };
-        let idle = connections.values().filter_map(Weak::upgrade).filter(|open| !open.is_busy());
+        let open = connections.values().filter(|connection| connection.is_watched());
+        let idle = open.filter(|connection| !connection.is_busy());
         idle.for_each(|connection| connection.hang_up.notify_one());
     }
 
     /// Returns the connection of a caller.
     #[must_use]
     pub fn get(&self, address: &SocketAddr) -> Option<Arc<CallerConnection>> {
-        self.connections.lock().ok()?.get(address)?.upgrade()
+        self.connections.lock().ok()?.get(address).cloned()
     }
 }
 
@@ -117,9 +121,27 @@
     notify: tokio::sync::Notify,
     hang_up: tokio::sync::Notify,
     busy: AtomicU64,
+    /// When either side closed it.
+    watch_ended: OnceLock<Instant>,
 }
 
 impl CallerConnection {
+    /// The time for which a request may still come from a connection that is closed: more than one
+    /// that was read takes to reach its desk.
+    const LINGER: Duration = Duration::from_secs(10);
+
+    fn end_watch(&self) {
+        let _ = self.watch_ended.set(Instant::now());
+    }
+
+    fn is_watched(&self) -> bool {
+        self.watch_ended.get().is_none()
+    }
+
+    fn is_forgotten(&self) -> bool {
+        self.watch_ended.get().is_some_and(|at| at.elapsed() >= Self::LINGER)
+    }
+
     fn close(&self) {
         self.closed.store(true, Ordering::Release);
         self.notify.notify_waiters();
