Compare a new version's answers with the old one's before its share rises

Cause, class: guards that pass when evidence is lacking, and a yardstick that moves with the fault. - A stage was raised because its time had come, with 13 answers and none of them proof; completed is final. - An answer counted as slow against what its server was expected to take. That follows the server's queue and slowness, so that a slow version was expected to be slow.

Now the times to the first event and to the end are ranked among those of the old version, by route and model, in the same stage (SideTimes). A share rises only on a mean rank that speaks for the version; 2.5 standard errors above 0.6 withdraw it; one that nothing has shown to be sound when the order's time is over is withdrawn. Callers that leave count with the time they waited. Answers of servers that are still cold do not count. Hubs tell each other with the polls that exchange loads, at most each 400 ms. The trial takes 0.75 instead of 0.55 of the exposure, stages are 0.3, 0.5, 1. A record is logged with the evidence behind it.

gateway_rollouts: version_without_answers_is_not_raised, slow_version_*, version_whose_callers_leave_* failed before. Two tests got traffic in their set-up: they had a version completed without a single answer, which was the fault. side_times: unit and property tests.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -64,11 +64,13 @@
 mod session_versions;
 mod sessions;
 mod shared_loads;
+mod side_times;
 mod store_access;
 mod store_error;
 mod store_feed;
 mod store_record;
 mod team_shares;
+mod time_sketch;
 
 pub use {
     answer_tally::AnswerTally,
@@ -104,9 +106,11 @@
     server_entry::{ServerChange, ServerEntry},
     session_versions::SessionVersions,
     shared_loads::SharedLoads,
+    side_times::{PaceVerdict, SideTimes},
     store_error::StoreError,
     store_feed::{FeedAnswer, FeedRead, FeedStep, StoreFeed},
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
+    time_sketch::{PaceMeasure, TimeSketch, WorkKind},
 };
 
 use {
--- a/src/gateway/answer_tally.rs
+++ b/src/gateway/answer_tally.rs
@@ -1,5 +1,7 @@
+use super::*;
+
 /// Good and bad answers of a version.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerTally {
     /// The good ones.
     pub good: u32,
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -15,6 +15,8 @@
     pub others: Option<SentLoad>,
     /// The newest load that it has told.
     pub load: Option<DatedLoad>,
+    /// Until when it is slow after its start.
+    pub cold_until: Millis,
     /// The share of its recent answers that were failures.
     pub fail_share: f64,
     /// Until when it gets no requests but one probe, after it could not be reached.
@@ -51,6 +53,7 @@
             backlog_ms: 0.0,
             others: None,
             load: None,
+            cold_until: Millis(0),
             fail_share: 0.0,
             avoid_until: Millis(0),
             misses: 0,
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -13,6 +13,7 @@
             waited_ms = now.since(state.received).0,
             "the caller has gone"
         );
+        self.note_left(now, request);
         self.drop_open_run(request);
         self.finish(now, request);
     }
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -144,6 +144,9 @@
             ServerChange::Said(entry) => {
                 let (server, pool) = (entry.id.clone(), entry.pool.clone());
                 let news = self.servers.said(entry.as_ref().clone());
+                if let Some(known) = self.servers.get_mut(&entry.id) {
+                    known.cold_until = now + entry.cold;
+                }
                 let software = &entry.software;
                 match news {
                     ServerNews::Joined => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -114,13 +114,15 @@
         let Some(from) = self.relay.card.clone() else { return };
         let partners = self.relay.peers.exchange_partners(now, &self.identity.data_centre);
         let loads = self.relay.loads.of_centre(now, &self.servers.own_loads());
+        let evidence = self.own_evidence(now);
         for card in partners {
             if !self.relay.exchanging.insert(card.vm.clone()) {
                 continue;
             }
             let poll = self.poll_with_news(now, from.clone(), PollPurpose::Loads, &card);
             let centre_vms = self.centre_vms();
-            self.ask_peer(&card, RelayPoll { loads: loads.clone(), centre_vms, ..poll });
+            let (loads, evidence) = (loads.clone(), evidence.clone());
+            self.ask_peer(&card, RelayPoll { centre_vms, evidence, loads, ..poll });
         }
     }
 
@@ -138,15 +140,14 @@
         let is_followed = self.relay.source.as_ref() == Some(&card.vm) || self.is_reading(now);
         let wait = if is_followed { Millis(Self::RELAY_WAIT_MS) } else { Millis(0) };
         let known = self.relay.known.get(&card.name()).map(|change| (card.name(), *change));
-        let evidence =
-            self.rollouts.values().filter_map(|track| track.own_evidence(&self.identity));
+        let evidence = self.own_evidence(now);
         let asked = known.as_ref().map(|(name, _)| name.clone());
         let is_near = card.data_centre == from.data_centre;
         let poll = RelayPoll {
             known,
             wait,
             age: self.lease.age(now),
-            evidence: evidence.collect(),
+            evidence,
             loads: if is_near { self.servers.own_loads() } else { LoadSum::default() },
             ..self.poll_with_news(now, from, PollPurpose::Records, &card)
         };
@@ -154,6 +155,12 @@
         self.relay.asked = Some(AskedPeer { card, sent: now, known: asked });
     }
 
+    /// Returns what this VM and its followers have seen of versions that are brought in.
+    fn own_evidence(&mut self, now: Millis) -> Vec<EvidenceRecord> {
+        let identity = &self.identity;
+        self.rollouts.values_mut().filter_map(|track| track.own_evidence(now, identity)).collect()
+    }
+
     /// Notes whether this VM is the hub of its data centre.
     fn note_hub(&mut self, now: Millis, own: &PeerCard) {
         let hub = self.relay.peers.hub(now, own).map(|card| card.vm.clone());
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -36,8 +36,10 @@
         }
         self.note_offer(now, &poll);
         for evidence in &poll.evidence {
-            if let Some(track) = self.rollouts.get_mut(&evidence.pool) {
-                track.take_follower(evidence);
+            match self.rollouts.get_mut(&evidence.pool) {
+                Some(track) if poll.purpose == PollPurpose::Loads => track.take(evidence),
+                Some(track) => track.take_follower(evidence),
+                None => {}
             }
         }
         self.relay.waiting.push(WaitingPoll { call, poll, arrived: now });
--- a/src/gateway/rollout_order.rs
+++ b/src/gateway/rollout_order.rs
@@ -59,4 +59,10 @@
     pub good: u32,
     /// The bad answers since that start.
     pub bad: u32,
+    /// The answers of the old version since that start.
+    #[serde(default)]
+    pub old: AnswerTally,
+    /// How long answers took in the newest stage that the VM knows; none if they were told lately.
+    #[serde(default)]
+    pub times: Option<SideTimes>,
 }
--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -32,25 +32,60 @@
     pub is_recorded: bool,
     own: AnswerTally,
     reported: AnswerTally,
+    /// How long answers took in this stage, as this VM has seen it.
+    times: SideTimes,
+    /// When other VMs may be told of these times again.
+    times_next: Millis,
     /// What the VMs have seen for which this one reads the store.
-    followers: BTreeMap<(VmId, Incarnation), AnswerTally>,
-    others: BTreeMap<(VmId, Incarnation), AnswerTally>,
+    followers: BTreeMap<(VmId, Incarnation), VersionEvidence>,
+    others: BTreeMap<(VmId, Incarnation), VersionEvidence>,
     old: AnswerTally,
     /// How many times the share has been raised, by the store's records.
     stage: u8,
     raised: Millis,
+    /// How the times of all VMs compare, and when they were last compared.
+    pace: (Millis, PaceVerdict),
+}
+
+/// What another VM has seen.
+#[derive(Clone, Debug, Default)]
+struct VersionEvidence {
+    tally: AnswerTally,
+    old: AnswerTally,
+    times: SideTimes,
+}
+
+impl VersionEvidence {
+    fn take(&mut self, record: &EvidenceRecord) {
+        self.tally = AnswerTally { good: record.good, bad: record.bad };
+        self.old = record.old;
+        let newer = record.times.as_ref().filter(|times| times.stage >= self.times.stage);
+        if let Some(times) = newer {
+            self.times.clone_from(times);
+        }
+    }
 }
 
 impl RolloutTrack {
     /// The part of the permitted exposure that is used before the version has proved itself; the
     /// rest is for the rise of the share and for VMs that hear of a withdrawal late.
-    const TRIAL_PART: f64 = 0.55;
+    const TRIAL_PART: f64 = 0.75;
     /// How long a trial waits before it takes sessions that are not known: VMs tell each other every
     /// 100 ms of those under way, over three hops, and learn of the order within about as long.
     pub const SETTLE_MS: u64 = 1_000;
     /// The parts of the roll-out's time from which the share is raised, and its values. The first
     /// rise lies behind the middle, before which sessions may not change their version.
-    const STAGES: [(f64, f64); 3] = [(0.56, 0.3), (0.62, 0.6), (0.67, 1.0)];
+    const STAGES: [(f64, f64); 3] = [(0.56, 0.3), (0.62, 0.5), (0.67, 1.0)];
+    /// The least part of the time between two rises: no more than one may rest on the same answers.
+    const STAGE_PART: f64 = 0.05;
+    /// The part of the time that a stage has at least to show that the version is sound.
+    const PROOF_PART: f64 = 0.25;
+    /// The stages in which the versions are compared by the times of their answers.
+    const COMPARED_STAGES: u8 = 3;
+    /// The pause between two comparisons.
+    const COMPARE_PAUSE_MS: u64 = 100;
+    /// The pause before other VMs are told of times again: they are some hundred bytes.
+    const TIMES_PAUSE_MS: u64 = 400;
     /// The part of the time for which the old servers have had no new work before it is completed.
     const IDLE_PART: f64 = 0.12;
     /// The part of the time after which the roll-out is completed: the longest streams that
@@ -73,7 +108,7 @@
 
     /// Returns a roll-out that this VM has just learned of.
     #[must_use]
-    pub const fn new(now: Millis, order: RolloutOrder) -> Self {
+    pub fn new(now: Millis, order: RolloutOrder) -> Self {
         Self {
             order,
             learned: now,
@@ -82,11 +117,14 @@
             is_recorded: false,
             own: AnswerTally { good: 0, bad: 0 },
             reported: AnswerTally { good: 0, bad: 0 },
+            times: SideTimes::default(),
+            times_next: now,
             followers: BTreeMap::new(),
             others: BTreeMap::new(),
             old: AnswerTally { good: 0, bad: 0 },
             stage: 0,
             raised: now,
+            pace: (now, PaceVerdict::default()),
         }
     }
 
@@ -135,15 +173,69 @@
         if stage > self.stage {
             self.stage = stage;
             self.raised = now;
+            self.times = SideTimes::of_stage(stage);
+            self.times_next = now;
+            self.pace = (now, PaceVerdict::default());
         }
     }
 
-    /// Returns the next stage, if it is due.
+    /// Returns the next stage, if its time has come and the answers speak for the version.
     #[must_use]
     pub fn due_stage(&self, now: Millis) -> Option<u8> {
         let (from, _) = Self::STAGES.get(usize::from(self.stage))?;
-        let is_due = self.state == RolloutState::Running && self.progress(now) >= *from;
-        is_due.then_some(self.stage + 1)
+        let is_running = self.state == RolloutState::Running;
+        let is_proven = !self.is_compared() || self.pace.1.is_sound();
+        let is_due = self.progress(now) >= *from && self.rested(now) >= Self::STAGE_PART;
+        (is_running && is_proven && is_due).then_some(self.stage + 1)
+    }
+
+    /// Returns whether the versions are compared by how long their answers take: as long as the new
+    /// one has at most half of the work, so that it is not slower for having more to do.
+    const fn is_compared(&self) -> bool {
+        self.stage < Self::COMPARED_STAGES
+    }
+
+    /// Returns whether an answer's time is to be counted.
+    #[must_use]
+    pub const fn counts_times(&self) -> bool {
+        matches!(self.state, RolloutState::Running) && self.is_compared()
+    }
+
+    /// Counts how long an answer took.
+    pub fn count_time(&mut self, side: VersionSide, kind: WorkKind, took: Millis) {
+        self.times.add(side, kind, took);
+    }
+
+    /// Returns the part of the old version's answers of a kind that took less time.
+    #[must_use]
+    pub fn rank(&self, kind: WorkKind, took: Millis) -> Option<f64> {
+        self.sum_times().old.rank(kind, took)
+    }
+
+    /// Compares the times of all VMs anew, if that was not done lately.
+    pub fn compare(&mut self, now: Millis) -> PaceVerdict {
+        let (at, verdict) = self.pace;
+        if !self.counts_times() || now.since(at).0 < Self::COMPARE_PAUSE_MS {
+            return verdict;
+        }
+        let verdict = self.sum_times().verdict();
+        self.pace = (now, verdict);
+        verdict
+    }
+
+    /// Returns how the versions compared last.
+    #[must_use]
+    pub const fn pace(&self) -> PaceVerdict {
+        self.pace.1
+    }
+
+    /// Returns how long answers took in this stage, as far as is known of all VMs.
+    fn sum_times(&self) -> SideTimes {
+        let mut sum = self.times.clone();
+        for evidence in self.followers.values().chain(self.others.values()) {
+            sum.add_all(&evidence.times);
+        }
+        sum
     }
 
     /// Returns the side on which a session's requests run; the same on every VM.
@@ -181,29 +273,50 @@
 
     /// Takes in what another VM has seen.
     pub fn take(&mut self, evidence: &EvidenceRecord) {
-        let tally = AnswerTally { good: evidence.good, bad: evidence.bad };
-        self.others.insert((evidence.vm.clone(), evidence.incarnation), tally);
+        if evidence.target != self.order.target {
+            return;
+        }
+        let key = (evidence.vm.clone(), evidence.incarnation);
+        self.followers.remove(&key);
+        self.others.entry(key).or_default().take(evidence);
     }
 
     /// Takes in what a VM has seen for which this one reads the store.
     pub fn take_follower(&mut self, evidence: &EvidenceRecord) {
         if evidence.target == self.order.target {
-            let tally = AnswerTally { good: evidence.good, bad: evidence.bad };
-            self.followers.insert((evidence.vm.clone(), evidence.incarnation), tally);
+            let key = (evidence.vm.clone(), evidence.incarnation);
+            self.others.remove(&key);
+            self.followers.entry(key).or_default().take(evidence);
         }
     }
 
     /// Returns what this VM and its followers have seen, if that is anything.
     #[must_use]
-    pub fn own_evidence(&self, identity: &VmIdentity) -> Option<EvidenceRecord> {
-        let gathered = self.gathered();
-        let has_any = !self.is_over() && gathered != AnswerTally::default();
-        has_any.then(|| self.evidence(identity, gathered))
+    pub fn own_evidence(&mut self, now: Millis, identity: &VmIdentity) -> Option<EvidenceRecord> {
+        let (gathered, times) = (self.gathered(), self.due_times(now));
+        let has_any = !self.is_over() && (gathered != AnswerTally::default() || times.is_some());
+        has_any.then(|| EvidenceRecord { times, ..self.evidence(identity, gathered) })
+    }
+
+    /// Returns the times of this VM's answers and its followers', if others are to be told now.
+    fn due_times(&mut self, now: Millis) -> Option<SideTimes> {
+        if !self.counts_times() || now < self.times_next {
+            return None;
+        }
+        self.times_next = now + Millis(Self::TIMES_PAUSE_MS);
+        let times = self.gathered_times();
+        (!times.is_empty()).then_some(times)
+    }
+
+    fn gathered_times(&self) -> SideTimes {
+        let mut sum = self.times.clone();
+        self.followers.values().for_each(|evidence| sum.add_all(&evidence.times));
+        sum
     }
 
     /// Returns what this VM and its followers have seen.
     fn gathered(&self) -> AnswerTally {
-        self.followers.values().fold(self.own, |sum, tally| sum + *tally)
+        self.followers.values().fold(self.own, |sum, evidence| sum + evidence.tally)
     }
 
     fn evidence(&self, identity: &VmIdentity, tally: AnswerTally) -> EvidenceRecord {
@@ -214,29 +327,49 @@
             target: self.order.target.clone(),
             good: tally.good,
             bad: tally.bad,
+            old: self.followers.values().fold(self.old, |sum, evidence| sum + evidence.old),
+            times: None,
         }
     }
 
+    /// Returns what all VMs have seen of the old version, as far as is known.
+    fn sum_old(&self) -> AnswerTally {
+        let all = self.followers.values().chain(self.others.values());
+        all.fold(self.old, |sum, evidence| sum + evidence.old)
+    }
+
     /// Returns what all VMs have seen, as far as is known.
     #[must_use]
     pub fn sum(&self) -> AnswerTally {
-        self.others.values().fold(self.gathered(), |sum, tally| sum + *tally)
+        self.others.values().fold(self.gathered(), |sum, evidence| sum + evidence.tally)
     }
 
     /// Returns whether the evidence speaks against the version.
     #[must_use]
     pub fn is_bad(&self) -> bool {
         let sum = self.sum();
-        let allowed = Self::BAD_SHARE + 2.0 * (self.old + Self::OLD_PRIOR).bad_share();
-        sum.bad >= Self::LEAST_BAD && sum.bad_share() > allowed.min(0.5)
+        let allowed = Self::BAD_SHARE + 2.0 * (self.sum_old() + Self::OLD_PRIOR).bad_share();
+        let fails = sum.bad >= Self::LEAST_BAD && sum.bad_share() > allowed.min(0.5);
+        fails || self.pace.1.is_slow()
+    }
+
+    /// Returns whether the operator's time is over and nothing has shown that the version is sound.
+    #[must_use]
+    pub fn is_unproven(&self, now: Millis) -> bool {
+        let had_time = self.progress(now) >= 1.0 && self.rested(now) >= Self::PROOF_PART;
+        self.counts_times() && had_time && !self.pace.1.is_sound()
+    }
+
+    /// Returns the part of the roll-out's time that has passed since its share was last raised.
+    fn rested(&self, now: Millis) -> f64 {
+        now.since(self.raised).0 as f64 / self.order.duration.0.max(1) as f64
     }
 
     /// Returns whether the version has replaced the old one for long enough.
     #[must_use]
     pub fn is_due(&self, now: Millis) -> bool {
         let is_raised = usize::from(self.stage) == Self::STAGES.len();
-        let idle = now.since(self.raised).0 as f64 / self.order.duration.0.max(1) as f64;
-        let is_idle = is_raised && idle >= Self::IDLE_PART;
+        let is_idle = is_raised && self.rested(now) >= Self::IDLE_PART;
         self.state == RolloutState::Running && is_idle && self.progress(now) >= Self::COMPLETE_AT
     }
 
@@ -249,7 +382,8 @@
             return None;
         }
         self.reported = gathered;
-        Some(self.evidence(identity, gathered))
+        let times = Some(self.gathered_times()).filter(|times| !times.is_empty());
+        Some(EvidenceRecord { times, ..self.evidence(identity, gathered) })
     }
 
     /// Returns the state's record for the store.
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -95,7 +95,7 @@
         let is_own =
             evidence.vm == self.identity.vm && evidence.incarnation == self.identity.incarnation;
         let Some(track) = self.rollouts.get_mut(&evidence.pool) else { return };
-        if !is_own && track.order.target == evidence.target {
+        if !is_own {
             track.take(evidence);
         }
     }
@@ -109,6 +109,53 @@
         track.count(side, RolloutTrack::is_slow(took, run.expected));
     }
 
+    /// Counts how long an answer took, or how long at least if its caller has gone.
+    pub(super) fn note_time(
+        &mut self,
+        request: RequestNumber,
+        run: &RunTrack,
+        measure: PaceMeasure,
+        took: Millis,
+        is_whole: bool,
+    ) {
+        let Some(state) = self.requests.get(&request) else { return };
+        let Some(track) = self.rollouts.get_mut(&state.pool) else { return };
+        let is_compared = track.counts_times() && !run.is_cold;
+        let Some(side) = run.side.filter(|_| is_compared) else { return };
+        let kind = WorkKind::of(&state.route.name, run.model.as_ref(), measure);
+        if side == VersionSide::Old && is_whole {
+            track.count_time(side, kind, took);
+            return;
+        }
+        let rank = track.rank(kind, took);
+        // The whole time would have been longer, so that a small part of it shows nothing.
+        let counts = is_whole || rank.is_some_and(|rank| rank > 0.5);
+        if counts {
+            track.count_time(side, kind, took);
+        }
+        tracing::info!(
+            request = request.0,
+            attempt = run.attempt.0,
+            ?side,
+            ?measure,
+            took_ms = took.0,
+            rank,
+            counts,
+            "answer compared for a roll-out"
+        );
+    }
+
+    /// Counts how long a run has taken whose caller has gone.
+    pub(super) fn note_left(&mut self, now: Millis, request: RequestNumber) {
+        let run = self.requests.get(&request).and_then(RoutedRequest::open_run);
+        let Some(run) = run.cloned() else { return };
+        let took = now.since(run.started);
+        if run.stage == RunStage::Waiting {
+            self.note_time(request, &run, PaceMeasure::First, took, false);
+        }
+        self.note_time(request, &run, PaceMeasure::Whole, took, false);
+    }
+
     /// Counts an answer for or against its version.
     pub(super) fn note_evidence(&mut self, pool: &PoolId, run: &RunTrack, outcome: &RunOutcome) {
         let Some(track) = self.rollouts.get_mut(pool) else { return };
@@ -131,20 +178,27 @@
     }
 
     /// Withdraws a version that the evidence speaks against.
-    fn withdraw_bad(&mut self, pool: &PoolId) {
+    fn withdraw_bad(&mut self, now: Millis, pool: &PoolId) {
+        // Others know too few answers to compare times; they are told of the record.
+        let is_leading = self.feeds.contains_key(&StoreStream::Rollouts);
         let Some(track) = self.rollouts.get_mut(pool) else { return };
-        if track.state != RolloutState::Running || !track.is_bad() {
+        if is_leading {
+            track.compare(now);
+        }
+        let is_unproven = is_leading && track.is_unproven(now);
+        if track.state != RolloutState::Running || !(track.is_bad() || is_unproven) {
             return;
         }
-        let (sum, target) = (track.sum(), &track.order.target);
-        tracing::warn!(%pool, %target, good = sum.good, bad = sum.bad, "version withdrawn");
+        let (sum, target, pace) = (track.sum(), &track.order.target, track.pace());
+        let AnswerTally { good, bad } = sum;
+        tracing::warn!(%pool, %target, good, bad, %pace, is_unproven, "version withdrawn");
         track.state = RolloutState::Withdrawn;
         track.is_recorded = false;
         self.release_sessions();
     }
 
     fn lead_rollout(&mut self, now: Millis, pool: &PoolId) {
-        self.withdraw_bad(pool);
+        self.withdraw_bad(now, pool);
         let delay = Millis(xxh3_64(self.identity.vm.as_str().as_bytes()) % Self::SPREAD_MS);
         let Some(track) = self.rollouts.get_mut(pool) else { return };
         let is_final = track.state.is_final();
@@ -184,6 +238,19 @@
         }
         let is_reading = self.feeds.contains_key(&StoreStream::Rollouts);
         let Some(at) = self.rollout_end.filter(|_| is_reading) else { return };
+        if let Some(track) = self.rollouts.get(&record.pool) {
+            let (sum, pace) = (track.sum(), track.pace());
+            tracing::info!(
+                pool = %record.pool,
+                target = %record.target,
+                state = ?record.state,
+                stage = record.stage,
+                good = sum.good,
+                bad = sum.bad,
+                %pace,
+                "roll-out to be recorded"
+            );
+        }
         self.rollout_append = Some(now);
         self.emit(GatewayCommand::Append { record: StoreRecord::Rollout(record), at: Some(at) });
     }
@@ -203,7 +270,7 @@
         let (pool, state) = (&record.pool, record.state);
         match result {
             Ok(end) => {
-                tracing::info!(%pool, ?state, end = end.0, "roll-out recorded");
+                tracing::info!(%pool, ?state, stage = record.stage, end = end.0, "roll-out recorded");
                 self.rollout_append = None;
                 self.rollout_end = Some(*end);
                 self.take_rollout(now, record);
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -40,6 +40,8 @@
     pub side: Option<VersionSide>,
     /// When it started.
     pub started: Millis,
+    /// Whether the server was still slow after its own start.
+    pub is_cold: bool,
     /// The time to its first event that was expected.
     pub expected: Millis,
     /// The tokens that its server has to read.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -83,8 +83,10 @@
             "sent"
         );
         let work_ms = place.unread * token_ms;
+        let mut is_cold = false;
         if let Some(server) = self.servers.get_mut(&place.server) {
             server.started(now, work_ms, &state.cached_parts());
+            is_cold = now < server.cold_until;
         }
         let is_engine = !state.arrival.parts.is_empty();
         let repeat = match state.route.kind {
@@ -110,6 +112,7 @@
             server: place.server,
             side,
             started: now,
+            is_cold,
             expected: place.expected,
             unread: place.unread,
             work_ms,
--- a/src/gateway/server_entry.rs
+++ b/src/gateway/server_entry.rs
@@ -19,6 +19,8 @@
     pub state: MemberState,
     /// Its start, by its wall clock; a later one knows nothing of an earlier one.
     pub born: Option<Millis>,
+    /// How much longer it is slow after its start.
+    pub cold: Millis,
 }
 
 /// A change in the list of backend servers.
--- a/src/platform/server_records.rs
+++ b/src/platform/server_records.rs
@@ -12,6 +12,8 @@
     #[serde(default)]
     slots: u32,
     state: WireState,
+    #[serde(default)]
+    cold_remaining_ms: f64,
     born: Option<u64>,
 }
 
@@ -49,5 +51,6 @@
         slots: wire.slots,
         state,
         born: wire.born.map(Millis),
+        cold: Millis(wire.cold_remaining_ms as u64),
     })))
 }
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -62,6 +62,26 @@
     }
 }
 
+/// Lets time pass while requests are answered: after `old_ms` by the old version, after `new_ms` by
+/// the new one.
+fn lead_busy(world: &mut GatewayWorld, ms: u64, old_ms: u64, new_ms: u64) {
+    const STEP_MS: u64 = 100;
+    let mut open: Vec<(guavapass::ids::RequestNumber, Millis)> = Vec::new();
+    for _ in 0..ms / STEP_MS {
+        for _ in 0..4 {
+            let request = world.arrive("/plan/1");
+            let takes = if is_new(world, request) { new_ms } else { old_ms };
+            open.push((request, world.now + Millis(takes)));
+        }
+        lead(world, STEP_MS);
+        let now = world.now;
+        for (request, _) in open.extract_if(.., |(_, ends)| *ends <= now) {
+            world.began(request, 1, None);
+            world.whole(request, 1, 200);
+        }
+    }
+}
+
 fn evidence(vm: &str, good: u32, bad: u32) -> StoreRecord {
     let (vm, incarnation, target) = (text(vm), Incarnation(1), "v2".into());
     StoreRecord::Evidence(EvidenceRecord {
@@ -71,6 +91,8 @@
         target,
         good,
         bad,
+        old: AnswerTally::default(),
+        times: None,
     })
 }
 
@@ -79,10 +101,10 @@
     let mut world = world();
     let trial = share(&mut world);
     assert!(trial > 0.0 && trial <= 0.15, "{trial} of the sessions at first");
-    lead(&mut world, DURATION_MS / 2);
+    lead_busy(&mut world, DURATION_MS / 2, 300, 300);
     let middle = share(&mut world);
     assert!(middle <= 0.15, "{middle} in the middle");
-    lead(&mut world, DURATION_MS / 5);
+    lead_busy(&mut world, DURATION_MS / 5, 300, 300);
     assert!((share(&mut world) - 1.0).abs() < 0.001);
 }
 
@@ -165,7 +187,7 @@
 #[test]
 fn good_version_completed_on_condition() {
     let mut world = world();
-    lead(&mut world, DURATION_MS * 8 / 10);
+    lead_busy(&mut world, DURATION_MS * 8 / 10, 300, 300);
     let is_completed = |(state, _): &(RolloutState, _)| *state == RolloutState::Completed;
     assert!(
         !world.rollout_appends().iter().any(is_completed),
@@ -344,3 +366,165 @@
     assert!((shares[0] - 2.0 * shares[2]).abs() < 1e-9, "{shares:?}");
     assert!((shares[0] - 4.0 * shares[3]).abs() < 1e-9, "{shares:?}");
 }
+
+fn has_recorded(world: &GatewayWorld, wanted: RolloutState) -> bool {
+    world.rollout_appends().iter().any(|(state, _)| *state == wanted)
+}
+
+#[test]
+fn version_without_answers_is_not_raised() {
+    let mut world = world();
+    lead(&mut world, DURATION_MS * 2);
+    assert!(share(&mut world) <= 0.15, "nothing speaks for it");
+    assert!(!has_recorded(&world, RolloutState::Completed));
+}
+
+#[test]
+fn slow_version_is_withdrawn() {
+    for new_ms in [600, 900, 2_400] {
+        let mut world = world();
+        lead_busy(&mut world, DURATION_MS, 300, new_ms);
+        assert!(has_recorded(&world, RolloutState::Withdrawn), "{new_ms} ms instead of 300");
+        assert!(share(&mut world) == 0.0);
+    }
+}
+
+#[test]
+fn slow_version_is_not_raised_before_it_is_withdrawn() {
+    let mut world = world();
+    let mut seen = 0;
+    for _ in 0..DURATION_MS / 1_000 {
+        lead_busy(&mut world, 1_000, 300, 2_400);
+        seen = seen.max(
+            world
+                .commands
+                .iter()
+                .filter(|command| match command {
+                    GatewayCommand::Append { record: StoreRecord::Rollout(record), .. } => {
+                        record.stage > 0
+                    }
+                    _ => false,
+                })
+                .count(),
+        );
+    }
+    assert_eq!(seen, 0, "each rise would have been one of a version that is slow");
+}
+
+#[test]
+fn version_whose_callers_leave_is_withdrawn() {
+    let mut world = world();
+    for _ in 0..DURATION_MS / 500 {
+        let requests: Vec<_> = (0..20).map(|_| world.arrive("/plan/1")).collect();
+        let (new, old): (Vec<_>, Vec<_>) =
+            requests.into_iter().partition(|request| is_new(&world, *request));
+        lead(&mut world, 300);
+        for request in old {
+            world.began(request, 1, None);
+            world.whole(request, 1, 200);
+        }
+        lead(&mut world, 1_700);
+        for request in new {
+            world.handle(GatewayEvent::CallerGone { request });
+        }
+    }
+    assert!(has_recorded(&world, RolloutState::Withdrawn), "none of them saw a first event");
+}
+
+#[test]
+fn quick_callers_that_leave_speak_against_no_version() {
+    let mut world = world();
+    for _ in 0..DURATION_MS / 500 {
+        let requests: Vec<_> = (0..20).map(|_| world.arrive("/plan/1")).collect();
+        lead(&mut world, 100);
+        for request in requests.iter().skip(10) {
+            world.handle(GatewayEvent::CallerGone { request: *request });
+        }
+        lead(&mut world, 400);
+        for request in requests.iter().take(10) {
+            world.began(*request, 1, None);
+            world.whole(*request, 1, 200);
+        }
+    }
+    assert!(!has_recorded(&world, RolloutState::Withdrawn));
+    assert!(has_recorded(&world, RolloutState::Completed));
+}
+
+#[test]
+fn good_version_is_completed_when_both_are_overloaded() {
+    let mut world = world();
+    // The crest comes in the middle of the trial and stays.
+    lead_busy(&mut world, DURATION_MS / 4, 300, 250);
+    lead_busy(&mut world, DURATION_MS, 2_000, 1_800);
+    assert!(!has_recorded(&world, RolloutState::Withdrawn));
+    assert!(has_recorded(&world, RolloutState::Completed));
+}
+
+#[test]
+fn times_of_other_data_centres_count() {
+    let mut world = world();
+    // This VM has the old version's answers only; others have seen the new one be slow.
+    let requests: Vec<_> = (0..400).map(|_| world.arrive("/plan/1")).collect();
+    lead(&mut world, 300);
+    for request in requests {
+        if !is_new(&world, request) {
+            world.began(request, 1, None);
+            world.whole(request, 1, 200);
+        }
+    }
+    let mut times = SideTimes::of_stage(0);
+    for _ in 0..20 {
+        let kind = WorkKind::of("plan", None, PaceMeasure::First);
+        times.add(VersionSide::New, kind, Millis(1_200));
+    }
+    let StoreRecord::Evidence(seen) = evidence("front-9", 20, 0) else { unreachable!() };
+    let seen = EvidenceRecord { times: Some(times), ..seen };
+    let poll = RelayPoll {
+        evidence: vec![seen],
+        ..RelayPoll::new(card("front-9", "sur"), PollPurpose::Loads)
+    };
+    let call = guavapass::ids::CallId(1);
+    world.handle(GatewayEvent::Polled { call, poll: Box::new(poll) });
+    lead(&mut world, 500);
+    assert!(has_recorded(&world, RolloutState::Withdrawn));
+}
+
+#[test]
+fn servers_that_are_still_cold_speak_against_no_version() {
+    let mut world = GatewayWorld::new();
+    let cold = |number| ServerEntry {
+        cold: Millis(DURATION_MS),
+        ..server(&format!("n{number}"), ENGINES, "v2")
+    };
+    world.page(StoreStream::Servers, (1..=3).map(|number| said(cold(number))).collect());
+    world.page(StoreStream::Operators, vec![StoreRecord::Order(order())]);
+    world.newest(StoreStream::Rollouts, Vec::new());
+    lead(&mut world, RolloutTrack::SETTLE_MS);
+    lead_busy(&mut world, DURATION_MS / 2, 300, 900);
+    assert!(!has_recorded(&world, RolloutState::Withdrawn));
+}
+
+#[test]
+fn unproven_version_is_withdrawn_when_its_time_is_over() {
+    let mut world = world();
+    lead(&mut world, DURATION_MS * 9 / 10);
+    assert!(!has_recorded(&world, RolloutState::Withdrawn));
+    lead(&mut world, DURATION_MS / 5);
+    assert!(has_recorded(&world, RolloutState::Withdrawn));
+}
+
+#[test]
+fn failures_are_compared_with_those_of_all_old_servers() {
+    let mut world = world();
+    // Two of ten answers of the old version fail, as other VMs have seen; this one saw none.
+    let StoreRecord::Evidence(seen) = evidence("front-9", 20, 5) else { unreachable!() };
+    let seen = EvidenceRecord { old: AnswerTally { good: 400, bad: 100 }, ..seen };
+    let poll = RelayPoll {
+        evidence: vec![seen],
+        ..RelayPoll::new(card("front-9", "sur"), PollPurpose::Loads)
+    };
+    let call = guavapass::ids::CallId(1);
+    world.handle(GatewayEvent::Polled { call, poll: Box::new(poll) });
+    lead(&mut world, 500);
+    assert!(!has_recorded(&world, RolloutState::Withdrawn), "5 of 25 are as many");
+}
--- /dev/null
+++ b/tests/side_times.rs
@@ -0,0 +1,124 @@
+//! Comparing two versions by how long their answers take.
+
+use guavapass::{
+    gateway::{PaceMeasure, PaceVerdict, SideTimes, TimeSketch, VersionSide, WorkKind},
+    units::Millis,
+};
+use proptest::prelude::*;
+
+fn kind(route: &str) -> WorkKind {
+    WorkKind::of(route, None, PaceMeasure::First)
+}
+
+fn times(old: &[u64], new: &[u64]) -> SideTimes {
+    let mut times = SideTimes::default();
+    for took in old {
+        times.add(VersionSide::Old, kind("plan"), Millis(*took));
+    }
+    for took in new {
+        times.add(VersionSide::New, kind("plan"), Millis(*took));
+    }
+    times
+}
+
+#[test]
+fn rank_among_others() {
+    let mut sketch = TimeSketch::default();
+    for took in [100, 100, 100, 1_000, 1_000, 1_000] {
+        sketch.add(kind("plan"), Millis(took));
+    }
+    let rank = |took| sketch.rank(kind("plan"), Millis(took)).unwrap();
+    let ranks = [10, 100, 300, 1_000, 9_000].map(|took| (rank(took) * 100.0) as u32);
+    assert_eq!(ranks, [0, 25, 50, 75, 100]);
+    assert_eq!(sketch.rank(kind("note"), Millis(1)), None, "nothing to compare with");
+}
+
+#[test]
+fn rank_only_by_enough_answers() {
+    let mut sketch = TimeSketch::default();
+    for _ in 0..5 {
+        sketch.add(kind("plan"), Millis(100));
+    }
+    assert_eq!(sketch.rank(kind("plan"), Millis(100)), None);
+}
+
+#[test]
+fn kinds_are_compared_with_their_like() {
+    // The new version got more of the long work.
+    let mut times = SideTimes::default();
+    for number in 0..100 {
+        let (route, took) = if number % 10 == 0 { ("plan", 5_000) } else { ("note", 100) };
+        times.add(VersionSide::Old, kind(route), Millis(took));
+    }
+    for _ in 0..50 {
+        times.add(VersionSide::New, kind("plan"), Millis(5_000));
+    }
+    assert!(times.verdict().is_sound(), "{}", times.verdict());
+}
+
+#[test]
+fn verdict_needs_answers() {
+    let old = [100; 50];
+    let verdict = |count: usize, took: u64| times(&old, &vec![took; count]).verdict();
+    assert!(!verdict(0, 100).is_sound() && !verdict(0, 100).is_slow());
+    assert!(!verdict(3, 100).is_sound(), "three answers are too few");
+    assert!(verdict(20, 100).is_sound());
+    assert!(!verdict(6, 900).is_slow() && !verdict(6, 900).is_sound());
+    assert!(verdict(12, 900).is_slow());
+}
+
+#[test]
+fn stages_are_not_mixed() {
+    let mut sum = SideTimes::of_stage(1);
+    sum.add_all(&times(&[100; 50], &[900; 50]));
+    assert!(sum.is_empty());
+}
+
+#[test]
+fn sketch_bounded_in_kinds_and_bytes() {
+    let mut times = SideTimes::default();
+    for route in 0..10_000_u64 {
+        for took in [10, 100, 1_000, 100_000] {
+            times.add(VersionSide::Old, kind(&route.to_string()), Millis(took + route));
+        }
+    }
+    let bytes = rmp_serde::to_vec(&times).unwrap().len();
+    assert!(bytes < 8_192, "{bytes} bytes with each poll that tells them");
+}
+
+proptest! {
+    /// Two versions that are alike are never called slow by a small sample, and seldom by any.
+    #[test]
+    fn verdict_on_versions_that_are_alike(
+        old in prop::collection::vec(20_u64..4_000, 60..200),
+        picks in prop::collection::vec(any::<prop::sample::Index>(), 1..200),
+    ) {
+        let new: Vec<u64> = picks.iter().map(|pick| *pick.get(&old)).collect();
+        let verdict = times(&old, &new).verdict();
+        prop_assert!((0.0..=1.0).contains(&verdict.mean_rank));
+        prop_assert!(!verdict.is_slow(), "{verdict}");
+    }
+
+    /// A version of which half of the answers take eight times as long is never called sound once
+    /// there are enough of them.
+    #[test]
+    fn verdict_on_a_version_that_is_slow_by_half(
+        old in prop::collection::vec(100_u64..1_000, 60..200),
+        picks in prop::collection::vec(any::<prop::sample::Index>(), 60..200),
+    ) {
+        let slowed = |(place, pick): (usize, &prop::sample::Index)| {
+            let took = *pick.get(&old);
+            if place % 2 == 0 { took * 8 } else { took }
+        };
+        let new: Vec<u64> = picks.iter().enumerate().map(slowed).collect();
+        let verdict = times(&old, &new).verdict();
+        prop_assert!(!verdict.is_sound(), "{verdict}");
+    }
+
+    /// A verdict is never both.
+    #[test]
+    fn verdict_is_one_of_three(answers in 0_u32..5_000, mean_rank in 0.0..1.0_f64) {
+        let verdict = PaceVerdict { answers, mean_rank };
+        prop_assert!(!(verdict.is_sound() && verdict.is_slow()));
+    }
+}
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -102,6 +102,7 @@
         slots: 8,
         state: MemberState::Live,
         born: None,
+        cold: Millis(0),
     }
 }
 
