Give the VMs of a test ports that no connection takes meanwhile

A test over sockets failed once with "Address already in use": free_address took a port that the system gives to connections, closed it, and the VM listened on it later; a connection of another test had it by then. Traced by the port's number, in the range of outgoing connections. Addresses now come from below that range, one counter a process.

--- a/tests/support/gateway_stage.rs
+++ b/tests/support/gateway_stage.rs
@@ -16,7 +16,10 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -38,9 +41,21 @@
     }
 }
 
+/// Returns an address that is free, below the ports that the system gives to connections: one of
+/// those may be taken before it is listened on.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    const FIRST_PORT: u32 = 10_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Test programs that run at the same time begin at different ports.
+    let start = std::process::id().wrapping_mul(97);
+    loop {
+        let offset = start.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + offset) as u16));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn configuration(version: u64, keys: &[&str]) -> Value {
