Obey servers that say in their answers that they leave or want nothing

Seen by callers, on systems like ours: requests went on to a server that had said in an answer that it leaves, until the list said so too; full servers that named a time got try after try.

Cause: neither header was read. The list of servers comes late and not at all while the store is out of reach.

Server-Leaving: 1 of any answer holds at once at this VM, for that start of the server, whatever the list says, and is told to the others with the polls as state, as long as the list does not say it. Retry-After of a 503 keeps this VM away for so long (bounds.longest_rest_ms at most); after it one request goes there until that is answered. If all servers of a pool rest, what can be on time waits, the rest is refused at once as not run with the time after which it may come. A doubled, empty, negative or unreadable value says nothing and is logged once a server; a 421 is another server's.

Not done: the callers' interface reads neither header (docs/PROMISES.md).

--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -23,11 +23,33 @@
     pub avoid_until: Millis,
     /// The times in a row that it could not be reached.
     pub misses: u32,
+    /// Whether it has said in an answer that it leaves.
+    says_leaving: bool,
+    /// Until when it wants nothing from this VM.
+    rests_until: Millis,
+    /// How far this VM has come back to it after a rest.
+    comeback: Comeback,
+    /// Whether a word of its could not be read.
+    pub has_unreadable_word: bool,
     /// When this VM last sent it a prompt with a part, by the part's id.
     parts: FxHashMap<u64, Millis>,
 }
 
+/// How far a VM has come back to a server that wanted nothing for a while.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Comeback {
+    /// It gets requests like any other.
+    #[default]
+    Done,
+    /// It gets one request after its rest.
+    Due,
+    /// It has that request and no other one until an answer.
+    Trying,
+}
+
 impl BackendServer {
+    /// The time after which a server that has one request after its rest is looked at again.
+    const COMEBACK_MS: u64 = 15;
     /// The weight of the newest answer in the share of failures: about the last ten answers count.
     const FAIL_WEIGHT: f64 = 0.1;
     /// The pause after a server could not be reached; doubles each time.
@@ -57,6 +79,10 @@
             fail_share: 0.0,
             avoid_until: Millis(0),
             misses: 0,
+            says_leaving: false,
+            rests_until: Millis(0),
+            comeback: Comeback::Done,
+            has_unreadable_word: false,
             parts: FxHashMap::default(),
         }
     }
@@ -64,7 +90,37 @@
     /// Returns whether it may get new work.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        self.removed.is_none() && self.entry.state == MemberState::Live
+        self.removed.is_none() && self.entry.state == MemberState::Live && !self.says_leaving
+    }
+
+    /// Returns whether only its own answers say that it leaves.
+    #[must_use]
+    pub fn says_only_itself_that_it_leaves(&self) -> bool {
+        let is_listed = self.removed.is_none() && self.entry.state == MemberState::Live;
+        self.says_leaving && is_listed
+    }
+
+    /// Notes that it has said that it leaves; returns whether that is new.
+    pub fn told_leaving(&mut self) -> bool {
+        let was_open = self.is_open();
+        self.says_leaving = true;
+        was_open
+    }
+
+    /// Notes that it wants nothing from this VM for a while.
+    pub fn told_rest(&mut self, now: Millis, rest: Millis) {
+        self.rests_until = self.rests_until.max(now + rest);
+        self.comeback = Comeback::Due;
+    }
+
+    /// Returns how much longer this VM may send it nothing, if it may not.
+    #[must_use]
+    pub fn rest(&self, now: Millis) -> Option<Millis> {
+        match self.comeback {
+            _ if now < self.rests_until => Some(self.rests_until.since(now)),
+            Comeback::Trying => Some(Millis(Self::COMEBACK_MS)),
+            Comeback::Due | Comeback::Done => None,
+        }
     }
 
     /// Returns whether it could be reached when it was last tried, or may be tried again.
@@ -73,8 +129,12 @@
         now >= self.avoid_until && (self.misses == 0 || self.in_flight == 0)
     }
 
-    /// Notes that a request starts.
-    pub fn started(&mut self, now: Millis, work_ms: f64, parts: &[PromptPart]) {
+    /// Notes that a request starts; returns whether it is the one after a rest.
+    pub fn started(&mut self, now: Millis, work_ms: f64, parts: &[PromptPart]) -> bool {
+        let is_comeback = self.comeback == Comeback::Due;
+        if is_comeback {
+            self.comeback = Comeback::Trying;
+        }
         self.in_flight += 1;
         self.backlog_ms += work_ms;
         if self.parts.len() >= Self::PART_LIMIT {
@@ -83,6 +143,7 @@
         for part in parts {
             self.parts.insert(part.id, now);
         }
+        is_comeback
     }
 
     /// Notes that a prompt has been read.
@@ -93,6 +154,9 @@
     /// Takes a run that has ended or is given up off the books.
     pub fn release(&mut self, run: &RunTrack) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if run.is_comeback && self.comeback == Comeback::Trying {
+            self.comeback = Comeback::Due;
+        }
         if run.stage == RunStage::Waiting {
             self.prompt_read(run.work_ms);
         }
@@ -111,6 +175,11 @@
         self.fail_share += (newest - self.fail_share) * Self::FAIL_WEIGHT;
     }
 
+    /// Notes that it has begun to answer the first request after a rest: it gets others again.
+    pub const fn came_back(&mut self) {
+        self.comeback = Comeback::Done;
+    }
+
     /// Notes that it could not be reached, or fell silent.
     pub fn missed(&mut self, now: Millis) {
         let pause = Self::FIRST_AVOID_MS << self.misses.min(3);
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -47,6 +47,7 @@
         let has_other = self
             .servers
             .open(&state.pool)
+            .filter(|server| server.rest(now).is_none())
             .any(|server| server.is_reachable(now) && !tried.contains(&server.entry.id));
         if has_other || state.route.kind.is_stream() {
             self.try_again(now, request, "the server takes no more connections");
@@ -67,17 +68,33 @@
         let stretch = self.crowded.shares.stretch(now, state.team.as_ref());
         let pause = Self::CROWDED_PAUSE_MS * stretch.min(Self::CROWDED_STRETCH);
         let at = now + Millis((pause * (0.5 + draw)) as u64);
-        let usual = self.pace(state).queue_ms;
-        let last = (state.received + state.route.objective).since(Millis(usual as u64));
-        if at > last.min(state.ends) {
+        if at > self.last_start(state) {
             return false;
         }
+        self.wait_until(now, request, at, "waits: all are full");
+        true
+    }
+
+    /// Returns the last moment at which a call may start whose answer is to be on time.
+    pub(super) fn last_start(&self, state: &RoutedRequest) -> Millis {
+        let usual = self.pace(state).queue_ms;
+        let last = (state.received + state.route.objective).since(Millis(usual as u64));
+        last.min(state.ends)
+    }
+
+    /// Sends a request that has not run again at a later moment.
+    pub(super) fn wait_until(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        at: Millis,
+        reason: &'static str,
+    ) {
         if let Some(state) = self.requests.get_mut(&request) {
             state.turn_start = state.runs.len();
         }
-        tracing::info!(request = request.0, until_ms = at.since(now).0, "waits: all are full");
+        tracing::info!(request = request.0, until_ms = at.since(now).0, "{reason}");
         self.crowded.due.insert((at, request));
-        true
     }
 
     /// Sends the calls again whose pause is over.
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -48,6 +48,13 @@
     /// Gives a request its final answer.
     pub(super) fn refuse(&mut self, now: Millis, request: RequestNumber, refusal: Refusal) {
         let Some(state) = self.requests.get(&request) else { return };
+        // Nobody can come back before a server of the pool takes requests again.
+        let rest =
+            self.pool_rest(now, &state.pool).filter(|rest| refusal.retry_after < Some(*rest));
+        let refusal = match rest.filter(|_| refusal.retry_after.is_some()) {
+            Some(rest) => refusal.with_retry_after(rest),
+            None => refusal,
+        };
         tracing::info!(
             request = request.0,
             caller_id = %state.arrival.caller_id,
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -124,6 +124,7 @@
             GatewayEvent::PeerAnswered { peer, purpose, answer } => {
                 self.on_peer_answer(now, peer, purpose, answer.map(|answer| *answer));
             }
+            GatewayEvent::ServerSaid { start, word } => self.on_server_said(now, &start, &word),
             GatewayEvent::Probed { server, result } => self.on_probed(now, &server, result),
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
--- a/src/gateway/gateway_event.rs
+++ b/src/gateway/gateway_event.rs
@@ -51,6 +51,13 @@
         /// The answer; none if there was none in time.
         answer: Option<Box<RelayAnswer>>,
     },
+    /// A backend server has said something of itself in the head of an answer.
+    ServerSaid {
+        /// The server.
+        start: ServerStart,
+        /// What it said.
+        word: ServerWord,
+    },
     /// A backend server was probed.
     Probed {
         /// The server.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -208,6 +208,7 @@
             held_known: Some((name.clone(), last)),
             crashes: self.crash_news_for(now, &name),
             crashes_known: Some((name.clone(), self.crashes_heard_from(&name))),
+            leaving: self.said_leaving(),
             ..RelayPoll::new(from, purpose)
         }
     }
@@ -260,6 +261,7 @@
             self.take_held(answer.from.name(), &answer.held_sessions);
             self.held_marks.note_told(answer.from.name(), answer.held_heard);
             self.take_crashes(now, answer.from.name(), &answer.crashes);
+            self.take_leaving(&answer.from.vm, &answer.leaving);
             self.note_crashes_told(answer.from.name(), answer.crashes_heard);
         }
         match (purpose, peer) {
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -33,6 +33,7 @@
         if poll.purpose != PollPurpose::Greeting {
             self.take_held(poll.from.name(), &poll.held_sessions);
             self.take_crashes(now, poll.from.name(), &poll.crashes);
+            self.take_leaving(&poll.from.vm, &poll.leaving);
         }
         self.note_offer(now, &poll);
         for evidence in &poll.evidence {
@@ -100,6 +101,7 @@
             held_heard: self.held_marks.heard_from(&poll.from.name()),
             crashes: CrashNews::default(),
             crashes_heard: self.crashes_heard_from(&poll.from.name()),
+            leaving: self.said_leaving(),
             running: now.since(self.begun.unwrap_or(now)),
             centre_vms: self.centre_vms(),
             all_vms: self.known_vms(),
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -69,6 +69,8 @@
     pub crashes: CrashNews,
     /// The last such event of the asked VM, in the start that the asker knows, that the asker has.
     pub crashes_known: Option<(PeerName, u64)>,
+    /// The servers that have said in their answers that they leave.
+    pub leaving: Vec<ServerStart>,
 }
 
 impl RelayPoll {
@@ -88,6 +90,7 @@
             held_known: None,
             crashes: CrashNews::default(),
             crashes_known: None,
+            leaving: Vec::new(),
         }
     }
 }
@@ -128,6 +131,8 @@
     pub crashes: CrashNews,
     /// The last of the asker's such events that who answers has.
     pub crashes_heard: u64,
+    /// The servers that have said in their answers that they leave.
+    pub leaving: Vec<ServerStart>,
     /// How long who answers has been running.
     pub running: Millis,
     /// The VMs that are known of the data centre of who answers.
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -34,7 +34,9 @@
             tracing::info!(request = request.0, "not sent again: the budget is used up");
             return Err(refusal);
         }
-        self.send(now, request, reason).map_err(|_| refusal)
+        // A refusal that says "not run" knows better when the caller may come back.
+        self.send(now, request, reason)
+            .map_err(|error| if error.run == RunState::NotRun { error } else { refusal })
     }
 
     pub(super) fn take_resend(&mut self, now: Millis, pool: &PoolId) -> bool {
--- a/src/gateway/run_order.rs
+++ b/src/gateway/run_order.rs
@@ -9,6 +9,8 @@
     pub attempt: AttemptId,
     /// The server.
     pub server: ServerId,
+    /// When it started, by its own clock.
+    pub born: Option<Millis>,
     /// Its address.
     pub address: SocketAddr,
     /// Whether the request may run at most once.
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -47,6 +47,9 @@
         if let Some(server) = self.servers.get_mut(&run.server) {
             alone = server.backlog_ms <= run.work_ms;
             server.prompt_read(run.work_ms);
+            if run.is_comeback {
+                server.came_back();
+            }
             if let Some(load) = head.load {
                 server.told_load(now, load);
             }
@@ -123,6 +126,9 @@
             match outcome {
                 RunOutcome::Whole { head } => {
                     server.answered(head.status >= 500);
+                    if run.is_comeback && head.status < 500 {
+                        server.came_back();
+                    }
                     if let Some(load) = head.load
                         && !is_stream
                     {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -23,7 +23,9 @@
             return Err(refusal);
         }
         let Some((place, side)) = self.find_place(now, state) else {
-            return Err(Self::no_server_refusal(state));
+            let rest = self.pool_rest(now, &state.pool);
+            let Some(rest) = rest else { return Err(Self::no_server_refusal(state)) };
+            return self.wait_rest(now, request, rest);
         };
         self.start(now, request, place, side, reason);
         Ok(())
@@ -83,10 +85,11 @@
             "sent"
         );
         let work_ms = place.unread * token_ms;
-        let mut is_cold = false;
+        let (mut is_cold, mut is_comeback, mut born) = (false, false, None);
         if let Some(server) = self.servers.get_mut(&place.server) {
-            server.started(now, work_ms, &state.cached_parts());
+            is_comeback = server.started(now, work_ms, &state.cached_parts());
             is_cold = now < server.cold_until;
+            born = server.entry.born;
         }
         let is_engine = !state.arrival.parts.is_empty();
         let repeat = match state.route.kind {
@@ -97,6 +100,7 @@
             request,
             attempt,
             server: place.server.clone(),
+            born,
             address: place.address,
             repeat,
             is_stream: state.route.kind.is_stream(),
@@ -113,6 +117,7 @@
             side,
             started: now,
             is_cold,
+            is_comeback,
             expected: place.expected,
             unread: place.unread,
             work_ms,
--- a/src/gateway/server_book.rs
+++ b/src/gateway/server_book.rs
@@ -29,6 +29,11 @@
         self.servers.get_mut(id)
     }
 
+    /// Returns all servers.
+    pub fn iter(&self) -> impl Iterator<Item = &BackendServer> {
+        self.servers.values()
+    }
+
     /// Returns the servers of a pool that may get new work.
     pub fn open<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a BackendServer> {
         self.servers.values().filter(move |server| server.is_open() && server.entry.pool == *pool)
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -9,6 +9,10 @@
 pub(super) const NOT_RUN: &str = "x-not-executed";
 const LOAD: &str = "x-server-load";
 const CONFIDENCE: &str = "x-confidence";
+/// Says that a server takes no new work.
+const LEAVING: &str = "server-leaving";
+/// Says in the 503 of a server for how long it wants nothing.
+const REST: &str = "retry-after";
 
 /// What the head of a server's answer says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +29,8 @@
     pub keeps: bool,
     /// The time for which the server keeps an idle connection.
     pub idle_limit: Option<Millis>,
+    /// What the server says of itself.
+    pub word: ServerWord,
 }
 
 /// Reads the head of a server's answer.
@@ -37,6 +43,7 @@
         400 => NotRunCause::Rejected,
         _ => NotRunCause::Full,
     });
+    let word = read_word(status, headers);
     let confidence = text(headers, CONFIDENCE).and_then(|value| value.trim().parse::<f64>().ok());
     AnswerFacts {
         head: AnswerHead {
@@ -49,9 +56,43 @@
         not_run,
         keeps: !closes(headers),
         idle_limit: text(headers, "keep-alive").and_then(idle_limit),
+        word,
     }
 }
 
+/// Reads what a server says of itself. A header that is doubled or cannot be read says nothing.
+fn read_word(status: u16, headers: &HeaderMap) -> ServerWord {
+    let mut word = ServerWord::default();
+    match single(headers, LEAVING) {
+        Some("1") => word.leaves = true,
+        Some(_) => word.unreadable.push(LEAVING),
+        None => {}
+    }
+    // In other answers this header is the caller's to read.
+    if status == 503 {
+        word.rest = single(headers, REST).and_then(seconds);
+        if word.rest.is_none() && headers.contains_key(REST) {
+            word.unreadable.push(REST);
+        }
+    }
+    word
+}
+
+/// Returns a header's value, without a text if it is doubled or not printable.
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next()?.to_str().unwrap_or_default();
+    let is_doubled = values.next().is_some();
+    Some(if is_doubled { "" } else { first.trim() })
+}
+
+/// Reads a number of seconds with or without a fraction.
+fn seconds(value: &str) -> Option<Millis> {
+    let is_plain = value.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let seconds = value.parse::<f64>().ok().filter(|_| is_plain)?;
+    Some(Millis((seconds * 1_000.0) as u64))
+}
+
 fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
     let mut names =
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -91,6 +91,11 @@
         if facts.caller_id.as_deref() != Some(self.call.caller_id.as_str()) {
             return Err(AttemptFault::Malformed.into());
         }
+        // Another server that has the address speaks for itself.
+        if facts.not_run != Some(NotRunCause::Misdirected) && !facts.word.is_empty() {
+            let start = ServerStart { server: self.order.server.clone(), born: self.order.born };
+            self.desk.handle.send(GatewayEvent::ServerSaid { start, word: facts.word.clone() });
+        }
         if let Some(cause) = facts.not_run {
             let rest = Duration::from_millis(Self::REST_MS);
             let is_read = matches!(
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -50,6 +50,7 @@
         held_heard: 0,
         crashes: CrashNews::default(),
         crashes_heard: 0,
+        leaving: Vec::new(),
         running: Millis(60_000),
         centre_vms: 3,
         all_vms: 6,
@@ -246,6 +247,7 @@
         held_known: None,
         crashes: CrashNews::default(),
         crashes_known: None,
+        leaving: Vec::new(),
     };
     let answers = |world: &GatewayWorld| -> Vec<RelayAnswer> {
         let answers = world.commands.iter().filter_map(|command| match command {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -25,6 +25,7 @@
 
 fn order() -> RunOrder {
     RunOrder {
+        born: None,
         request: RequestNumber(1),
         attempt: AttemptId(1),
         server: "i-1".parse().unwrap(),
@@ -220,3 +221,37 @@
     assert_eq!(settings.bounds.shutdown_ms, Millis(8_000));
     assert_eq!(settings.peers.unwrap().seeds.len(), 1);
 }
+
+#[test]
+fn words_of_servers_read() {
+    let word = |status: u16, values: &[(&'static str, &'static str)]| {
+        read_answer(StatusCode::from_u16(status).unwrap(), &headers(values)).word
+    };
+    assert!(word(200, &[("server-leaving", "1")]).leaves);
+    assert!(word(500, &[("server-leaving", " 1 ")]).leaves, "in failures too");
+    let rest = |value: &'static str| word(503, &[("retry-after", value)]).rest;
+    assert_eq!(rest("2"), Some(Millis(2_000)));
+    assert_eq!(rest("0.25"), Some(Millis(250)));
+    assert_eq!(rest("0"), Some(Millis(0)));
+    assert!(word(200, &[("retry-after", "2")]).is_empty(), "it belongs to a 503");
+    assert!(word(200, &[("x-attempt-id", "a")]).is_empty());
+}
+
+#[test]
+fn words_of_servers_that_say_nothing() {
+    let word = |values: &[(&'static str, &'static str)]| {
+        read_answer(StatusCode::SERVICE_UNAVAILABLE, &headers(values)).word
+    };
+    for value in ["", "0", "yes", "1,1"] {
+        let word = word(&[("server-leaving", value)]);
+        assert_eq!((word.leaves, word.unreadable), (false, vec!["server-leaving"]), "{value:?}");
+    }
+    for value in
+        ["", "-1", "soon", "1e9", "NaN", "inf", ".", "1,2", "Fri, 04 Dec 2026 12:00:00 GMT"]
+    {
+        let word = word(&[("retry-after", value)]);
+        assert_eq!((word.rest, word.unreadable), (None, vec!["retry-after"]), "{value:?}");
+    }
+    let doubled = word(&[("server-leaving", "1"), ("server-leaving", "1"), ("retry-after", "1")]);
+    assert_eq!((doubled.leaves, doubled.rest), (false, Some(Millis(1_000))));
+}
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -30,6 +30,10 @@
     Drip,
     /// Sends the events of a stream with these numbers, and a whole end.
     Events(&'static [u64]),
+    /// Answers whole and says that it leaves.
+    Leave,
+    /// Turns the request away and wants nothing for so many seconds.
+    Rest(&'static str),
     /// Ends like a process that crashes: nothing listens any more, all connections close.
     End,
     /// Sends bytes without end, until its caller closes.
@@ -197,6 +201,23 @@
                 let text = format!("{head}X-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
                 stream.write_all(text.as_bytes()).is_ok()
             }
+            ServerMove::Leave if is_stream => {
+                let head =
+                    self.stream_head(id).replace("\r\n\r\n", "\r\nServer-Leaving: 1\r\n\r\n");
+                let events: String = (1..=Self::EVENTS).map(Self::event_chunk).collect();
+                stream.write_all(format!("{head}{events}0\r\n\r\n").as_bytes()).is_ok()
+            }
+            ServerMove::Leave => {
+                let status = "200 OK\r\nServer-Leaving: 1";
+                self.answer(stream, status, id, &format!("from {}", self.id))
+            }
+            ServerMove::Rest(seconds) => {
+                let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+                let text = format!(
+                    "{head}Retry-After: {seconds}\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                );
+                stream.write_all(text.as_bytes()).is_ok()
+            }
             ServerMove::Close => false,
             ServerMove::End => self.end(),
             ServerMove::Slow(pause) => self.slow(stream, request, pause),
