Ask more of a new version before it gets all requests

Ruled out: longer stages alone; the test of the whole share binds them to 0.745 of the time. Now the limit is a rank of 0.56 instead of 0.6, and the stage with equal shares lasts to 0.70 of the time.

--- a/src/gateway/rollout_track.rs
+++ b/src/gateway/rollout_track.rs
@@ -75,7 +75,7 @@
     pub const SETTLE_MS: u64 = 1_000;
     /// The parts of the roll-out's time from which the share is raised, and its values. The first
     /// rise lies behind the middle, before which sessions may not change their version.
-    const STAGES: [(f64, f64); 3] = [(0.56, 0.3), (0.62, 0.5), (0.67, 1.0)];
+    const STAGES: [(f64, f64); 3] = [(0.56, 0.3), (0.62, 0.5), (0.70, 1.0)];
     /// The least part of the time between two rises: no more than one may rest on the same answers.
     const STAGE_PART: f64 = 0.05;
     /// The part of the time that a stage has at least to show that the version is sound.
--- a/src/gateway/side_times.rs
+++ b/src/gateway/side_times.rs
@@ -64,7 +64,7 @@
 impl PaceVerdict {
     /// The mean rank from which a version is slower than the old one. A new version's servers have
     /// less to do in its first stages, so that a sound one lies at a half or below.
-    const SLOW_RANK: f64 = 0.6;
+    const SLOW_RANK: f64 = 0.56;
     /// The answers from which a version may be found sound.
     const LEAST_SOUND: u32 = 5;
     /// The answers from which a version may be found slow.
