Leave the verdict on a version to the VMs that know all answers

Cause: a VM that follows a hub judged by its own few answers; its withdrawal was never recorded, and a final record of the store did not overrule it, so that it kept to the old servers, which had stopped. Besides, any record of a running stage marked an unrecorded withdrawal as recorded, after which no VM appended it.

Now a VM that has a source leaves the verdict to it, the first final record binds all, and a record of a running stage changes nothing of a withdrawal.

gateway_relay: version_left_to_the_hubs_verdict; gateway_rollouts: first_final_record_binds_a_vm_that_withdrew_by_itself, withdrawal_is_ recorded_though_a_rise_came_between.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -72,9 +72,13 @@
         if track.order.target != record.target {
             return;
         }
+        if track.state.is_final() && (track.is_recorded || !record.state.is_final()) {
+            return;
+        }
+        // The first final record binds all VMs, those included that came to another conclusion.
         track.is_recorded = true;
         track.raise(now, record.stage);
-        if record.state > track.state && !track.state.is_final() {
+        if record.state != track.state {
             let (pool, target, state) = (&record.pool, &record.target, record.state);
             tracing::info!(%pool, %target, ?state, "roll-out moved on by the store's record");
             track.state = record.state;
@@ -179,12 +183,13 @@
 
     /// Withdraws a version that the evidence speaks against.
     fn withdraw_bad(&mut self, now: Millis, pool: &PoolId) {
-        // Others know too few answers to compare times; they are told of the record.
+        // A VM that follows another one knows too few answers, and is told of the record.
         let is_leading = self.feeds.contains_key(&StoreStream::Rollouts);
-        let Some(track) = self.rollouts.get_mut(pool) else { return };
-        if is_leading {
-            track.compare(now);
-        }
+        let has_source = self.relay.source.is_some();
+        let Some(track) = self.rollouts.get_mut(pool).filter(|_| is_leading || !has_source) else {
+            return;
+        };
+        track.compare(now);
         let is_unproven = is_leading && track.is_unproven(now);
         if track.state != RolloutState::Running || !(track.is_bad() || is_unproven) {
             return;
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -346,3 +346,30 @@
         assert_ne!(world.starts(request)[0].server, server_id("b3"), "nobody lists it any more");
     }
 }
+
+#[test]
+fn version_left_to_the_hubs_verdict() {
+    let names = ranked();
+    let mut world = following(&names[1]);
+    let order = RolloutOrder { pool: pool(ENGINES), target: "v2".into(), duration: Millis(24_000) };
+    let news = (1..=3).map(|number| said(server(&format!("n{number}"), ENGINES, "v2")));
+    let records = world.keep(news.chain([StoreRecord::Order(order)]).collect());
+    world.answered(None, PollPurpose::Records, Some(answer(&names[0], 9, records)));
+    world.tick(RolloutTrack::SETTLE_MS);
+    let is_new = |world: &GatewayWorld, request| {
+        world.starts(request).first().is_some_and(|order| order.server.as_str().starts_with('n'))
+    };
+    for _ in 0..400 {
+        let request = world.arrive("/plan/1");
+        if is_new(&world, request) {
+            world.broken(request, 1, None);
+        }
+    }
+    world.tick(10);
+    world.answered(None, PollPurpose::Records, Some(answer(&names[0], 9, Vec::new())));
+    let tried = (0..200).filter(|_| {
+        let request = world.arrive("/plan/1");
+        is_new(&world, request)
+    });
+    assert!(tried.count() > 0, "it has told the hub, which knows what others have seen");
+}
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -528,3 +528,43 @@
     lead(&mut world, 500);
     assert!(!has_recorded(&world, RolloutState::Withdrawn), "5 of 25 are as many");
 }
+
+/// Lets the new version's answers fail at this VM until it has withdrawn the version by itself.
+fn withdraw_here(world: &mut GatewayWorld) {
+    for _ in 0..400 {
+        let request = world.arrive("/plan/1");
+        if is_new(world, request) {
+            world.broken(request, 1, None);
+        }
+    }
+    world.tick(10);
+}
+
+fn state_record(state: RolloutState, stage: u8) -> StoreRecord {
+    StoreRecord::Rollout(RolloutRecord { pool: pool(ENGINES), target: "v2".into(), state, stage })
+}
+
+#[test]
+fn first_final_record_binds_a_vm_that_withdrew_by_itself() {
+    let mut world = world();
+    withdraw_here(&mut world);
+    assert!(share(&mut world) == 0.0);
+    // The others had found it sound; the old servers stop.
+    world.page(StoreStream::Rollouts, vec![state_record(RolloutState::Completed, 3)]);
+    assert!((share(&mut world) - 1.0).abs() < 0.001);
+}
+
+#[test]
+fn withdrawal_is_recorded_though_a_rise_came_between() {
+    let mut world = world();
+    withdraw_here(&mut world);
+    world.commands.clear();
+    world.handle(GatewayEvent::Appended {
+        record: state_record(RolloutState::Withdrawn, 0),
+        result: Err(StoreError::Moved { end: Offset(91) }),
+    });
+    world.page(StoreStream::Rollouts, vec![state_record(RolloutState::Running, 1)]);
+    assert!(share(&mut world) == 0.0);
+    world.run_in_touch(2_000);
+    assert!(has_recorded(&world, RolloutState::Withdrawn));
+}
