--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -59,10 +59,10 @@
     }
 
     /// Lets a call wait that was turned away; returns whether it does.
-    pub(super) fn wait_crowded(&mut self, now: Millis, request: RequestNumber) -> bool {
+    fn wait_crowded(&mut self, now: Millis, request: RequestNumber) -> bool {
         let draw = self.draw();
         let Some(state) = self.requests.get(&request) else { return false };
-        if state.route.kind.is_stream() || state.run_state() != RunState::NotRun {
+        if state.run_state() != RunState::NotRun {
             return false;
         }
         let stretch = self.crowded.shares.stretch(now, state.team.as_ref());
@@ -114,11 +114,7 @@
     }
 
     /// Returns the refusal of a call that was turned away everywhere.
-    pub(super) fn crowded_refusal(
-        &mut self,
-        now: Millis,
-        request: RequestNumber,
-    ) -> Option<Refusal> {
+    fn crowded_refusal(&mut self, now: Millis, request: RequestNumber) -> Option<Refusal> {
         let draw = self.draw();
         let state = self.requests.get(&request)?;
         let waited = now.since(state.received).0.max(state.route.objective.0 / 4) as f64;
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -28,12 +28,24 @@
                 self.ends.pop_first();
                 continue;
             };
-            if state.is_delivered {
-                self.break_off(now, request, "the time of the route is over");
-            } else {
-                let refusal = Self::timeout_refusal(state);
-                self.refuse(now, request, refusal);
-            }
+            let refusal = Self::timeout_refusal(state);
+            self.give_up(now, request, refusal, "the time of the route is over");
+        }
+    }
+
+    /// Ends a request that gets no answer: with a refusal, or by breaking off what its caller has a
+    /// part of, for a reason.
+    pub(super) fn give_up(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        refusal: Refusal,
+        reason: &'static str,
+    ) {
+        if self.requests.get(&request).is_some_and(|state| state.is_delivered) {
+            self.break_off(now, request, reason);
+        } else {
+            self.refuse(now, request, refusal);
         }
     }
 
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -12,8 +12,6 @@
     pub(super) records: RecordBook,
     pub(super) relay: RelayState,
     pub(super) access: StoreAccess,
-    /// When the first event was taken in.
-    pub(super) begun: Option<Millis>,
     pub(super) servers: ServerBook,
     pub(super) paces: BTreeMap<(PoolId, Option<ModelId>), PoolPace>,
     pub(super) pressures: BTreeMap<PoolId, EnginePressure>,
@@ -64,7 +62,6 @@
             records: RecordBook::default(),
             relay: RelayState::default(),
             access: StoreAccess::default(),
-            begun: None,
             servers: ServerBook::default(),
             paces: BTreeMap::new(),
             pressures: BTreeMap::new(),
@@ -110,7 +107,6 @@
 
     /// Takes in one event and returns what is to be done.
     pub fn handle(&mut self, now: Millis, event: GatewayEvent) -> Vec<GatewayCommand> {
-        self.begun.get_or_insert(now);
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
@@ -150,8 +146,8 @@
         let look = (leads || self.ending.is_some()).then(|| now + Millis(LOOK_MS));
         let relay = self.relay_next();
         let patience = self.patiences.first().map(|(at, _)| *at);
-        let access = self.access.next().into_iter().chain(self.crowded.next()).min();
-        [end, patience, read, look, relay, access]
+        let (access, crowded) = (self.access.next(), self.crowded.next());
+        [end, patience, read, look, relay, access, crowded]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 //! Each call to the store has a price, and within a data centre messages have none. So the entry
 //! VMs of a data centre ask its hub, the one that ranks first, for what has changed. An answer tells
 //! how old the reading is that it rests on, and the lease on what operators publish starts where
-//! that reading was sent. Who calls the store, and how often, is decided in [`reads`].
+//! that reading was sent. Who calls the store, and how often, is decided in [`store_access`].
 //!
 //! A VM whose hub is silent, or knows only what is old, asks others: those that say that they know
 //! more, the next ranks of its data centre and the hubs of others. So does a hub that the store does
@@ -297,8 +297,7 @@
         let is_fresh = self.is_fresh_answer(&answer);
         self.take_answer(now, &asked, &answer);
         let is_own = answer.origin.as_ref() == Some(&self.identity.vm);
-        let is_near = answer.from.data_centre == self.identity.data_centre;
-        if answer.is_hub && is_near && answer.operators.is_some() {
+        if self.is_of_hub(&answer) && answer.operators.is_some() {
             self.relay.hub_lacks_store = answer.lacks_store || !is_fresh;
         }
         if is_fresh && !is_own {
@@ -315,6 +314,11 @@
         }
     }
 
+    /// Returns whether an answer is one of the hub of this VM's data centre.
+    fn is_of_hub(&self, answer: &RelayAnswer) -> bool {
+        answer.is_hub && answer.from.data_centre == self.identity.data_centre
+    }
+
     /// Returns whether a VM's knowledge is young enough to be relied on.
     fn is_fresh_answer(&self, answer: &RelayAnswer) -> bool {
         let (Some(operators), Some(servers)) = (answer.operators, answer.servers) else {
@@ -331,8 +335,7 @@
 
     /// Takes in what an answer tells, however old it is.
     fn take_answer(&mut self, now: Millis, asked: &AskedPeer, answer: &RelayAnswer) {
-        let is_near = answer.from.data_centre == self.identity.data_centre;
-        if answer.is_hub && is_near {
+        if self.is_of_hub(answer) {
             self.relay.all_vms = answer.all_vms;
             self.relay.loads.take_reader(now, answer.loads.clone());
             self.servers.note_others(&answer.loads);
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -102,9 +102,9 @@
             crashes: CrashNews::default(),
             crashes_heard: self.crashes_heard_from(&poll.from.name()),
             leaving: self.said_leaving(),
-            running: now.since(self.begun.unwrap_or(now)),
-            centre_vms: self.centre_vms(),
-            all_vms: self.known_vms(),
+            running: self.relay.start.running(now),
+            centre_vms: 0,
+            all_vms: 0,
             is_hub: self.relay.is_hub,
             lacks_store: self.lacks_store(now),
             origin: self.origin(now),
@@ -120,12 +120,14 @@
             },
             PollPurpose::Records => RelayAnswer {
                 records: self.records.since(last_known(poll.known.as_ref())),
+                all_vms: self.known_vms(),
                 loads: loads.all_but(now, &own_loads(), &poll.from.vm),
                 held_sessions: held_sessions(),
                 crashes: crashes(),
                 ..plain
             },
             PollPurpose::Loads => RelayAnswer {
+                centre_vms: self.centre_vms(),
                 loads: loads.of_centre(now, &own_loads()),
                 held_sessions: held_sessions(),
                 crashes: crashes(),
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -52,7 +52,7 @@
     pub known: Option<(PeerName, u64)>,
     /// How long the answer may wait for a change.
     pub wait: Millis,
-    /// The VMs that are known of the asker's data centre.
+    /// For [`PollPurpose::Loads`], the VMs that are known of the asker's data centre.
     pub centre_vms: u32,
     /// How old the asker's knowledge is of what operators publish.
     pub age: Option<Millis>,
@@ -135,9 +135,9 @@
     pub leaving: Vec<ServerStart>,
     /// How long who answers has been running.
     pub running: Millis,
-    /// The VMs that are known of the data centre of who answers.
+    /// For [`PollPurpose::Loads`], the VMs that are known of the data centre of who answers.
     pub centre_vms: u32,
-    /// The VMs that are known of all data centres.
+    /// For [`PollPurpose::Records`], the VMs that are known of all data centres.
     pub all_vms: u32,
     /// Whether who answers is the hub of its data centre.
     pub is_hub: bool,
--- a/src/gateway/relay_start.rs
+++ b/src/gateway/relay_start.rs
@@ -33,6 +33,11 @@
         self.is_decided = true;
     }
 
+    /// Returns how long the VM has been running.
+    pub(super) fn running(&self, now: Millis) -> Millis {
+        self.begun.map_or(Millis(0), |begun| now.since(begun))
+    }
+
     /// Returns whether the VM has started so lately that others may tell it yet what the store has.
     pub(super) fn is_recent(&self, now: Millis) -> bool {
         self.begun.is_some_and(|begun| now.since(begun).0 < Self::LEARN_MS)
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -9,11 +9,7 @@
 
     pub(super) fn try_again(&mut self, now: Millis, request: RequestNumber, reason: &'static str) {
         let Err(refusal) = self.send_again(now, request, reason) else { return };
-        if self.requests.get(&request).is_some_and(|state| state.is_delivered) {
-            self.break_off(now, request, "the stream broke and cannot be resumed");
-        } else {
-            self.refuse(now, request, refusal);
-        }
+        self.give_up(now, request, refusal, "the stream broke and cannot be resumed");
     }
 
     /// Sends a request once more, if its route, the budget and the time left permit it.
@@ -54,14 +50,10 @@
                 return;
             }
             self.patiences.pop_first();
-            self.leave_silent_run(now, request);
+            self.leave_run(now, request, "the server is silent");
         }
     }
 
-    fn leave_silent_run(&mut self, now: Millis, request: RequestNumber) {
-        self.leave_run(now, request, "the server is silent");
-    }
-
     /// Lets another server go on with a stream that has stalled, or the same one if there is none.
     pub(super) fn on_stalled(
         &mut self,
@@ -102,11 +94,9 @@
         self.requests.insert(request, left);
         let attempt = run.attempt;
         self.emit(GatewayCommand::Cancel { request, attempt });
-        let Err(refusal) = self.send(now, request, reason) else { return true };
-        if self.requests.get(&request).is_some_and(|state| state.is_delivered) {
-            self.break_off(now, request, "no server can go on with a stream that has stalled");
-        } else {
-            self.refuse(now, request, refusal);
+        if let Err(refusal) = self.send(now, request, reason) {
+            let reason = "no server can go on with a stream that has stalled";
+            self.give_up(now, request, refusal, reason);
         }
         true
     }
--- a/src/gateway/store_access.rs
+++ b/src/gateway/store_access.rs
@@ -163,16 +163,16 @@
     }
 
     fn look_pause(&mut self, now: Millis, own: &PeerCard) -> Millis {
-        let failures = self.feeds.get(&StoreStream::Operators).map_or(0, StoreFeed::failures);
-        let doubled = Self::FIRST_LOOK_MS << failures.saturating_sub(1).min(4);
         let draw = self.draw();
-        let size = self.relay.peers.centre_size(now, own) as u64;
-        let pause = if self.relay.peers.is_cut_off() {
-            doubled.min(Self::LAST_LONE_LOOK_MS) as f64 * (0.5 + draw / 2.0)
-        } else if self.is_relied_on(now, own) {
-            doubled.min(Self::LAST_LOOK_MS) as f64 * (0.5 + draw / 2.0)
+        let is_cut_off = self.relay.peers.is_cut_off();
+        let pause = if is_cut_off || self.is_relied_on(now, own) {
+            let failures = self.feeds.get(&StoreStream::Operators).map_or(0, StoreFeed::failures);
+            let doubled = Self::FIRST_LOOK_MS << failures.saturating_sub(1).min(4);
+            let longest = if is_cut_off { Self::LAST_LONE_LOOK_MS } else { Self::LAST_LOOK_MS };
+            doubled.min(longest) as f64 * (0.5 + draw / 2.0)
         } else {
             // As many VMs as there are look once in so long, each at a moment of its own.
+            let size = self.relay.peers.centre_size(now, own) as u64;
             2.0 * draw * (Self::CROWD_LOOK_MS * size) as f64
         };
         Millis(pause as u64)
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -7,6 +7,7 @@
 
 use super::*;
 
+mod answer_body;
 mod answer_shelf;
 mod answer_store;
 mod attempt_event;
@@ -47,6 +48,7 @@
 };
 
 use {
+    answer_body::AnswerBody,
     attempt_event::AttemptEvent,
     caller_desk::{DeskShared, read_body},
     caller_request::{CallerRequest, RequestError},
--- a/src/traffic/progress_limit.rs
+++ b/src/traffic/progress_limit.rs
@@ -83,6 +83,18 @@
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -1,7 +1,7 @@
 //! One run of a route's request at a backend server.
 
 use super::*;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::sync::mpsc::Sender;
 
@@ -80,6 +80,7 @@
             Err(cause) => return Ok(RunOutcome::NotRun { cause, load: None }),
         };
         let (head, body) = response.into_parts();
+        let body = AnswerBody::new(body, &link);
         let facts = read_answer(head.status, &head.headers);
         tracing::debug!(
             request = self.order.request.0,
@@ -98,10 +99,8 @@
         }
         if let Some(cause) = facts.not_run {
             let rest = Duration::from_millis(Self::REST_MS);
-            let is_read = matches!(
-                tokio::time::timeout(rest, self.collect(body, &link.allowance)).await,
-                Ok(Ok(_))
-            );
+            let read = tokio::time::timeout(rest, self.collect(body)).await;
+            let is_read = matches!(read, Ok(Ok(_)));
             if is_read && self.may_keep(&facts) {
                 link.put_back(&self.order.server, facts.idle_limit);
             }
@@ -111,9 +110,9 @@
             return Err(AttemptFault::Malformed.into());
         }
         let outcome = if self.order.is_stream && head.status.is_success() {
-            self.pass_stream(head, body, facts.head, &link.allowance).await?
+            self.pass_stream(head, body, facts.head).await?
         } else {
-            self.pass_whole(head, body, facts.head, &link.allowance).await?
+            self.pass_whole(head, body, facts.head).await?
         };
         if self.may_keep(&facts) {
             link.put_back(&self.order.server, facts.idle_limit);
@@ -168,17 +167,9 @@
         Some(request)
     }
 
-    async fn collect(
-        &self,
-        mut body: Incoming,
-        allowance: &ProgressAllowance,
-    ) -> Result<Bytes, AttemptFault> {
+    async fn collect(&self, mut body: AnswerBody) -> Result<Bytes, AttemptFault> {
         let mut bytes = Vec::new();
-        while let Some(frame) = body.frame().await {
-            allowance.start();
-            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else {
-                continue;
-            };
+        while let Some(data) = body.piece().await? {
             if bytes.len() + data.len() > self.desk.answer_limit.0 as usize {
                 return Err(AttemptFault::TooLong);
             }
@@ -190,11 +181,10 @@
     async fn pass_whole(
         &self,
         head: http::response::Parts,
-        body: Incoming,
+        body: AnswerBody,
         facts: AnswerHead,
-        allowance: &ProgressAllowance,
     ) -> Result<RunOutcome, RunFault> {
-        let body = self.collect(body, allowance).await?;
+        let body = self.collect(body).await?;
         self.pass(RunPart::Head(Box::new(head))).await?;
         self.pass(RunPart::Body(body)).await?;
         Ok(RunOutcome::Whole { head: facts })
@@ -203,21 +193,19 @@
     async fn pass_stream(
         &self,
         head: http::response::Parts,
-        body: Incoming,
+        body: AnswerBody,
         facts: AnswerHead,
-        allowance: &ProgressAllowance,
     ) -> Result<RunOutcome, RunFault> {
         let mut order = StreamOrder::after(self.order.after_event);
-        let passed = self.pass_events(head, body, facts, allowance, &mut order).await;
+        let passed = self.pass_events(head, body, facts, &mut order).await;
         passed.map_err(|fault| RunFault { fault, last_event: order.last() })
     }
 
     async fn pass_events(
         &self,
         head: http::response::Parts,
-        mut body: Incoming,
+        mut body: AnswerBody,
         facts: AnswerHead,
-        allowance: &ProgressAllowance,
         order: &mut StreamOrder,
     ) -> Result<RunOutcome, AttemptFault> {
         /// Many times the size of an event; a stream without an end of event is none.
@@ -227,9 +215,9 @@
         let mut progress = Instant::now();
         loop {
             let has_begun = head.is_none() || self.order.after_event.is_some();
-            let frame = tokio::select! {
+            let piece = tokio::select! {
                 biased;
-                frame = body.frame() => frame,
+                piece = body.piece() => piece?,
                 () = self.stalled(progress, has_begun) => {
                     self.report(RunReport::Stalled { last_event: order.last() });
                     // A run that is left is ended from outside.
@@ -238,11 +226,7 @@
                     continue;
                 }
             };
-            let Some(frame) = frame else { break };
-            allowance.start();
-            let Ok(data) = frame.map_err(|_| AttemptFault::Truncated)?.into_data() else {
-                continue;
-            };
+            let Some(data) = piece else { break };
             framer.feed(&data);
             tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
@@ -251,12 +235,11 @@
                     EventPlace::Repeated => continue,
                     EventPlace::AfterGap => return Err(AttemptFault::Truncated),
                 }
-                // Comments and events that were there before are no progress.
-                let is_progress = event.has_content;
                 self.begin(&mut head, facts).await?;
                 self.pass(RunPart::Event(event.bytes)).await?;
                 order.passed(event.id);
-                if is_progress {
+                // Comments and events that were there before are no progress.
+                if event.has_content {
                     progress = Instant::now();
                 }
             }
--- a/tests/gateway_crowd.rs
+++ b/tests/gateway_crowd.rs
@@ -31,6 +31,16 @@
     (0..crowd.len()).filter(|vm| vm * 7 % 20 < 7).collect()
 }
 
+/// Publishes a configuration each second for so many seconds; at most `missing` VMs may not be ready.
+fn publish_on(crowd: &mut GatewayCrowd, seconds: usize, missing: usize, why: &str) {
+    for second in 0..seconds {
+        crowd.run(1_000);
+        crowd.publish();
+        let ready = crowd.ready();
+        assert!(ready + missing >= crowd.len(), "{why}: {ready} are ready in second {second}");
+    }
+}
+
 fn assert_few_calls(crowd: &GatewayCrowd, from: Millis) {
     let seconds = crowd.now.since(from).0 as usize / 1_000;
     let (calls, limit) = (crowd.calls_since(from), CALLS_PER_CENTRE * CENTRES.len() * seconds);
@@ -74,11 +84,7 @@
         for vm in third(&crowd) {
             crowd.moods.insert(vm, mood);
         }
-        for _ in 0..8 {
-            crowd.run(1_000);
-            crowd.publish();
-            assert_eq!(crowd.ready(), crowd.len(), "{mood:?}: others know what the store has");
-        }
+        publish_on(&mut crowd, 8, 0, &format!("{mood:?}: others know what the store has"));
         assert_few_calls(&crowd, from);
         crowd.moods.clear();
         crowd.run(3_000);
@@ -112,11 +118,7 @@
     for vm in 0..SIZE {
         crowd.moods.insert(vm, StoreMood::Refuses);
     }
-    for _ in 0..8 {
-        crowd.run(1_000);
-        crowd.publish();
-        assert_eq!(crowd.ready(), crowd.len(), "the other data centre knows what the store has");
-    }
+    publish_on(&mut crowd, 8, 0, "the other data centre knows what the store has");
     assert_few_calls(&crowd, from);
 }
 
@@ -163,11 +165,7 @@
     for vm in crowd.callers_since(crowd.now.since(Millis(1_500))) {
         crowd.freeze(vm, 4_000);
     }
-    for _ in 0..8 {
-        crowd.run(1_000);
-        crowd.publish();
-        assert!(crowd.ready() + CENTRES.len() >= crowd.len());
-    }
+    publish_on(&mut crowd, 8, CENTRES.len(), "only those that are frozen lack knowledge");
     assert_few_calls(&crowd, from);
 }
 
@@ -199,12 +197,7 @@
     let from = crowd.now;
     crowd.is_cut_together = true;
     crowd.cut = third(&crowd).into_iter().collect();
-    for second in 0..10 {
-        crowd.run(1_000);
-        crowd.publish();
-        let ready = crowd.ready();
-        assert_eq!(ready, crowd.len(), "one of them reads for the others, second {second}");
-    }
+    publish_on(&mut crowd, 10, 0, "one of them reads for the others");
     assert_few_calls(&crowd, from);
 }
 
@@ -212,11 +205,7 @@
 fn cut_off_from_others() {
     let mut crowd = settled();
     crowd.cut = third(&crowd).into_iter().collect();
-    for _ in 0..6 {
-        crowd.run(1_000);
-        crowd.publish();
-        assert_eq!(crowd.ready(), crowd.len(), "the store tells what others cannot");
-    }
+    publish_on(&mut crowd, 6, 0, "the store tells what others cannot");
     let from = crowd.now;
     crowd.cut.clear();
     crowd.run(4_000);
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -161,6 +161,12 @@
         self.script.lock().unwrap().hung_up
     }
 
+    /// Notes that a caller has closed its connection; returns that it serves no more.
+    fn note_hung_up(&self) -> bool {
+        self.script.lock().unwrap().hung_up += 1;
+        false
+    }
+
     fn serve(&self, stream: &TcpStream) {
         self.script.lock().unwrap().open += 1;
         self.serve_requests(stream);
@@ -231,8 +237,7 @@
             ServerMove::Hang => {
                 let mut rest = [0_u8; 16];
                 let _ = stream.read(&mut rest);
-                self.script.lock().unwrap().hung_up += 1;
-                false
+                self.note_hung_up()
             }
         }
     }
@@ -299,8 +304,7 @@
             text = format!("{}{}", Self::chunk(": still there\n\n"), Self::event_chunk(2));
             std::thread::sleep(Duration::from_millis(100));
         }
-        self.script.lock().unwrap().hung_up += 1;
-        false
+        self.note_hung_up()
     }
 
     fn flood(&self, mut stream: &TcpStream, id: &str, place: FloodPlace) -> bool {
@@ -329,24 +333,14 @@
         while is_open {
             is_open = stream.write_all(more.as_bytes()).is_ok();
         }
-        self.script.lock().unwrap().hung_up += 1;
-        false
+        self.note_hung_up()
     }
 
     fn stream(&self, mut stream: &TcpStream, request: &SeenRequest, to: u64, whole: bool) -> bool {
         let id = request.header("x-attempt-id").unwrap_or_default();
         let from = request.header("last-event-id").map_or(0, |last| last.parse().unwrap());
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id
-        );
-        let mut text = head;
-        for event in from + 1..=to {
-            let event = format!("id: {event}\ndata: piece {event}\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            text.push_str(&chunk);
-        }
+        let mut text = self.stream_head(id);
+        text.extend((from + 1..=to).map(Self::event_chunk));
         text.push_str(if whole { "0\r\n\r\n" } else { "b\r\nid: 99\ndata\r\n" });
         let written = stream.write_all(text.as_bytes()).is_ok();
         if !whole {
