Name what servers say after the field's terms: hints, backoff, half open

ServerWord, rest and Comeback were words of our own; they are now ServerHint, backoff and a Circuit that is closed, half open or probing, as in other clients. The setting is bounds.longest_backoff_ms. Tests are renamed with them. No logic changes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,7 +9,7 @@
 //! A request passes through these steps: it is admitted ([`admit`]) and sent to a server ([`send`]).
 //! Each run ends in an answer that is delivered, dropped for one of a larger model ([`escalate`]), or
 //! in a fault ([`runs`]), after which the request is sent once more ([`resend`]), waits for a server with
-//! room ([`crowded`]) or is refused ([`finish`]). One under which servers end is not run ([`crashes`]). Servers may say that they leave or rest ([`server_words`]). The store is followed in [`reads`], or through another VM in [`relay`], which
+//! room ([`crowded`]) or is refused ([`finish`]). One under which servers end is not run ([`crashes`]). Servers may say that they leave or back off ([`server_hints`]). The store is followed in [`reads`], or through another VM in [`relay`], which
 //! [`store_access`] decides; roll-outs are led in [`rollouts`].
 
 use super::*;
@@ -61,8 +61,8 @@
 mod sent_load;
 mod server_book;
 mod server_entry;
-mod server_word;
-mod server_words;
+mod server_hint;
+mod server_hints;
 mod session_versions;
 mod sessions;
 mod shared_loads;
@@ -106,7 +106,7 @@
     sent_load::{LoadSum, SentLoad, ServerTag},
     server_book::{ServerBook, ServerNews},
     server_entry::{ServerChange, ServerEntry},
-    server_word::{ServerStart, ServerWord},
+    server_hint::{ServerHint, ServerStart},
     session_versions::SessionVersions,
     shared_loads::SharedLoads,
     side_times::{PaceVerdict, SideTimes},
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -26,30 +26,30 @@
     /// Whether it has said in an answer that it leaves.
     says_leaving: bool,
     /// Until when it wants nothing from this VM.
-    rests_until: Millis,
-    /// How far this VM has come back to it after a rest.
-    comeback: Comeback,
-    /// Whether a word of its could not be read.
-    pub has_unreadable_word: bool,
+    backoff_until: Millis,
+    /// How far this VM may send to it after a backoff.
+    circuit: Circuit,
+    /// Whether a hint of its could not be read.
+    pub has_unreadable_hint: bool,
     /// When this VM last sent it a prompt with a part, by the part's id.
     parts: FxHashMap<u64, Millis>,
 }
 
-/// How far a VM has come back to a server that wanted nothing for a while.
+/// The circuit to a server, as far as its own backoff opens it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Comeback {
+enum Circuit {
     /// It gets requests like any other.
     #[default]
-    Done,
-    /// It gets one request after its rest.
-    Due,
+    Closed,
+    /// It gets one request after its backoff.
+    HalfOpen,
     /// It has that request and no other one until an answer.
-    Trying,
+    Probing,
 }
 
 impl BackendServer {
-    /// The time after which a server that has one request after its rest is looked at again.
-    const COMEBACK_MS: u64 = 15;
+    /// The time after which a server that has one request after its backoff is looked at again.
+    const HALF_OPEN_PAUSE_MS: u64 = 15;
     /// The weight of the newest answer in the share of failures: about the last ten answers count.
     const FAIL_WEIGHT: f64 = 0.1;
     /// The pause after a server could not be reached; doubles each time.
@@ -80,9 +80,9 @@
             avoid_until: Millis(0),
             misses: 0,
             says_leaving: false,
-            rests_until: Millis(0),
-            comeback: Comeback::Done,
-            has_unreadable_word: false,
+            backoff_until: Millis(0),
+            circuit: Circuit::Closed,
+            has_unreadable_hint: false,
             parts: FxHashMap::default(),
         }
     }
@@ -95,7 +95,7 @@
 
     /// Returns whether only its own answers say that it leaves.
     #[must_use]
-    pub fn says_only_itself_that_it_leaves(&self) -> bool {
+    pub fn leaves_unlisted(&self) -> bool {
         let is_listed = self.removed.is_none() && self.entry.state == MemberState::Live;
         self.says_leaving && is_listed
     }
@@ -108,18 +108,18 @@
     }
 
     /// Notes that it wants nothing from this VM for a while.
-    pub fn told_rest(&mut self, now: Millis, rest: Millis) {
-        self.rests_until = self.rests_until.max(now + rest);
-        self.comeback = Comeback::Due;
+    pub fn told_backoff(&mut self, now: Millis, backoff: Millis) {
+        self.backoff_until = self.backoff_until.max(now + backoff);
+        self.circuit = Circuit::HalfOpen;
     }
 
     /// Returns how much longer this VM may send it nothing, if it may not.
     #[must_use]
-    pub fn rest(&self, now: Millis) -> Option<Millis> {
-        match self.comeback {
-            _ if now < self.rests_until => Some(self.rests_until.since(now)),
-            Comeback::Trying => Some(Millis(Self::COMEBACK_MS)),
-            Comeback::Due | Comeback::Done => None,
+    pub fn backoff(&self, now: Millis) -> Option<Millis> {
+        match self.circuit {
+            _ if now < self.backoff_until => Some(self.backoff_until.since(now)),
+            Circuit::Probing => Some(Millis(Self::HALF_OPEN_PAUSE_MS)),
+            Circuit::HalfOpen | Circuit::Closed => None,
         }
     }
 
@@ -129,11 +129,11 @@
         now >= self.avoid_until && (self.misses == 0 || self.in_flight == 0)
     }
 
-    /// Notes that a request starts; returns whether it is the one after a rest.
+    /// Notes that a request starts; returns whether it is the one after a backoff.
     pub fn started(&mut self, now: Millis, work_ms: f64, parts: &[PromptPart]) -> bool {
-        let is_comeback = self.comeback == Comeback::Due;
-        if is_comeback {
-            self.comeback = Comeback::Trying;
+        let is_half_open = self.circuit == Circuit::HalfOpen;
+        if is_half_open {
+            self.circuit = Circuit::Probing;
         }
         self.in_flight += 1;
         self.backlog_ms += work_ms;
@@ -143,7 +143,7 @@
         for part in parts {
             self.parts.insert(part.id, now);
         }
-        is_comeback
+        is_half_open
     }
 
     /// Notes that a prompt has been read.
@@ -154,8 +154,8 @@
     /// Takes a run that has ended or is given up off the books.
     pub fn release(&mut self, run: &RunTrack) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if run.is_comeback && self.comeback == Comeback::Trying {
-            self.comeback = Comeback::Due;
+        if run.is_half_open && self.circuit == Circuit::Probing {
+            self.circuit = Circuit::HalfOpen;
         }
         if run.stage == RunStage::Waiting {
             self.prompt_read(run.work_ms);
@@ -175,9 +175,9 @@
         self.fail_share += (newest - self.fail_share) * Self::FAIL_WEIGHT;
     }
 
-    /// Notes that it has begun to answer the first request after a rest: it gets others again.
-    pub const fn came_back(&mut self) {
-        self.comeback = Comeback::Done;
+    /// Notes that it has begun to answer the first request after a backoff: it gets others again.
+    pub const fn close_circuit(&mut self) {
+        self.circuit = Circuit::Closed;
     }
 
     /// Notes that it could not be reached, or fell silent.
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -47,7 +47,7 @@
         let has_other = self
             .servers
             .open(&state.pool)
-            .filter(|server| server.rest(now).is_none())
+            .filter(|server| server.backoff(now).is_none())
             .any(|server| server.is_reachable(now) && !tried.contains(&server.entry.id));
         if has_other || state.route.kind.is_stream() {
             self.try_again(now, request, "the server takes no more connections");
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -61,10 +61,10 @@
     pub(super) fn refuse(&mut self, now: Millis, request: RequestNumber, refusal: Refusal) {
         let Some(state) = self.requests.get(&request) else { return };
         // Nobody can come back before a server of the pool takes requests again.
-        let rest =
-            self.pool_rest(now, &state.pool).filter(|rest| refusal.retry_after < Some(*rest));
-        let refusal = match rest.filter(|_| refusal.retry_after.is_some()) {
-            Some(rest) => refusal.with_retry_after(rest),
+        let backoff = self.pool_backoff(now, &state.pool);
+        let longer = backoff.filter(|backoff| refusal.retry_after < Some(*backoff));
+        let refusal = match longer.filter(|_| refusal.retry_after.is_some()) {
+            Some(backoff) => refusal.with_retry_after(backoff),
             None => refusal,
         };
         tracing::info!(
--- a/src/gateway/gateway_bounds.rs
+++ b/src/gateway/gateway_bounds.rs
@@ -20,8 +20,8 @@
     pub session_s: f64,
     /// The share of a pool's requests that a version may get while it is brought in.
     pub exposure_share: Share,
-    /// The longest time for which a server's word counts that it wants nothing.
-    pub longest_rest_ms: Millis,
+    /// The longest time for which a server may ask to get nothing.
+    pub longest_backoff_ms: Millis,
 }
 
 impl Default for GatewayBounds {
@@ -36,7 +36,7 @@
             resend_window_ms: Millis(10_000),
             session_s: 10.0,
             exposure_share: Share::new(0.1).unwrap_or(Share::ZERO),
-            longest_rest_ms: Millis(30_000),
+            longest_backoff_ms: Millis(30_000),
         }
     }
 }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -120,7 +120,7 @@
             GatewayEvent::PeerAnswered { peer, purpose, answer } => {
                 self.on_peer_answer(now, peer, purpose, answer.map(|answer| *answer));
             }
-            GatewayEvent::ServerSaid { start, word } => self.on_server_said(now, &start, &word),
+            GatewayEvent::ServerHinted { start, hint } => self.on_server_hint(now, &start, &hint),
             GatewayEvent::Probed { server, result } => self.on_probed(now, &server, result),
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
--- a/src/gateway/gateway_event.rs
+++ b/src/gateway/gateway_event.rs
@@ -52,11 +52,11 @@
         answer: Option<Box<RelayAnswer>>,
     },
     /// A backend server has said something of itself in the head of an answer.
-    ServerSaid {
+    ServerHinted {
         /// The server.
         start: ServerStart,
         /// What it said.
-        word: ServerWord,
+        hint: ServerHint,
     },
     /// A backend server was probed.
     Probed {
--- a/src/gateway/place_choice.rs
+++ b/src/gateway/place_choice.rs
@@ -74,7 +74,9 @@
 pub fn choose_place(now: Millis, book: &ServerBook, wish: &PlaceWish<'_>) -> Option<Place> {
     let fit: Vec<&BackendServer> = book
         .open(wish.pool)
-        .filter(|server| wish.software.allows(&server.entry.software) && server.rest(now).is_none())
+        .filter(|server| {
+            wish.software.allows(&server.entry.software) && server.backoff(now).is_none()
+        })
         .collect();
     let homes = PartHomes::of(&fit, wish.parts);
     let mean_fail =
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -208,7 +208,7 @@
             held_known: Some((name.clone(), last)),
             crashes: self.crash_news_for(now, &name),
             crashes_known: Some((name.clone(), self.crashes_heard_from(&name))),
-            leaving: self.said_leaving(),
+            leaving: self.leaving_servers(),
             ..RelayPoll::new(from, purpose)
         }
     }
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -101,7 +101,7 @@
             held_heard: self.held_marks.heard_from(&poll.from.name()),
             crashes: CrashNews::default(),
             crashes_heard: self.crashes_heard_from(&poll.from.name()),
-            leaving: self.said_leaving(),
+            leaving: self.leaving_servers(),
             running: self.relay.start.running(now),
             centre_vms: 0,
             all_vms: 0,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -40,8 +40,8 @@
     pub side: Option<VersionSide>,
     /// When it started.
     pub started: Millis,
-    /// Whether it is the first after a rest of its server.
-    pub is_comeback: bool,
+    /// Whether it is the one request while the circuit to its server is half open.
+    pub is_half_open: bool,
     /// Whether the server was still slow after its own start.
     pub is_cold: bool,
     /// The time to its first event that was expected.
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -47,8 +47,8 @@
         if let Some(server) = self.servers.get_mut(&run.server) {
             alone = server.backlog_ms <= run.work_ms;
             server.prompt_read(run.work_ms);
-            if run.is_comeback {
-                server.came_back();
+            if run.is_half_open {
+                server.close_circuit();
             }
             if let Some(load) = head.load {
                 server.told_load(now, load);
@@ -126,8 +126,8 @@
             match outcome {
                 RunOutcome::Whole { head } => {
                     server.answered(head.status >= 500);
-                    if run.is_comeback && head.status < 500 {
-                        server.came_back();
+                    if run.is_half_open && head.status < 500 {
+                        server.close_circuit();
                     }
                     if let Some(load) = head.load
                         && !is_stream
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -23,9 +23,9 @@
             return Err(refusal);
         }
         let Some((place, side)) = self.find_place(now, state) else {
-            let rest = self.pool_rest(now, &state.pool);
-            let Some(rest) = rest else { return Err(Self::no_server_refusal(state)) };
-            return self.wait_rest(now, request, rest);
+            let backoff = self.pool_backoff(now, &state.pool);
+            let Some(backoff) = backoff else { return Err(Self::no_server_refusal(state)) };
+            return self.wait_backoff(now, request, backoff);
         };
         self.start(now, request, place, side, reason);
         Ok(())
@@ -85,9 +85,9 @@
             "sent"
         );
         let work_ms = place.unread * token_ms;
-        let (mut is_cold, mut is_comeback, mut born) = (false, false, None);
+        let (mut is_cold, mut is_half_open, mut born) = (false, false, None);
         if let Some(server) = self.servers.get_mut(&place.server) {
-            is_comeback = server.started(now, work_ms, &state.cached_parts());
+            is_half_open = server.started(now, work_ms, &state.cached_parts());
             is_cold = now < server.cold_until;
             born = server.entry.born;
         }
@@ -117,7 +117,7 @@
             side,
             started: now,
             is_cold,
-            is_comeback,
+            is_half_open,
             expected: place.expected,
             unread: place.unread,
             work_ms,
--- a/src/gateway/server_word.rs
+++ b/src/gateway/server_hint.rs
@@ -2,20 +2,20 @@
 
 /// What a backend server says of itself in the head of an answer, whatever it was asked.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ServerWord {
+pub struct ServerHint {
     /// Whether it is about to end and takes no new work.
     pub leaves: bool,
     /// For how long it wants nothing from this VM.
-    pub rest: Option<Millis>,
+    pub backoff: Option<Millis>,
     /// The headers whose values could not be read, and which say nothing.
     pub unreadable: Vec<&'static str>,
 }
 
-impl ServerWord {
+impl ServerHint {
     /// Returns whether nothing was said.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        !self.leaves && self.rest.is_none() && self.unreadable.is_empty()
+        !self.leaves && self.backoff.is_none() && self.unreadable.is_empty()
     }
 }
 
--- a/src/gateway/server_words.rs
+++ b/src/gateway/server_hints.rs
@@ -1,4 +1,4 @@
-//! What backend servers say of themselves in their answers.
+//! What backend servers say of themselves in the heads of their answers.
 //!
 //! The list of servers comes late, or not at all while the store is out of reach. A server that
 //! leaves says so in its answers too; that holds at once, and other VMs are told with the polls. A
@@ -8,7 +8,8 @@
 //!
 //! The load pattern that this answers: a pool that is full, before many VMs. Without a time each VM
 //! tries each server again and again; at the end of such a time all that wait would come at once. So
-//! a VM comes back to a server with a single request, until that one is answered.
+//! the circuit to a server is half open after its backoff: a single request goes there until it is
+//! answered.
 
 use super::*;
 
@@ -17,31 +18,31 @@
     const LEAVING_LIMIT: usize = 256;
 
     /// Takes in what a server has said in an answer.
-    pub(super) fn on_server_said(&mut self, now: Millis, start: &ServerStart, word: &ServerWord) {
-        let longest = self.bounds.longest_rest_ms;
+    pub(super) fn on_server_hint(&mut self, now: Millis, start: &ServerStart, hint: &ServerHint) {
+        let longest = self.bounds.longest_backoff_ms;
         let Some(server) = self.servers.get_mut(&start.server) else { return };
         // The answer may come from an earlier start.
         if server.entry.born != start.born {
             return;
         }
         let id = &start.server;
-        if !word.unreadable.is_empty() && !server.has_unreadable_word {
-            server.has_unreadable_word = true;
-            tracing::warn!(server = %id, headers = ?word.unreadable, "a server's word is unreadable");
+        if !hint.unreadable.is_empty() && !server.has_unreadable_hint {
+            server.has_unreadable_hint = true;
+            tracing::warn!(server = %id, headers = ?hint.unreadable, "a server's hint is unreadable");
         }
-        if word.leaves && server.told_leaving() {
+        if hint.leaves && server.told_leaving() {
             tracing::info!(server = %id, "a server says that it leaves");
         }
-        if let Some(rest) = word.rest {
-            let rest = rest.min(longest);
-            server.told_rest(now, rest);
-            tracing::info!(server = %id, rest_ms = rest.0, "a server wants nothing for a while");
+        if let Some(backoff) = hint.backoff {
+            let backoff = backoff.min(longest);
+            server.told_backoff(now, backoff);
+            tracing::info!(server = %id, backoff_ms = backoff.0, "a server wants nothing for a while");
         }
     }
 
     /// Returns the servers that have said that they leave and are not known to by the list.
-    pub(super) fn said_leaving(&self) -> Vec<ServerStart> {
-        let said = self.servers.iter().filter(|server| server.says_only_itself_that_it_leaves());
+    pub(super) fn leaving_servers(&self) -> Vec<ServerStart> {
+        let said = self.servers.iter().filter(|server| server.leaves_unlisted());
         let start = |server: &BackendServer| ServerStart {
             server: server.entry.id.clone(),
             born: server.entry.born,
@@ -61,32 +62,32 @@
 
     /// Returns how long it is until the first server of a pool takes requests from this VM again, if
     /// none does now.
-    pub(super) fn pool_rest(&self, now: Millis, pool: &PoolId) -> Option<Millis> {
-        let rests: Option<Vec<Millis>> =
-            self.servers.open(pool).map(|server| server.rest(now)).collect();
-        rests.and_then(|rests| rests.into_iter().min())
+    pub(super) fn pool_backoff(&self, now: Millis, pool: &PoolId) -> Option<Millis> {
+        let backoffs: Option<Vec<Millis>> =
+            self.servers.open(pool).map(|server| server.backoff(now)).collect();
+        backoffs.and_then(|backoffs| backoffs.into_iter().min())
     }
 
-    /// Lets a request wait for the end of a rest of all servers of its pool, or returns its refusal.
-    pub(super) fn wait_rest(
+    /// Lets a request wait until a server of its pool takes requests again, or returns its refusal.
+    pub(super) fn wait_backoff(
         &mut self,
         now: Millis,
         request: RequestNumber,
-        rest: Millis,
+        backoff: Millis,
     ) -> Result<(), Refusal> {
-        /// The mean of what is added to a rest, so that not all that wait come in one moment.
+        /// The mean of what is added to a backoff, so that not all that wait come in one moment.
         const SPREAD_MS: f64 = 20.0;
         let draw = self.draw();
         let Some(state) = self.requests.get(&request) else { return Ok(()) };
-        let back = rest + Millis((SPREAD_MS * 2.0 * draw) as u64);
-        let at = now + back;
+        let pause = backoff + Millis((SPREAD_MS * 2.0 * draw) as u64);
+        let at = now + pause;
         let is_in_time = at <= self.last_start(state) && state.run_state() == RunState::NotRun;
         if is_in_time && !state.is_delivered {
-            self.wait_until(now, request, at, "waits: all servers rest");
+            self.wait_until(now, request, at, "waits: all servers back off");
             return Ok(());
         }
         let refusal = Self::no_server_refusal(state);
         let is_not_run = refusal.run == RunState::NotRun;
-        Err(if is_not_run { refusal.with_retry_after(back) } else { refusal })
+        Err(if is_not_run { refusal.with_retry_after(pause) } else { refusal })
     }
 }
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -12,7 +12,7 @@
 /// Says that a server takes no new work.
 const LEAVING: &str = "server-leaving";
 /// Says in the 503 of a server for how long it wants nothing.
-const REST: &str = "retry-after";
+const RETRY_AFTER: &str = "retry-after";
 
 /// What the head of a server's answer says.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,7 +30,7 @@
     /// The time for which the server keeps an idle connection.
     pub idle_limit: Option<Millis>,
     /// What the server says of itself.
-    pub word: ServerWord,
+    pub hint: ServerHint,
 }
 
 /// Reads the head of a server's answer.
@@ -43,7 +43,7 @@
         400 => NotRunCause::Rejected,
         _ => NotRunCause::Full,
     });
-    let word = read_word(status, headers);
+    let hint = read_hint(status, headers);
     let confidence = text(headers, CONFIDENCE).and_then(|value| value.trim().parse::<f64>().ok());
     AnswerFacts {
         head: AnswerHead {
@@ -56,26 +56,26 @@
         not_run,
         keeps: !closes(headers),
         idle_limit: text(headers, "keep-alive").and_then(idle_limit),
-        word,
+        hint,
     }
 }
 
 /// Reads what a server says of itself. A header that is doubled or cannot be read says nothing.
-fn read_word(status: u16, headers: &HeaderMap) -> ServerWord {
-    let mut word = ServerWord::default();
+fn read_hint(status: u16, headers: &HeaderMap) -> ServerHint {
+    let mut hint = ServerHint::default();
     match single(headers, LEAVING) {
-        Some("1") => word.leaves = true,
-        Some(_) => word.unreadable.push(LEAVING),
+        Some("1") => hint.leaves = true,
+        Some(_) => hint.unreadable.push(LEAVING),
         None => {}
     }
     // In other answers this header is the caller's to read.
     if status == 503 {
-        word.rest = single(headers, REST).and_then(seconds);
-        if word.rest.is_none() && headers.contains_key(REST) {
-            word.unreadable.push(REST);
+        hint.backoff = single(headers, RETRY_AFTER).and_then(seconds);
+        if hint.backoff.is_none() && headers.contains_key(RETRY_AFTER) {
+            hint.unreadable.push(RETRY_AFTER);
         }
     }
-    word
+    hint
 }
 
 /// Returns a header's value, without a text if it is doubled or not printable.
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -93,9 +93,9 @@
             return Err(AttemptFault::Malformed.into());
         }
         // Another server that has the address speaks for itself.
-        if facts.not_run != Some(NotRunCause::Misdirected) && !facts.word.is_empty() {
+        if facts.not_run != Some(NotRunCause::Misdirected) && !facts.hint.is_empty() {
             let start = ServerStart { server: self.order.server.clone(), born: self.order.born };
-            self.desk.handle.send(GatewayEvent::ServerSaid { start, word: facts.word.clone() });
+            self.desk.handle.send(GatewayEvent::ServerHinted { start, hint: facts.hint.clone() });
         }
         if let Some(cause) = facts.not_run {
             let rest = Duration::from_millis(Self::REST_MS);
--- a/tests/gateway_words.rs
+++ b/tests/gateway_hints.rs
@@ -19,17 +19,17 @@
 /// The rule's time after a server's word from which requests count.
 const IN_FLIGHT: Millis = Millis(500);
 
-fn say(stage: &mut GatewayWorld, server: &str, born: Option<Millis>, word: ServerWord) {
+fn say(stage: &mut GatewayWorld, server: &str, born: Option<Millis>, word: ServerHint) {
     let start = ServerStart { server: server_id(server), born };
-    stage.handle(GatewayEvent::ServerSaid { start, word });
+    stage.handle(GatewayEvent::ServerHinted { start, hint: word });
 }
 
-fn leaves() -> ServerWord {
-    ServerWord { leaves: true, ..ServerWord::default() }
+fn leaves() -> ServerHint {
+    ServerHint { leaves: true, ..ServerHint::default() }
 }
 
-fn rests(ms: u64) -> ServerWord {
-    ServerWord { rest: Some(Millis(ms)), ..ServerWord::default() }
+fn rests(ms: u64) -> ServerHint {
+    ServerHint { backoff: Some(Millis(ms)), ..ServerHint::default() }
 }
 
 fn server_of(world: &GatewayWorld, request: RequestNumber) -> Option<ServerId> {
@@ -241,7 +241,7 @@
     let mut world = all_rest(u64::MAX / 2);
     let refusal = world.arrive("/slot/1");
     let after = world.refusal(refusal).unwrap().retry_after.unwrap();
-    assert!(after <= bounds().longest_rest_ms + Millis(100), "{after}");
+    assert!(after <= bounds().longest_backoff_ms + Millis(100), "{after}");
 }
 
 /// A pool of three servers that are full for good, before so many VMs; returns the tries that each
@@ -310,7 +310,7 @@
 proptest! {
     /// Both rules as they are worded, over random words, lists, restarts and answers.
     #[test]
-    fn words_are_kept(happenings in prop::collection::vec(happening(), 1..150)) {
+    fn hints_are_obeyed(happenings in prop::collection::vec(happening(), 1..150)) {
         const NAMES: [&str; 6] = ["e1", "e2", "e3", "b1", "b2", "b3"];
         let mut world = GatewayWorld::new();
         let mut born: BTreeMap<usize, u64> = BTreeMap::new();
--- a/tests/gateway_rollouts.rs
+++ b/tests/gateway_rollouts.rs
@@ -540,8 +540,13 @@
     world.tick(10);
 }
 
-fn state_record(state: RolloutState, stage: u8) -> StoreRecord {
-    StoreRecord::Rollout(RolloutRecord { pool: pool(ENGINES), target: "v2".into(), state, stage })
+fn state_record(state: RolloutState, raised: u8) -> StoreRecord {
+    StoreRecord::Rollout(RolloutRecord {
+        pool: pool(ENGINES),
+        target: "v2".into(),
+        state,
+        stage: raised,
+    })
 }
 
 #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -223,13 +223,13 @@
 }
 
 #[test]
-fn words_of_servers_read() {
+fn hints_of_servers_read() {
     let word = |status: u16, values: &[(&'static str, &'static str)]| {
-        read_answer(StatusCode::from_u16(status).unwrap(), &headers(values)).word
+        read_answer(StatusCode::from_u16(status).unwrap(), &headers(values)).hint
     };
     assert!(word(200, &[("server-leaving", "1")]).leaves);
     assert!(word(500, &[("server-leaving", " 1 ")]).leaves, "in failures too");
-    let rest = |value: &'static str| word(503, &[("retry-after", value)]).rest;
+    let rest = |value: &'static str| word(503, &[("retry-after", value)]).backoff;
     assert_eq!(rest("2"), Some(Millis(2_000)));
     assert_eq!(rest("0.25"), Some(Millis(250)));
     assert_eq!(rest("0"), Some(Millis(0)));
@@ -238,9 +238,9 @@
 }
 
 #[test]
-fn words_of_servers_that_say_nothing() {
+fn hints_of_servers_that_say_nothing() {
     let word = |values: &[(&'static str, &'static str)]| {
-        read_answer(StatusCode::SERVICE_UNAVAILABLE, &headers(values)).word
+        read_answer(StatusCode::SERVICE_UNAVAILABLE, &headers(values)).hint
     };
     for value in ["", "0", "yes", "1,1"] {
         let word = word(&[("server-leaving", value)]);
@@ -250,8 +250,8 @@
         ["", "-1", "soon", "1e9", "NaN", "inf", ".", "1,2", "Fri, 04 Dec 2026 12:00:00 GMT"]
     {
         let word = word(&[("retry-after", value)]);
-        assert_eq!((word.rest, word.unreadable), (None, vec!["retry-after"]), "{value:?}");
+        assert_eq!((word.backoff, word.unreadable), (None, vec!["retry-after"]), "{value:?}");
     }
     let doubled = word(&[("server-leaving", "1"), ("server-leaving", "1"), ("retry-after", "1")]);
-    assert_eq!((doubled.leaves, doubled.rest), (false, Some(Millis(1_000))));
+    assert_eq!((doubled.leaves, doubled.backoff), (false, Some(Millis(1_000))));
 }
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -47,7 +47,7 @@
         resend_window_ms: Millis(10_000),
         session_s: 5.0,
         exposure_share: Share::new(0.15).unwrap(),
-        longest_rest_ms: Millis(30_000),
+        longest_backoff_ms: Millis(30_000),
     }
 }
 
