Take polls that tell all held sessions

Seen by reading: up to 8,192 sessions are held while a roll-out is on trial, 73,784 bytes of a poll to a VM that has just started, and a poll of more than 65,536 is answered 400. The VMs would have taken each other for silent until the trial ended.

The limit is 256 KB now. gateway_sessions: held_sessions_fit_into_a_poll fails before and asks for twice the room that they take.

--- a/src/traffic/gateway_desk.rs
+++ b/src/traffic/gateway_desk.rs
@@ -68,8 +68,9 @@
 impl GatewayDesk {
     /// The path of the counters and histograms.
     pub const METRICS_PATH: &'static str = "/metrics";
-    /// The largest question of another entry VM.
-    const POLL_LIMIT: ByteSize = ByteSize(64 * 1_024);
+    /// The largest question of another entry VM: one that tells a VM that has just started all held
+    /// sessions, and what is known of servers and versions.
+    pub const POLL_LIMIT: ByteSize = ByteSize(256 * 1_024);
     /// The longest time that a body takes to arrive.
     const BODY_TIMEOUT_MS: u64 = 10_000;
 
--- a/tests/gateway_sessions.rs
+++ b/tests/gateway_sessions.rs
@@ -161,3 +161,18 @@
     held.hold(1);
     assert_eq!(held.since(10_000), HeldNews { sessions: vec![1], last: 10_001 });
 }
+
+#[test]
+fn held_sessions_fit_into_a_poll() {
+    let mut held = HeldSessions::default();
+    for session in 0..20_000_u64 {
+        held.hold(u64::MAX - session);
+    }
+    let poll = RelayPoll {
+        held_sessions: held.since(0),
+        ..RelayPoll::new(card("front-1", "norte"), PollPurpose::Loads)
+    };
+    let bytes = rmp_serde::to_vec(&poll).unwrap().len() as u64;
+    let limit = guavapass::traffic::GatewayDesk::POLL_LIMIT.0;
+    assert!(2 * bytes <= limit, "{bytes} bytes of {limit}; a poll tells other things, too");
+}
