Read and log the limits that servers name

Change: the adapter reads the header from every answer head (decimal numbers only; a repeated or malformed one is listed as unreadable); the core logs it when it changes, and each 'sent' line carries it.

--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -30,6 +30,8 @@
     backoff_until: Millis,
     /// The circuit breaker that limits requests after such a backoff.
     circuit: Circuit,
+    /// The limit that it named in its newest answer with one.
+    pub limit: Option<RequestsPerSecond>,
     /// Whether it sent a hint that could not be parsed.
     pub has_unreadable_hint: bool,
     /// When this VM last sent it each prompt part, by the part's id.
@@ -85,6 +87,7 @@
             announced_leaving: false,
             backoff_until: Millis(0),
             circuit: Circuit::Closed,
+            limit: None,
             has_unreadable_hint: false,
             parts: FxHashMap::default(),
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -67,6 +67,8 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         let token_ms = self.pace(state).token_ms;
+        let limit_per_s =
+            self.servers.get(&place.server).and_then(|server| server.limit).map(|limit| limit.0);
         let Some(state) = self.requests.get_mut(&request) else { return };
         let attempt = AttemptId(state.runs.len() as u64 + 1);
         tracing::info!(
@@ -83,6 +85,7 @@
             expected_ms = place.expected.0,
             left_ms = state.ends.since(now).0,
             session = state.arrival.session.as_deref(),
+            limit_per_s,
             reason,
             "sent"
         );
--- a/src/gateway/server_hint.rs
+++ b/src/gateway/server_hint.rs
@@ -1,12 +1,15 @@
 use super::*;
 
 /// What a backend server reports about itself in the headers of any answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerHint {
     /// Whether the server is shutting down and takes no new work.
     pub leaves: bool,
     /// How long this VM must send no requests to the server. `None` if it asked for no backoff.
     pub backoff: Option<Millis>,
+    /// The requests per second that the server accepts from all VMs together. `None` if the answer
+    /// does not name a limit.
+    pub limit: Option<RequestsPerSecond>,
     /// Names of the headers whose values could not be parsed and are ignored.
     pub unreadable: Vec<&'static str>,
 }
@@ -15,7 +18,7 @@
     /// Returns whether the server reported nothing, not even an unreadable header.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        !self.leaves && self.backoff.is_none() && self.unreadable.is_empty()
+        !self.leaves && self.backoff.is_none() && self.limit.is_none() && self.unreadable.is_empty()
     }
 }
 
--- a/src/gateway/server_hints.rs
+++ b/src/gateway/server_hints.rs
@@ -37,6 +37,14 @@
         if hint.leaves && server.mark_leaving() {
             tracing::info!(server = %id, "server reported that it is leaving");
         }
+        if hint.limit.is_some() && server.limit != hint.limit {
+            server.limit = hint.limit;
+            tracing::info!(
+                server = %id,
+                limit_per_s = hint.limit.map(|limit| limit.0),
+                "server named a limit"
+            );
+        }
         if let Some(backoff) = hint.backoff {
             let backoff = backoff.min(longest);
             server.start_backoff(now, backoff);
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -11,11 +11,13 @@
 const CONFIDENCE: &str = "x-confidence";
 /// Set to `1` by a server that is shutting down and takes no new requests.
 const LEAVING: &str = "server-leaving";
+/// The requests per second that a server in need accepts from all VMs together.
+const LIMIT: &str = "server-limit";
 /// In a 503: the number of seconds for which the server wants no requests.
 const RETRY_AFTER: &str = "retry-after";
 
 /// The status and headers of a server's response, parsed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerFacts {
     /// The part that the gateway's core uses: status, load and confidence.
     pub head: AnswerHead,
@@ -70,6 +72,12 @@
         Some(_) => hint.unreadable.push(LEAVING),
         None => {}
     }
+    if let Some(value) = single_value(headers, LIMIT) {
+        hint.limit = parse_decimal(value).map(RequestsPerSecond);
+        if hint.limit.is_none() {
+            hint.unreadable.push(LIMIT);
+        }
+    }
     // In other responses, Retry-After is addressed to the caller.
     if status == 503 {
         hint.backoff = single_value(headers, RETRY_AFTER).and_then(parse_seconds);
@@ -88,11 +96,14 @@
     Some(if is_repeated { "" } else { first.trim() })
 }
 
-/// Parses a decimal number of seconds; rejects signs, exponents, `NaN` and `inf`.
 fn parse_seconds(value: &str) -> Option<Millis> {
+    Some(Millis((parse_decimal(value)? * 1_000.0) as u64))
+}
+
+/// Parses a decimal number; rejects signs, exponents, `NaN` and `inf`.
+fn parse_decimal(value: &str) -> Option<f64> {
     let is_plain = value.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
-    let seconds = value.parse::<f64>().ok().filter(|_| is_plain)?;
-    Some(Millis((seconds * 1_000.0) as u64))
+    value.parse().ok().filter(|_| is_plain)
 }
 
 fn has_connection_close(headers: &HeaderMap) -> bool {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,7 +6,7 @@
     ids::{AttemptId, RequestNumber},
     platform::*,
     settings::GatewaySettings,
-    units::{Millis, Tokens},
+    units::{Millis, RequestsPerSecond, Tokens},
 };
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 
@@ -244,6 +244,25 @@
     assert!(hint(200, &[("x-attempt-id", "a")]).is_empty());
 }
 
+#[test]
+fn server_limit_read() {
+    let hint = |status: u16, value: &'static str| {
+        let headers = headers(&[("server-limit", value)]);
+        read_answer(StatusCode::from_u16(status).unwrap(), &headers).hint
+    };
+    for (value, limit) in [("1", 1.0), ("0", 0.0), (" 2.5 ", 2.5), (".25", 0.25), ("4000", 4e3)] {
+        for status in [200, 404, 500, 503] {
+            assert_eq!(hint(status, value).limit, Some(RequestsPerSecond(limit)), "{value:?}");
+        }
+    }
+    for value in ["", "-1", "+1", "NaN", "inf", "1e3", "1,5", "many", "1 2", "0x1"] {
+        let hint = hint(200, value);
+        assert_eq!((hint.limit, hint.unreadable), (None, vec!["server-limit"]), "{value:?}");
+    }
+    let repeated = headers(&[("server-limit", "1"), ("server-limit", "2")]);
+    assert_eq!(read_answer(StatusCode::OK, &repeated).hint.limit, None);
+}
+
 #[test]
 fn malformed_server_hints_ignored() {
     let hint = |values: &[(&'static str, &'static str)]| {
