--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -4,7 +4,7 @@
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex, Weak},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// How the server handles a request.
@@ -66,6 +66,7 @@
 /// A request as the server received it.
 #[derive(Clone, Debug)]
 pub struct SeenRequest {
+    pub at: Instant,
     pub line: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -80,6 +81,8 @@
 #[derive(Default)]
 struct ServerScript {
     moves: Vec<ServerAction>,
+    /// The limit that its answers name, in requests per second.
+    limit: Option<String>,
     /// How many of the next connections it resets on accept.
     resets: usize,
     seen: Vec<SeenRequest>,
@@ -136,6 +139,17 @@
         self.script.lock().unwrap().moves = moves.to_vec();
     }
 
+    /// Sets the limit that all further answers name, in requests per second.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.script.lock().unwrap().limit = limit.map(str::to_owned);
+    }
+
+    /// Returns the header that names the limit, if there is one.
+    fn limit_header(&self) -> String {
+        let limit = self.script.lock().unwrap().limit.clone();
+        limit.map_or(String::new(), |limit| format!("Server-Limit: {limit}\r\n"))
+    }
+
     /// Makes the server reset its next connections, like a server at its connection limit.
     pub fn reset_next(&self, connections: usize) {
         self.script.lock().unwrap().resets = connections;
@@ -264,8 +278,9 @@
     fn answer(&self, mut stream: &TcpStream, status: &str, id: &str, body: &str) -> bool {
         let text = format!(
             "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
-             X-Server-Load: 1,0,8,100\r\nContent-Length: {}\r\n\r\n{body}",
+             X-Server-Load: 1,0,8,100\r\n{}Content-Length: {}\r\n\r\n{body}",
             self.id,
+            self.limit_header(),
             body.len()
         );
         stream.write_all(text.as_bytes()).is_ok()
@@ -274,8 +289,9 @@
     fn stream_head(&self, id: &str) -> String {
         format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id
+             Content-Type: text/event-stream\r\n{}Transfer-Encoding: chunked\r\n\r\n",
+            self.id,
+            self.limit_header()
         )
     }
 
@@ -372,5 +388,5 @@
     let length = length.map_or(0, |(_, value)| value.parse().unwrap());
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some(SeenRequest { line: line.trim_end().into(), headers, body })
+    Some(SeenRequest { at: Instant::now(), line: line.trim_end().into(), headers, body })
 }
