Send to servers with a limit only with permits

Callers saw no error; a server in need (Server-Limit: 1) got 13 requests in 4 s, 11 allowed. Cause: nothing acted on the header. Class of fault: a bound on the sum over all VMs that no VM, or each VM by itself, keeps. Change: a VM sends to a server with a limit only with a permit, used up in Gateway::start, the one place that sends. The hub of the server's data centre issues permits from a token bucket that starts empty; VMs ask it at a pace bounded over the whole fleet. Changes of limits spread with the polls. VMs that cannot reach the issuer issue a fraction, so that the sum holds while views differ. If all servers of a pool are at their limits, requests wait by rank and share of their team, or are refused at once as not run.

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -80,6 +80,7 @@
             self.last_sweep = now;
             self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
             self.metrics.gauge("open_requests", self.mailboxes.len() as u64);
+            self.metrics.gauge("limited_servers", self.gateway.limited_servers() as u64);
         }
     }
 
@@ -87,6 +88,9 @@
         match command {
             GatewayCommand::Start(order) => {
                 self.metrics.count("runs");
+                if order.is_limited {
+                    self.metrics.count("limited_runs");
+                }
                 self.send_directive(order.request, GatewayDirective::Start(order));
             }
             GatewayCommand::Deliver { request, attempt } => {
@@ -152,6 +156,9 @@
 
     fn poll_peer(&self, peer: Option<VmId>, address: SocketAddr, poll: RelayPoll) {
         let (relay, handle) = (Arc::clone(&self.relay), self.handle.clone());
+        if poll.purpose == PollPurpose::Permits {
+            self.metrics.count("permit_queries");
+        }
         tokio::spawn(async move {
             let answer = relay.poll(address, &poll).await.map(Box::new);
             handle.send(GatewayEvent::PeerAnswered { peer, purpose: poll.purpose, answer });
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,7 +12,8 @@
 //! a larger model ([`escalate`]), or with a fault. After a fault the request is retried
 //! ([`resend`]), waits for a server with a free slot ([`crowded`]) or is refused ([`finish`]). A
 //! request that repeatedly crashes servers is quarantined ([`crashes`]). Servers may announce in
-//! their answers that they are leaving or need a backoff ([`server_hints`]). [`store_access`]
+//! their answers that they are leaving or need a backoff ([`server_hints`]), or name a limit on the
+//! requests of all VMs together ([`limits`], [`permits`]). [`store_access`]
 //! decides whether this VM reads the store itself ([`reads`]) or through another VM ([`relay`]).
 //! [`rollouts`] advances roll-outs.
 
@@ -20,6 +21,7 @@
 
 mod admit;
 mod answer_counts;
+mod asked_issuer;
 mod backend_server;
 mod crashes;
 mod crowded;
@@ -34,10 +36,16 @@
 mod gateway_event;
 mod held_sessions;
 mod latency_histogram;
+mod limit_message;
+mod limit_statement;
+mod limits;
 mod load_sample;
 mod model_choice;
 mod outstanding_load;
 mod peer_loads;
+mod permit_issuer;
+mod permit_stock;
+mod permits;
 mod pool_latency_model;
 mod probe_result;
 mod reads;
@@ -49,6 +57,7 @@
 mod relay_peers;
 mod relay_start;
 mod rendezvous_servers;
+mod request_rate;
 mod resend;
 mod retry_budget;
 mod rollout_order;
@@ -66,6 +75,7 @@
 mod server_estimate;
 mod server_hint;
 mod server_hints;
+mod server_limit;
 mod server_registry;
 mod server_selection;
 mod session_versions;
@@ -90,10 +100,13 @@
     gateway_event::GatewayEvent,
     held_sessions::{HeldSessionUpdate, HeldSessions},
     latency_histogram::{LatencyHistogram, LatencyMeasure, WorkKind},
+    limit_message::{LimitQuery, LimitReply, LimitReport, PermitDemand, PermitGrant},
+    limit_statement::LimitStatement,
     load_sample::{DatedLoad, LoadSample},
     model_choice::EscalationInputs,
     outstanding_load::{LoadTotals, OutstandingLoad, ServerTag},
     peer_loads::PeerLoads,
+    permit_stock::PermitStock,
     pool_latency_model::PoolLatencyModel,
     probe_result::ProbeResult,
     record_cache::{RecordCache, StreamRecord},
@@ -111,6 +124,7 @@
     run_report::{AnswerHead, NotRunCause, RunOutcome, RunReport},
     server_entry::{ServerChange, ServerEntry},
     server_hint::{ServerHint, ServerStart},
+    server_limit::ServerLimit,
     server_registry::{ServerRegistry, ServerUpdate},
     server_selection::{SelectedServer, ServerCriteria, SoftwareRule, select_server},
     session_versions::SessionVersions,
@@ -121,12 +135,16 @@
 };
 
 use {
+    asked_issuer::AskedIssuer,
     crashes::CrashWatch,
     crowded::FullPoolQueue,
+    limits::LimitState,
+    permit_issuer::PermitIssuer,
     relay::RelayState,
     relay_answers::WaitingPoll,
     relay_start::RelayStart,
     rendezvous_servers::RendezvousServers,
+    request_rate::RequestRate,
     server_estimate::ServerEstimate,
     store_access::{StoreAccess, StoreUse},
     sync_positions::SyncPositions,
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -30,8 +30,10 @@
     backoff_until: Millis,
     /// The circuit breaker that limits requests after such a backoff.
     circuit: Circuit,
-    /// The limit that it named in its newest answer with one.
-    pub limit: Option<RequestsPerSecond>,
+    /// The limit on requests from all VMs together that it has named.
+    pub limit: ServerLimit,
+    /// This VM's permits to send requests to it while it has a limit.
+    pub permits: PermitStock,
     /// Whether it sent a hint that could not be parsed.
     pub has_unreadable_hint: bool,
     /// When this VM last sent it each prompt part, by the part's id.
@@ -87,7 +89,8 @@
             announced_leaving: false,
             backoff_until: Millis(0),
             circuit: Circuit::Closed,
-            limit: None,
+            limit: ServerLimit::default(),
+            permits: PermitStock::default(),
             has_unreadable_hint: false,
             parts: FxHashMap::default(),
         }
@@ -132,6 +135,26 @@
         }
     }
 
+    /// Returns whether the server has a limit and this VM holds no permit to send to it.
+    #[must_use]
+    pub fn is_at_limit(&self, now: Millis) -> bool {
+        self.limit.rate().is_some() && self.permits.count(now) == 0
+    }
+
+    /// Returns whether this VM may send to the server now, as far as the server itself restricts
+    /// that.
+    #[must_use]
+    pub fn accepts(&self, now: Millis) -> bool {
+        self.backoff(now).is_none() && !self.is_at_limit(now)
+    }
+
+    /// Returns the server's limit as it is reported to other VMs.
+    #[must_use]
+    pub fn limit_report(&self, now: Millis) -> LimitReport {
+        let start = ServerStart { server: self.entry.id.clone(), born: self.entry.born };
+        LimitReport { start, rate: self.limit.rate(), age: self.limit.age(now) }
+    }
+
     /// Returns whether requests may be sent to the server: it is not being avoided, and after
     /// failures it gets one request at a time until it answers.
     #[must_use]
@@ -139,13 +162,16 @@
         now >= self.avoid_until && (self.consecutive_failures == 0 || self.in_flight == 0)
     }
 
-    /// Records that a request is sent. Returns whether it is the trial request of a half-open
-    /// circuit.
+    /// Records that a request is sent, and uses a permit if the server has a limit. Returns whether
+    /// it is the trial request of a half-open circuit.
     pub fn start_request(&mut self, now: Millis, work_ms: f64, parts: &[PromptPart]) -> bool {
         let is_half_open = self.circuit == Circuit::HalfOpen;
         if is_half_open {
             self.circuit = Circuit::Probing;
         }
+        if self.limit.rate().is_some() {
+            self.permits.take(now);
+        }
         self.in_flight += 1;
         self.backlog_ms += work_ms;
         if self.parts.len() >= Self::PARTS_BEFORE_CLEANUP {
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -22,6 +22,16 @@
     pub(super) fn next(&self) -> Option<Millis> {
         self.tries.first().map(|(at, _)| *at)
     }
+
+    /// Removes a request that is sent before its next try.
+    pub(super) fn remove(&mut self, request: RequestNumber) {
+        self.tries.retain(|(_, waiting)| *waiting != request);
+    }
+
+    /// Returns the ratio of a team's share of the recent requests to an equal share.
+    pub(super) fn overuse_factor(&self, now: Millis, team: Option<&TeamId>) -> f64 {
+        self.shares.overuse_factor(now, team)
+    }
 }
 
 impl Gateway {
@@ -47,7 +57,7 @@
         let has_other = self
             .servers
             .open(&state.pool)
-            .filter(|server| server.backoff(now).is_none())
+            .filter(|server| server.accepts(now))
             .any(|server| server.is_reachable(now) && !tried.contains(&server.entry.id));
         if has_other || state.route.kind.is_stream() {
             self.retry_or_end(now, request, "the server takes no more connections");
@@ -66,7 +76,7 @@
         if state.run_state() != RunState::NotRun {
             return false;
         }
-        let overuse_factor = self.crowded.shares.overuse_factor(now, state.team.as_ref());
+        let overuse_factor = self.crowded.overuse_factor(now, state.team.as_ref());
         let pause = Self::FULL_POOL_WAIT_MS * overuse_factor.min(Self::MAX_TEAM_FACTOR);
         let at = now + Millis((pause * (0.5 + draw)) as u64);
         if at > self.last_start(state) {
--- a/src/gateway/escalate.rs
+++ b/src/gateway/escalate.rs
@@ -25,7 +25,9 @@
         let Some(run) = larger.run_mut(attempt) else { return false };
         run.stage = RunStage::Over;
         run.is_discarded = true;
-        let Some((place, side)) = self.find_server(now, &larger) else { return false };
+        // A server in need answers another request instead.
+        let found = self.find_server_among(now, &larger, false);
+        let Some((place, side)) = found else { return false };
         let due = state.received + state.route.objective;
         let is_on_time = now + place.expected < due;
         let prompt: u64 = state.arrival.parts.iter().map(|part| part.tokens.0).sum();
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -4,7 +4,7 @@
 
 impl Gateway {
     /// `Retry-After` when the pool has no usable server.
-    const NO_SERVER_RETRY_MS: u64 = 300;
+    pub(super) const NO_SERVER_RETRY_MS: u64 = 300;
 
     pub(super) fn on_caller_gone(&mut self, now: Millis, request: RequestNumber) {
         let Some(state) = self.requests.get(&request) else { return };
@@ -98,6 +98,7 @@
             self.crashes.book.publish(state.arrival.fingerprint);
             self.sessions.ended(now, Self::session_hash(&state));
             self.ends.remove(&(state.ends, request));
+            self.end_permit_wait(&state.pool, request);
         }
     }
 
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -20,6 +20,7 @@
     pub(super) held: HeldSessions,
     pub(super) held_positions: SyncPositions,
     pub(super) crashes: CrashWatch,
+    pub(super) limits: LimitState,
     pub(super) rollout_end: Option<Offset>,
     pub(super) rollout_append: Option<Millis>,
     pub(super) evidence_next: Millis,
@@ -70,6 +71,7 @@
             held: HeldSessions::default(),
             held_positions: SyncPositions::default(),
             crashes: CrashWatch::default(),
+            limits: LimitState::default(),
             rollout_end: None,
             rollout_append: None,
             evidence_next: Millis(0),
@@ -120,13 +122,16 @@
             GatewayEvent::PeerAnswered { peer, purpose, answer } => {
                 self.on_peer_answer(now, peer, purpose, answer.map(|answer| *answer));
             }
-            GatewayEvent::ServerHinted { start, hint } => self.on_server_hint(now, &start, &hint),
+            GatewayEvent::ServerHinted { start, sent, hint } => {
+                self.on_server_hint(now, &start, sent, &hint);
+            }
             GatewayEvent::Probed { server, result } => self.on_probed(now, &server, result),
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
         self.end_expired(now);
         self.retry_unresponsive(now);
         self.send_waiting(now);
+        self.ask_permits(now);
         self.advance_rollouts(now);
         self.run_relay(now);
         self.update_store_use(now);
@@ -149,7 +154,8 @@
         let relay = self.relay_next();
         let response_deadline = self.response_deadlines.first().map(|(at, _)| *at);
         let (access, crowded) = (self.access.next(), self.crowded.next());
-        [end, response_deadline, read, advance, relay, access, crowded]
+        let permits = self.permits_next();
+        [end, response_deadline, read, advance, relay, access, crowded, permits]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/gateway_event.rs
+++ b/src/gateway/gateway_event.rs
@@ -55,6 +55,8 @@
     ServerHinted {
         /// The server and its start time.
         start: ServerStart,
+        /// When the request was sent that it answered.
+        sent: Millis,
         /// The hint.
         hint: ServerHint,
     },
--- a/src/gateway/outstanding_load.rs
+++ b/src/gateway/outstanding_load.rs
@@ -11,7 +11,9 @@
 }
 
 /// The id of a backend server in messages between entry VMs: a 32-bit hash of its full id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct ServerTag(u32);
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -218,6 +218,7 @@
             crashes: self.crash_news_for(now, &name),
             crashes_known: Some((name.clone(), self.crashes_received_from(&name))),
             leaving: self.leaving_servers(),
+            limits: LimitQuery { reports: self.limit_news(now), ..LimitQuery::default() },
             ..RelayPoll::new(from, purpose)
         }
     }
@@ -260,14 +261,17 @@
         result: Option<RelayAnswer>,
     ) {
         if let Some(answer) = &result {
-            self.relay.peers.record_contact(now, &answer.from);
+            self.relay.peers.record_message(now, &answer.from);
             self.relay.peers.record_answer(&answer.from.vm);
             let others = answer.cards.iter().filter(|card| card.vm != self.identity.vm);
             for card in others {
                 self.relay.peers.record_contact(now, card);
             }
         }
-        if let Some(answer) = result.as_ref().filter(|_| purpose != PollPurpose::Greeting) {
+        if let Some(answer) = &result {
+            self.apply_limit_reports(now, &answer.from.vm, &answer.limits.reports);
+        }
+        if let Some(answer) = result.as_ref().filter(|_| purpose.carries_news()) {
             self.apply_held_sessions(answer.from.name(), &answer.held_sessions);
             self.held_positions.set_confirmed(answer.from.name(), answer.held_heard);
             self.apply_crashes(now, answer.from.name(), &answer.crashes);
@@ -277,7 +281,10 @@
         match (purpose, peer) {
             (PollPurpose::Records, _) => self.on_record_answer(now, result),
             (PollPurpose::Loads, Some(peer)) => self.on_load_answer(now, &peer, result),
-            (PollPurpose::Loads, None) => {}
+            (PollPurpose::Permits, Some(peer)) => {
+                self.on_permit_answer(now, &peer, result.as_ref());
+            }
+            (PollPurpose::Loads | PollPurpose::Permits, None) => {}
             (PollPurpose::Greeting, _) => self.on_greeting(now, result.as_ref()),
         }
     }
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -20,7 +20,7 @@
 impl Gateway {
     /// Handles a poll of another VM: applies what it reports and queues it for an answer.
     pub(super) fn on_poll(&mut self, now: Millis, call: CallId, mut poll: RelayPoll) {
-        self.relay.peers.record_contact(now, &poll.from);
+        self.relay.peers.record_message(now, &poll.from);
         let loads = std::mem::take(&mut poll.loads);
         match poll.purpose {
             PollPurpose::Records => self.relay.loads.set_follower(now, &poll.from.vm, loads),
@@ -28,9 +28,10 @@
                 self.relay.loads.set_centre(now, &poll.from.data_centre, loads);
                 self.relay.set_centre_vms(&poll.from.data_centre, poll.centre_vms);
             }
-            PollPurpose::Greeting => {}
+            PollPurpose::Greeting | PollPurpose::Permits => {}
         }
-        if poll.purpose != PollPurpose::Greeting {
+        self.apply_limit_reports(now, &poll.from.vm, &poll.limits.reports);
+        if poll.purpose.carries_news() {
             self.apply_held_sessions(poll.from.name(), &poll.held_sessions);
             self.apply_crashes(now, poll.from.name(), &poll.crashes);
             self.apply_leaving(&poll.from.vm, &poll.leaving);
@@ -114,11 +115,19 @@
             lacks_store: self.lacks_store(now),
             origin: self.origin(now),
             cards: Vec::new(),
+            limits: LimitReply { reports: self.limit_news(now), ..LimitReply::default() },
         };
+        if poll.purpose == PollPurpose::Permits {
+            let limits = self.permit_reply(now, &poll.from.vm, &poll.limits);
+            let answer = Box::new(RelayAnswer { limits, ..common });
+            self.emit(GatewayCommand::AnswerPeer { call, answer });
+            return;
+        }
         let held_sessions = || self.held.since(last_known(poll.held_known.as_ref()));
         let crashes = || self.crash_news(now, last_known(poll.crashes_known.as_ref()));
         let (loads, own_loads) = (&self.relay.loads, || self.servers.own_loads());
         let answer = match poll.purpose {
+            PollPurpose::Permits => common,
             PollPurpose::Greeting => RelayAnswer {
                 cards: self.relay.peers.for_greeting(&poll.from.data_centre),
                 ..common
--- a/src/gateway/relay_message.rs
+++ b/src/gateway/relay_message.rs
@@ -40,6 +40,17 @@
     Records,
     /// To exchange the load that two data centres have sent to the backend servers.
     Loads,
+    /// To get permits to send requests to servers that have a limit.
+    Permits,
+}
+
+impl PollPurpose {
+    /// Returns whether polls of this purpose, and their answers, carry what the VMs have learned
+    /// from servers and callers.
+    #[must_use]
+    pub const fn carries_news(self) -> bool {
+        matches!(self, Self::Records | Self::Loads)
+    }
 }
 
 /// A poll for the store records of another entry VM, with what the sender has to report.
@@ -75,6 +86,9 @@
     pub crashes_known: Option<(PeerName, u64)>,
     /// Servers that have reported in their answers that they leave.
     pub leaving: Vec<ServerStart>,
+    /// Limits of servers, and the permits that the sender asks for.
+    #[serde(default, skip_serializing_if = "LimitQuery::is_empty")]
+    pub limits: LimitQuery,
 }
 
 impl RelayPoll {
@@ -95,6 +109,7 @@
             crashes: CrashUpdate::default(),
             crashes_known: None,
             leaving: Vec::new(),
+            limits: LimitQuery::default(),
         }
     }
 }
@@ -152,4 +167,7 @@
     /// For [`PollPurpose::Greeting`], the entry VMs of the polling VM's data centre and some of the
     /// others.
     pub cards: Vec<PeerCard>,
+    /// Limits of servers, and permits.
+    #[serde(default, skip_serializing_if = "LimitReply::is_empty")]
+    pub limits: LimitReply,
 }
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -16,6 +16,8 @@
 struct PeerTrack {
     card: PeerCard,
     heard: Millis,
+    /// When the VM itself last sent a message to this one; at first, when this VM learned of it.
+    messaged: Millis,
     /// Until when the VM is not polled because it did not answer.
     backoff_until: Millis,
     /// Number of consecutive polls that this VM did not answer.
@@ -77,6 +79,7 @@
         let track = PeerTrack {
             card: card.clone(),
             heard: now,
+            messaged: now,
             backoff_until: Millis(0),
             failures: 0,
             outdated_until: Millis(0),
@@ -85,6 +88,14 @@
         self.peers.insert(card.vm.clone(), track);
     }
 
+    /// Records a message from a VM.
+    pub fn record_message(&mut self, now: Millis, card: &PeerCard) {
+        self.record_contact(now, card);
+        if let Some(track) = self.peers.get_mut(&card.vm) {
+            track.messaged = now;
+        }
+    }
+
     /// Records that a VM has answered a poll.
     pub fn record_answer(&mut self, vm: &VmId) {
         self.failures = 0;
@@ -178,6 +189,21 @@
         self.peers.retain(|_, track| now.since(track.heard).0 < Self::FORGET_AFTER_MS);
     }
 
+    /// Returns the data centres of the known VMs.
+    #[must_use]
+    pub fn centres(&self) -> BTreeSet<DataCentreId> {
+        self.peers.values().map(|track| track.card.data_centre.clone()).collect()
+    }
+
+    /// Returns the first rank of a data centre that answers, which is its hub as far as this VM
+    /// knows.
+    #[must_use]
+    pub fn first_rank(&self, now: Millis, centre: &DataCentreId) -> Option<&PeerCard> {
+        let answering = self.peers.values().filter(|track| track.answers(now));
+        let cards = answering.map(|track| &track.card);
+        cards.filter(|card| card.data_centre == *centre).min_by_key(|card| card.rank())
+    }
+
     /// Returns the VMs to list in the answer to a greeting: all of the given data centre, and those
     /// that rank first in each other one.
     #[must_use]
@@ -214,6 +240,20 @@
         self.ranked_before(now, own).count()
     }
 
+    /// Returns the number of VMs in this VM's data centre that rank before it and may be running,
+    /// whether this VM reaches them or not.
+    #[must_use]
+    pub fn seniors(&self, now: Millis, own: &PeerCard) -> u32 {
+        /// Longer than a VM that did not answer is left alone.
+        const GONE_AFTER_MS: u64 = 10_000;
+        let seniors = self.peers.values().filter(|track| {
+            track.card.data_centre == own.data_centre
+                && track.card.rank() < own.rank()
+                && now.since(track.messaged).0 < GONE_AFTER_MS
+        });
+        seniors.count() as u32
+    }
+
     /// Returns the number of VMs in this VM's data centre that are believed to answer, this one
     /// included; 1 if this VM is cut off.
     #[must_use]
--- a/src/gateway/run_order.rs
+++ b/src/gateway/run_order.rs
@@ -30,4 +30,9 @@
     pub team: Option<TeamId>,
     /// The last event delivered to the caller; the server resumes the stream after it.
     pub after_event: Option<u64>,
+    /// When the order was given, by the core's clock.
+    pub sent: Millis,
+    /// Whether the server has a request limit as far as this VM knows, so that an answer without
+    /// one matters.
+    pub is_limited: bool,
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,7 +10,7 @@
     const UNRESPONSIVE_FACTOR: u64 = 4;
 
     /// Sends a request to the server with the lowest estimated cost, or lets it wait if all servers
-    /// are in backoff. Returns the refusal if neither is possible.
+    /// are in backoff or at their limits. Returns the refusal if neither is possible.
     pub(super) fn send(
         &mut self,
         now: Millis,
@@ -24,7 +24,14 @@
         if let Some(refusal) = self.quarantine_refusal(now, state) {
             return Err(refusal);
         }
-        let Some((place, side)) = self.find_server(now, state) else {
+        let found = self.find_server(now, state);
+        let pool = state.pool.clone();
+        self.count_send(now, &pool);
+        let Some((place, side)) = found else {
+            if let Some(wait) = self.permit_wait(now, &pool) {
+                return self.wait_for_permit(now, request, wait);
+            }
+            let Some(state) = self.requests.get(&request) else { return Ok(()) };
             let backoff = self.pool_backoff(now, &state.pool);
             let Some(backoff) = backoff else { return Err(Self::no_server_refusal(state)) };
             return self.wait_backoff(now, request, backoff);
@@ -39,6 +46,16 @@
         &self,
         now: Millis,
         state: &RoutedRequest,
+    ) -> Option<(SelectedServer, Option<VersionSide>)> {
+        self.find_server_among(now, state, true)
+    }
+
+    /// The same; servers that have a request limit are only used if `may_use_limited` is true.
+    pub(super) fn find_server_among(
+        &self,
+        now: Millis,
+        state: &RoutedRequest,
+        may_use_limited: bool,
     ) -> Option<(SelectedServer, Option<VersionSide>)> {
         let (side, software) = self.software_rule(now, state);
         let mut tried = state.tried();
@@ -52,6 +69,7 @@
             data_centre: &self.identity.data_centre,
             parts: &parts,
             pace,
+            may_use_limited,
             tie: xxh3_64(&state.arrival.request.0.to_le_bytes()),
         };
         select_server(now, &self.servers, &wish).map(|place| (place, side))
@@ -67,8 +85,10 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         let token_ms = self.pace(state).token_ms;
-        let limit_per_s =
-            self.servers.get(&place.server).and_then(|server| server.limit).map(|limit| limit.0);
+        let limit = self.servers.get(&place.server).and_then(|server| server.limit.rate());
+        let pool = state.pool.clone();
+        let at_limit = self.servers.open(&pool).filter(|server| server.is_at_limit(now)).count();
+        self.end_permit_wait(&pool, request);
         let Some(state) = self.requests.get_mut(&request) else { return };
         let attempt = AttemptId(state.runs.len() as u64 + 1);
         tracing::info!(
@@ -85,7 +105,8 @@
             expected_ms = place.expected.0,
             left_ms = state.ends.since(now).0,
             session = state.arrival.session.as_deref(),
-            limit_per_s,
+            limit_per_s = limit.map(|limit| limit.0),
+            at_limit,
             reason,
             "sent"
         );
@@ -115,6 +136,8 @@
             rank: is_engine.then(|| Self::engine_rank(state)),
             team: state.team.clone(),
             after_event: state.last_event,
+            sent: now,
+            is_limited: limit.is_some(),
         };
         state.runs.push(RunRecord {
             attempt,
--- a/src/gateway/server_hint.rs
+++ b/src/gateway/server_hint.rs
@@ -7,9 +7,8 @@
     pub leaves: bool,
     /// How long this VM must send no requests to the server. `None` if it asked for no backoff.
     pub backoff: Option<Millis>,
-    /// The requests per second that the server accepts from all VMs together. `None` if the answer
-    /// does not name a limit.
-    pub limit: Option<RequestsPerSecond>,
+    /// What the answer says about the server's request limit.
+    pub limit: LimitStatement,
     /// Names of the headers whose values could not be parsed and are ignored.
     pub unreadable: Vec<&'static str>,
 }
@@ -17,8 +16,11 @@
 impl ServerHint {
     /// Returns whether the server reported nothing, not even an unreadable header.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        !self.leaves && self.backoff.is_none() && self.limit.is_none() && self.unreadable.is_empty()
+    pub fn is_empty(&self) -> bool {
+        !self.leaves
+            && self.backoff.is_none()
+            && self.limit == LimitStatement::Absent
+            && self.unreadable.is_empty()
     }
 }
 
--- a/src/gateway/server_hints.rs
+++ b/src/gateway/server_hints.rs
@@ -17,8 +17,14 @@
     /// Maximum number of servers that one message reports as leaving.
     const MAX_LEAVING_PER_MESSAGE: usize = 256;
 
-    /// Applies what a server has reported in an answer.
-    pub(super) fn on_server_hint(&mut self, now: Millis, start: &ServerStart, hint: &ServerHint) {
+    /// Applies what a server has reported in the answer to a request that was sent at `sent`.
+    pub(super) fn on_server_hint(
+        &mut self,
+        now: Millis,
+        start: &ServerStart,
+        sent: Millis,
+        hint: &ServerHint,
+    ) {
         let longest = self.bounds.longest_backoff_ms;
         let Some(server) = self.servers.get_mut(&start.server) else { return };
         // The answer may have been sent before the server restarted.
@@ -37,19 +43,12 @@
         if hint.leaves && server.mark_leaving() {
             tracing::info!(server = %id, "server reported that it is leaving");
         }
-        if hint.limit.is_some() && server.limit != hint.limit {
-            server.limit = hint.limit;
-            tracing::info!(
-                server = %id,
-                limit_per_s = hint.limit.map(|limit| limit.0),
-                "server named a limit"
-            );
-        }
         if let Some(backoff) = hint.backoff {
             let backoff = backoff.min(longest);
             server.start_backoff(now, backoff);
             tracing::info!(server = %id, backoff_ms = backoff.0, "server asked for a backoff");
         }
+        self.apply_limit_statement(now, id, sent, hint.limit);
     }
 
     /// Returns the servers that have reported that they leave and that the server list does not
@@ -77,12 +76,14 @@
         }
     }
 
-    /// Returns the time until the first server of a pool accepts requests from this VM again.
-    /// `None` if a server accepts them now.
+    /// Returns the time until the first server of a pool is expected to accept requests from this VM
+    /// again. `None` if a server accepts them now.
     pub(super) fn pool_backoff(&self, now: Millis, pool: &PoolId) -> Option<Millis> {
-        let backoffs: Option<Vec<Millis>> =
-            self.servers.open(pool).map(|server| server.backoff(now)).collect();
-        backoffs.and_then(|backoffs| backoffs.into_iter().min())
+        if self.servers.open(pool).any(|server| server.accepts(now)) {
+            return None;
+        }
+        let backoffs = self.servers.open(pool).filter_map(|server| server.backoff(now));
+        backoffs.chain(self.permit_wait(now, pool)).min()
     }
 
     /// Lets a request wait until a server of its pool accepts requests again. Returns its refusal
--- a/src/gateway/server_selection.rs
+++ b/src/gateway/server_selection.rs
@@ -49,6 +49,8 @@
     pub parts: &'a [PromptPart],
     /// The speed of the pool's servers.
     pub pace: PoolLatencyModel,
+    /// Whether servers that have named a request limit may be used.
+    pub may_use_limited: bool,
     /// A number that differs between requests, to break ties.
     pub tie: u64,
 }
@@ -70,7 +72,7 @@
 
 /// Returns the server with the lowest cost. Prefers servers that the request has not tried and that
 /// are reachable, then untried ones that are being avoided, then tried ones. None if no server of
-/// the pool is open, out of backoff and runs a permitted version.
+/// the pool is open, accepts requests of this VM and runs a permitted version.
 #[must_use]
 pub fn select_server(
     now: Millis,
@@ -80,10 +82,11 @@
     let fit: Vec<&BackendServer> = book
         .open(wish.pool)
         .filter(|server| {
-            wish.software.allows(&server.entry.software) && server.backoff(now).is_none()
+            let is_permitted = wish.may_use_limited || server.limit.rate().is_none();
+            wish.software.allows(&server.entry.software) && server.accepts(now) && is_permitted
         })
         .collect();
-    let homes = RendezvousServers::of(&fit, wish.parts);
+    let homes = RendezvousServers::of(&home_candidates(&fit), wish.parts);
     let mean_failure_rate =
         fit.iter().map(|server| server.failure_rate).sum::<f64>() / fit.len().max(1) as f64;
     let estimates: Vec<ServerEstimate<'_>> = fit
@@ -98,3 +101,11 @@
         .or_else(|| ServerEstimate::cheapest(estimates.iter().filter(is_reachable)))?;
     Some(best.place())
 }
+
+/// Returns the servers that may be the home of prompt parts: those without a request limit, unless
+/// all have one. A home gets all requests for its parts, which is what a limit forbids.
+fn home_candidates<'a>(fit: &[&'a BackendServer]) -> Vec<&'a BackendServer> {
+    let unlimited = fit.iter().copied().filter(|server| server.limit.rate().is_none());
+    let unlimited: Vec<&BackendServer> = unlimited.collect();
+    if unlimited.is_empty() { fit.to_vec() } else { unlimited }
+}
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -73,8 +73,10 @@
         None => {}
     }
     if let Some(value) = single_value(headers, LIMIT) {
-        hint.limit = parse_decimal(value).map(RequestsPerSecond);
-        if hint.limit.is_none() {
+        if let Some(rate) = parse_decimal(value) {
+            hint.limit = LimitStatement::Named(RequestsPerSecond(rate));
+        } else {
+            hint.limit = LimitStatement::Unreadable;
             hint.unreadable.push(LIMIT);
         }
     }
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -96,9 +96,11 @@
         }
         // A misdirected request was answered by another server that now has the address, so its
         // hint does not describe the intended server.
-        if facts.not_run != Some(NotRunCause::Misdirected) && !facts.hint.is_empty() {
+        let has_news = !facts.hint.is_empty() || self.order.is_limited;
+        if facts.not_run != Some(NotRunCause::Misdirected) && has_news {
             let start = ServerStart { server: self.order.server.clone(), born: self.order.born };
-            self.shared.handle.send(GatewayEvent::ServerHinted { start, hint: facts.hint.clone() });
+            let (sent, hint) = (self.order.sent, facts.hint.clone());
+            self.shared.handle.send(GatewayEvent::ServerHinted { start, sent, hint });
         }
         if let Some(cause) = facts.not_run {
             let timeout = Duration::from_millis(Self::NOT_RUN_BODY_TIMEOUT_MS);
--- a/tests/gateway_hints.rs
+++ b/tests/gateway_hints.rs
@@ -21,7 +21,8 @@
 
 fn report_hint(stage: &mut GatewayFixture, server: &str, born: Option<Millis>, hint: ServerHint) {
     let start = ServerStart { server: server_id(server), born };
-    stage.handle(GatewayEvent::ServerHinted { start, hint });
+    let sent = stage.now;
+    stage.handle(GatewayEvent::ServerHinted { start, sent, hint });
 }
 
 fn leaving_hint() -> ServerHint {
--- a/tests/gateway_places.rs
+++ b/tests/gateway_places.rs
@@ -40,6 +40,7 @@
         data_centre: &text("norte"),
         parts: &[part(7, SHARED_TOKENS), part(tie, 1_000)],
         pace: PoolLatencyModel::engine(),
+        may_use_limited: true,
         tie,
     };
     select_server(Millis(0), &book, &wish).expect("all servers are open").server
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -62,6 +62,7 @@
         lacks_store: false,
         origin: Some(text(from)),
         cards: Vec::new(),
+        limits: LimitReply::default(),
     }
 }
 
@@ -253,6 +254,7 @@
         crashes: CrashUpdate::default(),
         crashes_known: None,
         leaving: Vec::new(),
+        limits: LimitQuery::default(),
     };
     let answers = |world: &GatewayFixture| -> Vec<RelayAnswer> {
         let answers = world.commands.iter().filter_map(|command| match command {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -38,6 +38,8 @@
         rank: Some(12),
         team: Some("plaza".parse().unwrap()),
         after_event: Some(4),
+        sent: Millis(0),
+        is_limited: false,
     }
 }
 
@@ -252,15 +254,17 @@
     };
     for (value, limit) in [("1", 1.0), ("0", 0.0), (" 2.5 ", 2.5), (".25", 0.25), ("4000", 4e3)] {
         for status in [200, 404, 500, 503] {
-            assert_eq!(hint(status, value).limit, Some(RequestsPerSecond(limit)), "{value:?}");
+            let named = LimitStatement::Named(RequestsPerSecond(limit));
+            assert_eq!(hint(status, value).limit, named, "{value:?}");
         }
     }
     for value in ["", "-1", "+1", "NaN", "inf", "1e3", "1,5", "many", "1 2", "0x1"] {
         let hint = hint(200, value);
-        assert_eq!((hint.limit, hint.unreadable), (None, vec!["server-limit"]), "{value:?}");
+        let unreadable = (LimitStatement::Unreadable, vec!["server-limit"]);
+        assert_eq!((hint.limit, hint.unreadable), unreadable, "{value:?}");
     }
     let repeated = headers(&[("server-limit", "1"), ("server-limit", "2")]);
-    assert_eq!(read_answer(StatusCode::OK, &repeated).hint.limit, None);
+    assert_eq!(read_answer(StatusCode::OK, &repeated).hint.limit, LimitStatement::Unreadable);
 }
 
 #[test]
--- a/tests/support/gateway_crowd.rs
+++ b/tests/support/gateway_crowd.rs
@@ -88,6 +88,8 @@
     /// Whether the VMs that are cut off can reach each other.
     pub can_cut_vms_connect: bool,
     seeds: Vec<SocketAddr>,
+    /// The number of requests for permits that each VM has received.
+    pub permit_queries: BTreeMap<usize, usize>,
     /// The commands of entry VMs other than calls to the store and polls.
     pub outbox: Vec<(usize, GatewayCommand)>,
 }
@@ -146,6 +148,7 @@
             cut: BTreeSet::new(),
             can_cut_vms_connect: false,
             seeds,
+            permit_queries: BTreeMap::new(),
             outbox: Vec::new(),
         };
         crowd.publish();
@@ -441,6 +444,9 @@
         let to = usize::from(address.port()) - 1_000;
         self.calls += 1;
         let id = self.calls;
+        if poll.purpose == PollPurpose::Permits {
+            *self.permit_queries.entry(to).or_default() += 1;
+        }
         let asked = PendingPoll { from, start, peer, purpose: poll.purpose };
         self.polls.insert(id, asked);
         let is_cut = self.is_cut(from, to);
