Estimate the wait for a permit by the requests ahead, and let streams wait

Change: a request's wait is its part of the backlog, at least its own VM's queue ahead of it, and never less than the time until a whole permit is there; the least rate is applied where a limit is learned; the rate of requests counts each request once; a delivered stream waits until its deadline.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -90,6 +90,7 @@
         let model = if arrival.any_model { route.models.first().cloned() } else { None };
         let window = self.bounds.resend_window_ms;
         self.budgets.entry(pool.clone()).or_default().record_request(now, window);
+        self.count_request(now, &pool);
         self.count_team_request(now, team.as_ref());
         let last_event = arrival.last_event;
         let state = RoutedRequest {
--- a/src/gateway/crowded.rs
+++ b/src/gateway/crowded.rs
@@ -120,7 +120,7 @@
                 continue;
             }
             if let Err(refusal) = self.send(now, request, "retry after waiting for a free slot") {
-                self.refuse(now, request, refusal);
+                self.give_up(now, request, refusal, Self::NO_PERMIT_REASON);
             }
         }
     }
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -79,12 +79,15 @@
         let server = self.servers.get(id);
         let limit = server.and_then(|server| server.limit.rate());
         let issuer = server.and_then(|server| self.permit_issuer(now, &server.entry.data_centre));
+        let own_share = server.map(|server| self.issued_share(now, &server.entry.data_centre));
+        let own_share = own_share.filter(|_| issuer.is_none());
         tracing::info!(
             server = %id,
             limit_per_s = limit.map(|limit| limit.0),
             before_per_s = before.map(|limit| limit.0),
             from = from.map(VmId::as_str),
             issuer = issuer.as_ref().map(|card| card.vm.as_str()),
+            own_share,
             "limit of a server changed; without a number it has none"
         );
         self.limits.servers.insert(ServerTag::from(id), id.clone());
@@ -118,6 +121,10 @@
                 .get(id)
                 .is_some_and(|server| server.limit.rate().is_some() || server.limit.is_news(now))
         });
+        if limits.servers.is_empty() {
+            limits.askers.clear();
+            limits.asked.clear();
+        }
         limits.issuers.retain(|tag, _| limits.servers.contains_key(tag));
         limits.expected.retain(|tag, _| limits.servers.contains_key(tag));
     }
--- a/src/gateway/permit_issuer.rs
+++ b/src/gateway/permit_issuer.rs
@@ -48,7 +48,8 @@
     pub(super) fn wait(&self, rate: RequestsPerSecond) -> Millis {
         let backlog: f32 = self.backlogs.values().map(|(_, backlog)| *backlog).sum();
         let mut bucket = self.bucket;
-        bucket.spend(f64::from(backlog));
+        // There is no permit before the bucket holds a whole one.
+        bucket.spend(f64::from(backlog).max(1.0));
         bucket.time_until_available(rate.0)
     }
 }
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -20,6 +20,8 @@
 impl Gateway {
     /// The fraction of a limit that VMs may issue in place of an issuer that they cannot reach.
     const DEPUTY_SHARE: f64 = 0.25;
+    /// Why a stream that waited for a permit is broken off.
+    pub(super) const NO_PERMIT_REASON: &str = "no server may resume the stream";
     /// The largest number of servers in one request for permits.
     const MAX_DEMANDS: usize = 16;
     /// The largest number of permits to ask for ahead.
@@ -30,8 +32,8 @@
     const ASKER_INTERVALS: u64 = 3;
     const MIN_ASKER_MS: u64 = 1_000;
 
-    /// Counts a request that is about to be sent to a server of a pool.
-    pub(super) fn count_send(&mut self, now: Millis, pool: &PoolId) {
+    /// Counts a request that needs a server of a pool.
+    pub(super) fn count_request(&mut self, now: Millis, pool: &PoolId) {
         if let Some(rate) = self.limits.rates.get_mut(pool) {
             rate.record(now);
         } else {
@@ -288,7 +290,7 @@
     }
 
     /// Returns the part of the limits of a data centre's servers that this VM may issue.
-    fn issued_share(&self, now: Millis, servers: &DataCentreId) -> f64 {
+    pub(super) fn issued_share(&self, now: Millis, servers: &DataCentreId) -> f64 {
         let peers = &self.relay.peers;
         let Some(own) = self.relay.card.as_ref().filter(|_| !peers.is_empty()) else { return 1.0 };
         if peers.is_cut_off() || !self.relay.is_hub {
@@ -302,8 +304,8 @@
         Self::DEPUTY_SHARE.powf(f64::from(peers.seniors(now, own)))
     }
 
-    /// Returns the time until this VM can expect a permit for a server of a pool; none if no server
-    /// of the pool is at its limit.
+    /// Returns the time until all requests that wait for permits of a pool's servers can have got
+    /// one; none if no server of the pool is at its limit.
     pub(super) fn permit_wait(&self, now: Millis, pool: &PoolId) -> Option<Millis> {
         let servers = self.servers.open(pool).filter(|server| server.is_at_limit(now));
         let servers = servers.filter(|server| server.backoff(now).is_none());
@@ -314,6 +316,38 @@
         servers.map(wait).min()
     }
 
+    /// Returns the time until a request can expect a permit, if all requests that wait at all VMs
+    /// have got one after `wait`. This VM gets permits in proportion to its waiting requests.
+    fn own_permit_wait(&self, now: Millis, state: &RoutedRequest, wait: Millis) -> Millis {
+        let waiting = self.limits.waiting.get(&state.pool).into_iter().flatten();
+        let others = waiting.filter(|request| **request != state.arrival.request);
+        let others: Vec<&RoutedRequest> =
+            others.filter_map(|request| self.requests.get(request)).collect();
+        let is_before = |other: &&&RoutedRequest| self.permit_order(now, other, state).is_lt();
+        let ahead = others.iter().filter(is_before).count() as f64;
+        let rates = self.servers.open(&state.pool).filter_map(|server| server.limit.rate());
+        let rate: f64 = rates.map(|rate| rate.0).sum();
+        let share = (ahead + 1.0) / (others.len() + 1) as f64;
+        let ms = (wait.0 as f64 * share).max(ahead / rate.max(f64::MIN_POSITIVE) * 1_000.0);
+        Millis(ms as u64)
+    }
+
+    /// Returns the order in which waiting requests get permits: the more urgent ones first, then
+    /// those of teams that send less, then the older ones.
+    fn permit_order(
+        &self,
+        now: Millis,
+        one: &RoutedRequest,
+        other: &RoutedRequest,
+    ) -> std::cmp::Ordering {
+        let overuse = |state: &RoutedRequest| self.crowded.overuse_factor(now, state.team.as_ref());
+        let age = |state: &RoutedRequest| (state.received, state.arrival.request);
+        one.rank
+            .cmp(&other.rank)
+            .then_with(|| overuse(one).total_cmp(&overuse(other)))
+            .then_with(|| age(one).cmp(&age(other)))
+    }
+
     /// Lets a request wait for a permit. Returns its refusal if that would be too late.
     pub(super) fn wait_for_permit(
         &mut self,
@@ -322,12 +356,13 @@
         wait: Millis,
     ) -> Result<(), Refusal> {
         /// The least time until the request is looked at again, unless a permit arrives before.
-        const MIN_WAIT_MS: u64 = 20;
+        const MIN_WAIT_MS: u64 = 100;
         let draw = self.draw();
         let Some(state) = self.requests.get(&request) else { return Ok(()) };
-        let last = self.last_start(state);
-        let may_wait = state.run_state() == RunState::NotRun && !state.is_delivered;
-        if may_wait && now + wait.max(Millis(1)) <= last {
+        let wait = self.own_permit_wait(now, state, wait);
+        // The rest of a stream is useful for as long as its caller waits.
+        let last = if state.is_delivered { state.ends } else { self.last_start(state) };
+        if now + wait.max(Millis(1)) <= last {
             let waiting = self.limits.waiting.entry(state.pool.clone()).or_default();
             if waiting.insert(request) {
                 self.limits.next_ask = now;
@@ -361,7 +396,7 @@
                 }
                 self.crowded.remove(request);
                 if let Err(refusal) = self.send(now, request, "a permit has arrived") {
-                    self.refuse(now, request, refusal);
+                    self.give_up(now, request, refusal, Self::NO_PERMIT_REASON);
                 }
             }
         }
@@ -369,18 +404,10 @@
 
     fn in_order(&self, now: Millis, pool: &PoolId) -> Vec<RequestNumber> {
         let waiting = self.limits.waiting.get(pool).into_iter().flatten();
-        let states = waiting.filter_map(|request| self.requests.get(request));
-        let mut order: Vec<_> = states
-            .map(|state| {
-                let overuse = self.crowded.overuse_factor(now, state.team.as_ref());
-                (state.rank, overuse, state.received, state.arrival.request)
-            })
-            .collect();
-        order.sort_by(|left, right| {
-            let by_overuse = left.1.total_cmp(&right.1);
-            left.0.cmp(&right.0).then(by_overuse).then(left.2.cmp(&right.2))
-        });
-        order.into_iter().map(|(_, _, _, request)| request).collect()
+        let mut states: Vec<&RoutedRequest> =
+            waiting.filter_map(|request| self.requests.get(request)).collect();
+        states.sort_by(|one, other| self.permit_order(now, one, other));
+        states.into_iter().map(|state| state.arrival.request).collect()
     }
 
     /// Removes a request that is sent or has ended from those that wait for permits.
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -36,6 +36,7 @@
             tracing::info!(request = request.0, "not retried: the retry budget is exhausted");
             return Err(refusal);
         }
+        self.count_request(now, &pool);
         // A refusal that says "not run" has the more accurate `Retry-After`.
         self.send(now, request, reason)
             .map_err(|error| if error.run == RunState::NotRun { error } else { refusal })
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -26,7 +26,6 @@
         }
         let found = self.find_server(now, state);
         let pool = state.pool.clone();
-        self.count_send(now, &pool);
         let Some((place, side)) = found else {
             if let Some(wait) = self.permit_wait(now, &pool) {
                 return self.wait_for_permit(now, request, wait);
--- a/src/gateway/server_limit.rs
+++ b/src/gateway/server_limit.rs
@@ -28,9 +28,8 @@
 
     /// Returns the rate at which all VMs together may send; none if the server has no limit.
     #[must_use]
-    pub fn rate(&self) -> Option<RequestsPerSecond> {
-        let rate = self.rate?;
-        Some(if rate < Self::MIN_RATE { Self::MIN_RATE } else { rate })
+    pub const fn rate(&self) -> Option<RequestsPerSecond> {
+        self.rate
     }
 
     /// Applies what the server says in the answer to a request that was sent at `sent`. Returns
@@ -46,6 +45,7 @@
             LimitStatement::Absent => None,
             LimitStatement::Named(rate) => Some(rate),
         };
+        let rate = rate.map(|rate| if rate < Self::MIN_RATE { Self::MIN_RATE } else { rate });
         let is_newer = self.stated.is_none_or(|stated| sent > stated);
         if is_newer || !Self::is_laxer(rate, self.rate) { self.set(now, now, rate) } else { false }
     }
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -230,3 +230,69 @@
         assert!(count - before <= 6 * 120, "VM {vm} gets {} queries in 6 s", count - before);
     }
 }
+
+#[test]
+fn limit_holds_while_it_changes() {
+    for seed in 0..4 {
+        let mut pool = pool(200 + seed);
+        let vms = all_vms(&pool);
+        pool.broken_share = 0.1;
+        for step in 0..8 {
+            for server in BOOKINGS {
+                let limits = [Some(0.25), Some(1.0), Some(4.0), Some(20.0), Some(0.0)];
+                // A server whose limit ended would be excused from then on.
+                let limit = if step == 7 { None } else { limits[pool.draw(limits.len())] };
+                pool.set_limit(server, limit);
+            }
+            pool.load(&vms, "/slot/1", 5.0, 5_000);
+        }
+        pool.assert_limits_hold();
+    }
+}
+
+#[test]
+fn limit_holds_for_broken_streams() {
+    let mut pool = pool(300);
+    let vms = all_vms(&pool);
+    pool.broken_share = 0.3;
+    pool.set_limits(&ENGINES, Some(2.0));
+    pool.load(&vms, "/plan/1", 2.0, 15_000);
+    pool.assert_limits_hold();
+}
+
+#[test]
+fn limits_are_used_without_vms_in_the_data_centre() {
+    let mut crowd = GatewaySimulation::new(&["sur", "valle"], 3);
+    crowd.start_all();
+    crowd.run(4_000);
+    let mut pool = LimitedPool::new(crowd, 8);
+    let vms = all_vms(&pool);
+    pool.set_limits(&BOOKINGS, Some(5.0));
+    pool.load(&vms, "/slot/1", 5.0, 4_000);
+    let from = pool.crowd.now;
+    pool.load(&vms, "/slot/1", 5.0, 10_000);
+    pool.assert_limits_hold();
+    let seen = pool.seen_since(&BOOKINGS, from);
+    assert!(seen >= 150, "{seen} of 200");
+}
+
+#[test]
+fn limit_holds_while_data_centres_are_cut_apart() {
+    for seed in 0..4 {
+        let mut pool = pool(400 + seed);
+        let vms = all_vms(&pool);
+        pool.crowd.can_cut_vms_connect = true;
+        pool.set_limits(&BOOKINGS, Some(3.0));
+        pool.load(&vms, "/slot/1", 4.0, 5_000);
+        let centre = pool.draw(CENTRES.len());
+        pool.crowd.cut.extend(centre * VMS_PER_CENTRE..(centre + 1) * VMS_PER_CENTRE);
+        pool.load(&vms, "/slot/1", 4.0, 12_000);
+        pool.crowd.cut.clear();
+        let healed = pool.crowd.now;
+        pool.load(&vms, "/slot/1", 4.0, 15_000);
+        pool.assert_limits_hold();
+        let from = healed + Millis(10_000);
+        let seen = pool.seen_since(&BOOKINGS, from);
+        assert!(seen >= 45, "{seen} of 60 are used again");
+    }
+}
