Forget VMs that only other VMs still list

What operators see: the number of VMs that is known never falls after VMs are replaced, so that each VM's share of the retry budget shrinks, and a hub's quorum for limits counts VMs that are gone. Cause: VMs list in answers to greetings all VMs they know, and a listed VM counts as heard from. Seeds that greet each other every 20 s keep a dead VM known for ever. Evidence: dead_vm_is_forgotten_although_seeds_list_it failed before (known after 200 s), passes. Change: a VM lists only VMs whose own messages it got within 90 s (each VM greets each of three seeds within 60 s); what others list still counts as heard, so that a dead VM is forgotten 60 s after the last list. Ruled out: not counting lists as heard; followers know each other only from lists.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -261,7 +261,7 @@
         result: Option<RelayAnswer>,
     ) {
         if let Some(answer) = &result {
-            self.relay.peers.record_contact(now, &answer.from);
+            self.relay.peers.record_message(now, &answer.from);
             self.relay.peers.record_answer(&answer.from.vm);
             let others = answer.cards.iter().filter(|card| card.vm != self.identity.vm);
             for card in others {
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -20,7 +20,7 @@
 impl Gateway {
     /// Handles a poll of another VM: applies what it reports and queues it for an answer.
     pub(super) fn on_poll(&mut self, now: Millis, call: CallId, mut poll: RelayPoll) {
-        self.relay.peers.record_contact(now, &poll.from);
+        self.relay.peers.record_message(now, &poll.from);
         let loads = std::mem::take(&mut poll.loads);
         match poll.purpose {
             PollPurpose::Records => {
@@ -132,7 +132,7 @@
         let answer = match poll.purpose {
             PollPurpose::Permits => common,
             PollPurpose::Greeting => RelayAnswer {
-                cards: self.relay.peers.for_greeting(&poll.from.data_centre),
+                cards: self.relay.peers.for_greeting(now, &poll.from.data_centre),
                 ..common
             },
             PollPurpose::Records => RelayAnswer {
--- a/src/gateway/relay_peers.rs
+++ b/src/gateway/relay_peers.rs
@@ -16,6 +16,8 @@
 struct PeerTrack {
     card: PeerCard,
     heard: Millis,
+    /// When the VM itself last sent a message to this one; at first, when this VM learned of it.
+    messaged: Millis,
     /// When the VM last polled this one for records.
     followed: Option<Millis>,
     /// Until when the VM is not polled because it did not answer.
@@ -42,6 +44,9 @@
     /// Time after which a VM that has not been heard from is forgotten: more than the longest time
     /// between two greetings of seeds.
     const FORGET_AFTER_MS: u64 = 60_000;
+    /// Time after the last message of a VM for which this one lists it to others: more than the time
+    /// in which each VM greets each of three seeds.
+    const LISTED_FOR_MS: u64 = 90_000;
     /// Time for which a VM that did not answer is not polled again; twice as long from the second
     /// failure on. It is long enough for VMs that are cut off together to find the first rank among
     /// them, past those that are out of reach.
@@ -63,7 +68,7 @@
     /// others. That many of the VMs that rank first hardly ever fail at once.
     const CUT_OFF_FAILURES: u32 = 5;
 
-    /// Records that a VM has been heard from. Information from an earlier incarnation of the VM is
+    /// Records that a VM has been heard from, possibly through another VM. Information from an earlier incarnation of the VM is
     /// ignored.
     pub fn record_contact(&mut self, now: Millis, card: &PeerCard) {
         let known = self.peers.get_mut(&card.vm);
@@ -79,6 +84,7 @@
         let track = PeerTrack {
             card: card.clone(),
             heard: now,
+            messaged: now,
             followed: None,
             backoff_until: Millis(0),
             failures: 0,
@@ -88,6 +94,14 @@
         self.peers.insert(card.vm.clone(), track);
     }
 
+    /// Records a message from a VM.
+    pub fn record_message(&mut self, now: Millis, card: &PeerCard) {
+        self.record_contact(now, card);
+        if let Some(track) = self.peers.get_mut(&card.vm) {
+            track.messaged = now;
+        }
+    }
+
     /// Records that a VM has polled this one for records.
     pub fn record_follower(&mut self, now: Millis, vm: &VmId) {
         if let Some(track) = self.peers.get_mut(vm) {
@@ -204,11 +218,13 @@
     }
 
     /// Returns the VMs to list in the answer to a greeting: all of the given data centre, and those
-    /// that rank first in each other one.
+    /// that rank first in each other one. Only VMs that have sent messages to this one are listed,
+    /// as VMs that list a dead one to each other would never forget it.
     #[must_use]
-    pub fn for_greeting(&self, data_centre: &DataCentreId) -> Vec<PeerCard> {
+    pub fn for_greeting(&self, now: Millis, data_centre: &DataCentreId) -> Vec<PeerCard> {
+        let is_alive = |track: &PeerTrack| now.since(track.messaged).0 < Self::LISTED_FOR_MS;
         let mut cards = Vec::new();
-        for (centre, known) in self.by_centre(|_| true) {
+        for (centre, known) in self.by_centre(is_alive) {
             let limit =
                 if centre == data_centre { known.len() } else { Self::OTHER_CENTRE_CANDIDATES };
             cards.extend(known.into_iter().take(limit).cloned());
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -380,3 +380,32 @@
     });
     assert!(tried.count() > 0, "the hub decides, as it has the evidence of all VMs");
 }
+
+/// Seeds that list a dead VM to each other must not keep it known by that.
+#[test]
+fn dead_vm_is_forgotten_although_seeds_list_it() {
+    let cards = ["front-1", "front-2", "front-3"].map(|vm| card(vm, "norte"));
+    let [first, second, dead] = &cards;
+    let (mut one, mut other) = (RelayPeers::default(), RelayPeers::default());
+    for peers in [&mut one, &mut other] {
+        peers.record_message(Millis(0), dead);
+    }
+    for seconds in (0..400).step_by(20) {
+        let now = Millis(seconds * 1_000);
+        one.record_message(now, second);
+        other.record_message(now, first);
+        let (listed, also_listed) =
+            (one.for_greeting(now, &text("norte")), other.for_greeting(now, &text("norte")));
+        for card in &also_listed {
+            one.record_contact(now, card);
+        }
+        for card in &listed {
+            other.record_contact(now, card);
+        }
+        one.forget_silent(now);
+        other.forget_silent(now);
+        let is_old = now > Millis(180_000);
+        assert!(!is_old || !one.knows(&dead.vm), "known {seconds} s after its last message");
+        assert!(one.knows(&second.vm) && other.knows(&first.vm));
+    }
+}
