Split permits by asking, issuing and waiting

Change: moves of functions only. Conclusion: same tests pass (gateway_limits, gateway_permits, gateway_relay).

--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -1,4 +1,4 @@
-//! Permits to send requests to backend servers that have a limit.
+//! Permits to send requests to backend servers that have a limit, and asking for them.
 //!
 //! Each request to such a server needs a permit, whatever it is sent for: [`Gateway::start`] is the
 //! only place that sends, and uses one up. The hub of the server's data centre issues the permits at
@@ -6,11 +6,7 @@
 //! many VMs ask: the messages at an issuer are bounded whatever the size of the fleet. Permits go
 //! first to VMs at which requests wait.
 //!
-//! No agreement between the VMs is needed. Only a hub with a quorum of followers issues the whole
-//! limit. VMs that cannot reach it ask the next rank, or the hub of another data centre, and a VM
-//! that reaches no other issues its own permits; all of these issue a fraction, as the hub with the
-//! quorum may still be running. The sum over the parts of a fleet that is cut apart thus stays below
-//! what a server in need can bear.
+//! [`permit_issuing`] says which VM issues how many permits, [`permit_waits`] which requests wait.
 //!
 //! Dividing the rate evenly among the VMs instead would leave most of it unused, since a VM of
 //! hundreds before a server that accepts one request per second would rarely have a request when
@@ -19,19 +15,12 @@
 use super::*;
 
 impl Gateway {
-    /// The fraction of a limit that VMs may issue in place of an issuer that they cannot reach.
-    const DEPUTY_SHARE: f64 = 0.25;
-    /// Why a stream that waited for a permit is broken off.
-    pub(super) const NO_PERMIT_REASON: &str = "no server may resume the stream";
     /// The largest number of servers in one request for permits.
     const MAX_DEMANDS: usize = 16;
     /// The largest number of permits to ask for ahead.
     const MAX_AHEAD: f64 = 64.0;
     /// A pool with a lower rate of requests asks for no permits ahead, as they would expire.
     const MIN_AHEAD_RATE: RequestsPerSecond = RequestsPerSecond(0.5);
-    /// The time for which a VM counts as asking for permits, as a multiple of its interval.
-    const ASKER_INTERVALS: u64 = 3;
-    const MIN_ASKER_MS: u64 = 1_000;
 
     /// Counts a request that needs a server of a pool.
     pub(super) fn count_request(&mut self, now: Millis, pool: &PoolId) {
@@ -192,234 +181,6 @@
         }
         self.start_waiting_for_permits(now);
     }
-
-    /// Returns the answer to another VM's request for permits.
-    pub(super) fn permit_reply(
-        &mut self,
-        now: Millis,
-        from: &VmId,
-        query: &LimitQuery,
-    ) -> LimitReply {
-        let grants = self.issue_permits(now, from, &query.demands);
-        let reports = self.reports_of(now, query.demands.iter().map(|demand| demand.server));
-        LimitReply { reports, grants, askers: self.count_askers(now) }
-    }
-
-    fn issue_permits(
-        &mut self,
-        now: Millis,
-        vm: &VmId,
-        demands: &[PermitDemand],
-    ) -> Vec<PermitGrant> {
-        self.limits.askers.insert(vm.clone(), now);
-        let mut grants = Vec::new();
-        for demand in demands {
-            let Some(server) = self.server_of_tag(demand.server) else { continue };
-            let Some(rate) = server.limit.rate() else {
-                // As far as this VM knows, the limit has been lifted.
-                let (permits, wait) = (demand.waiting + demand.ahead, Millis(0));
-                grants.push(PermitGrant { server: demand.server, permits, wait });
-                continue;
-            };
-            let rate =
-                RequestsPerSecond(rate.0 * self.issued_share(now, &server.entry.data_centre));
-            let issuer = self.limits.issuers.entry(demand.server);
-            let issuer = issuer.or_insert_with(|| PermitIssuer::new(now));
-            let permits = issuer.issue(now, rate, vm, demand);
-            let wait = issuer.wait(rate);
-            grants.push(PermitGrant { server: demand.server, permits, wait });
-            tracing::debug!(
-                server = ?demand.server,
-                %vm,
-                waiting = demand.waiting,
-                ahead = demand.ahead,
-                permits,
-                wait_ms = wait.0,
-                rate_per_s = rate.0,
-                "permits issued"
-            );
-        }
-        grants
-    }
-
-    fn server_of_tag(&self, tag: ServerTag) -> Option<&BackendServer> {
-        if let Some(id) = self.limits.servers.get(&tag) {
-            return self.servers.get(id);
-        }
-        self.servers.iter().find(|server| ServerTag::from(&server.entry.id) == tag)
-    }
-
-    /// Returns the number of VMs that ask this one for permits.
-    fn count_askers(&mut self, now: Millis) -> u32 {
-        let interval = self.limits.askers.len() as u64 * AskedIssuer::SHARED_INTERVAL_MS as u64;
-        let expiry = (interval * Self::ASKER_INTERVALS).max(Self::MIN_ASKER_MS);
-        self.limits.askers.retain(|_, asked| now.since(*asked).0 < expiry);
-        self.limits.askers.len() as u32
-    }
-
-    fn reports_of(&self, now: Millis, tags: impl Iterator<Item = ServerTag>) -> Vec<LimitReport> {
-        let servers = tags.filter_map(|tag| self.server_of_tag(tag));
-        servers.map(|server| server.limit_report(now)).collect()
-    }
-
-    /// Returns the VM that issues the permits for the servers of a data centre; none if it is this
-    /// one.
-    pub(super) fn permit_issuer(&self, now: Millis, servers: &DataCentreId) -> Option<PeerCard> {
-        let own = self.relay.card.as_ref()?;
-        let peers = &self.relay.peers;
-        for centre in self.issuing_centres(servers) {
-            if centre == own.data_centre {
-                return peers.hub(now, own).cloned();
-            }
-            if let Some(card) = peers.first_rank(now, &centre) {
-                return Some(card.clone());
-            }
-        }
-        None
-    }
-
-    /// Returns the data centres whose hubs may issue permits for the servers of a data centre: that
-    /// one first, if it has VMs, then the others in an order that all VMs share.
-    fn issuing_centres(&self, servers: &DataCentreId) -> Vec<DataCentreId> {
-        let mut centres = self.relay.peers.centres();
-        centres.insert(self.identity.data_centre.clone());
-        let mut centres: Vec<DataCentreId> = centres.into_iter().collect();
-        centres.sort_by_key(|centre| {
-            (centre != servers, xxh3_64(format!("{servers}/{centre}").as_bytes()))
-        });
-        centres
-    }
-
-    /// Returns the part of the limits of a data centre's servers that this VM may issue.
-    pub(super) fn issued_share(&self, now: Millis, servers: &DataCentreId) -> f64 {
-        let peers = &self.relay.peers;
-        let Some(own) = self.relay.card.as_ref().filter(|_| !peers.is_empty()) else { return 1.0 };
-        if peers.is_cut_off() || !self.relay.is_hub {
-            return Self::DEPUTY_SHARE / f64::from(self.known_vms().max(self.centre_vms()));
-        }
-        let centres = self.issuing_centres(servers);
-        if centres.first() != Some(&own.data_centre) {
-            return Self::DEPUTY_SHARE / centres.len() as f64;
-        }
-        let support = peers.hub_support(now, own);
-        if support.is_quorum() { 1.0 } else { Self::DEPUTY_SHARE * support.share() }
-    }
-
-    /// Returns the time until all requests that wait for permits of a pool's servers can have got
-    /// one; none if no server of the pool is at its limit.
-    pub(super) fn permit_wait(&self, now: Millis, pool: &PoolId) -> Option<Millis> {
-        let servers = self.servers.open(pool).filter(|server| server.is_at_limit(now));
-        let servers = servers.filter(|server| server.backoff(now).is_none());
-        let wait = |server: &BackendServer| {
-            let expected = self.limits.expected.get(&ServerTag::from(&server.entry.id));
-            expected.map(|expected| expected.since(now)).unwrap_or_default()
-        };
-        servers.map(wait).min()
-    }
-
-    /// Returns the time until a request can expect a permit, if all requests that wait at all VMs
-    /// have got one after `wait`. This VM gets permits in proportion to its waiting requests.
-    fn own_permit_wait(&self, now: Millis, state: &RoutedRequest, wait: Millis) -> Millis {
-        let waiting = self.limits.waiting.get(&state.pool).into_iter().flatten();
-        let others = waiting.filter(|request| **request != state.arrival.request);
-        let others: Vec<&RoutedRequest> =
-            others.filter_map(|request| self.requests.get(request)).collect();
-        let is_before = |other: &&&RoutedRequest| self.permit_order(now, other, state).is_lt();
-        let ahead = others.iter().filter(is_before).count() as f64;
-        let rates = self.servers.open(&state.pool).filter_map(|server| server.limit.rate());
-        let rate: f64 = rates.map(|rate| rate.0).sum();
-        let share = (ahead + 1.0) / (others.len() + 1) as f64;
-        let ms = (wait.0 as f64 * share).max(ahead / rate.max(f64::MIN_POSITIVE) * 1_000.0);
-        Millis(ms as u64)
-    }
-
-    /// Returns the order in which waiting requests get permits: the more urgent ones first, then
-    /// those of teams that send less, then the older ones.
-    fn permit_order(
-        &self,
-        now: Millis,
-        one: &RoutedRequest,
-        other: &RoutedRequest,
-    ) -> std::cmp::Ordering {
-        let overuse = |state: &RoutedRequest| self.crowded.overuse_factor(now, state.team.as_ref());
-        let age = |state: &RoutedRequest| (state.received, state.arrival.request);
-        one.rank
-            .cmp(&other.rank)
-            .then_with(|| overuse(one).total_cmp(&overuse(other)))
-            .then_with(|| age(one).cmp(&age(other)))
-    }
-
-    /// Lets a request wait for a permit. Returns its refusal if that would be too late.
-    pub(super) fn wait_for_permit(
-        &mut self,
-        now: Millis,
-        request: RequestNumber,
-        wait: Millis,
-    ) -> Result<(), Refusal> {
-        /// The least time until the request is looked at again, unless a permit arrives before.
-        const MIN_WAIT_MS: u64 = 100;
-        let draw = self.draw();
-        let Some(state) = self.requests.get(&request) else { return Ok(()) };
-        let wait = self.own_permit_wait(now, state, wait);
-        // The rest of a stream is useful for as long as its caller waits.
-        let last = if state.is_delivered { state.ends } else { self.last_start(state) };
-        if now + wait.max(Millis(1)) <= last {
-            let waiting = self.limits.waiting.entry(state.pool.clone()).or_default();
-            if waiting.insert(request) {
-                self.limits.next_ask = now;
-            }
-            let at = (now + wait.max(Millis(MIN_WAIT_MS))).min(last);
-            self.wait_until(now, request, at, "waits: all servers are at the limits they named");
-            return Ok(());
-        }
-        let message = "The servers of the pool are at the limits that they named; ask again.";
-        let refusal = Self::final_refusal(state, RefusalCode::Unavailable, message);
-        if refusal.run != RunState::NotRun {
-            return Err(refusal);
-        }
-        // Callers return spread over twice the time, as those that wait are served first.
-        let pause = wait.max(Millis(Self::NO_SERVER_RETRY_MS)).0 as f64 * (1.0 + draw);
-        Err(refusal.with_retry_after(Millis(pause as u64)))
-    }
-
-    /// Sends the requests that wait for permits as far as there are any, the most urgent first and
-    /// those of teams that send much last.
-    pub(super) fn start_waiting_for_permits(&mut self, now: Millis) {
-        let pools: Vec<PoolId> = self.limits.waiting.keys().cloned().collect();
-        for pool in pools {
-            for request in self.in_order(now, &pool) {
-                if !self.servers.open(&pool).any(|server| server.accepts(now)) {
-                    break;
-                }
-                let state = self.requests.get(&request);
-                if state.is_none_or(|state| self.find_server(now, state).is_none()) {
-                    continue;
-                }
-                self.crowded.remove(request);
-                if let Err(refusal) = self.send(now, request, "a permit has arrived") {
-                    self.give_up(now, request, refusal, Self::NO_PERMIT_REASON);
-                }
-            }
-        }
-    }
-
-    fn in_order(&self, now: Millis, pool: &PoolId) -> Vec<RequestNumber> {
-        let waiting = self.limits.waiting.get(pool).into_iter().flatten();
-        let mut states: Vec<&RoutedRequest> =
-            waiting.filter_map(|request| self.requests.get(request)).collect();
-        states.sort_by(|one, other| self.permit_order(now, one, other));
-        states.into_iter().map(|state| state.arrival.request).collect()
-    }
-
-    /// Removes a request that is sent or has ended from those that wait for permits.
-    pub(super) fn end_permit_wait(&mut self, pool: &PoolId, request: RequestNumber) {
-        if let Some(waiting) = self.limits.waiting.get_mut(pool) {
-            waiting.remove(&request);
-            if waiting.is_empty() {
-                self.limits.waiting.remove(pool);
-            }
-        }
-    }
 }
 
 /// The permits that this VM needs from one issuer.
