Replace a test that denies what chance may do by one that bounds it

Change: 5,000 draws with a fixed seed, of which at most the normal tail beyond 2.5 standard errors (0.62 in 100, from the constant of the code, not measured) may be found slow; the same answers as the old version's are never slow, and the mean rank is a share for all answers, as properties. Conclusion: the bound is now the one that the code states.

--- a/tests/side_times.rs
+++ b/tests/side_times.rs
@@ -8,6 +8,8 @@
     units::Millis,
 };
 use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 fn kind(route: &str) -> WorkKind {
     WorkKind::of(route, None, LatencyMeasure::First)
@@ -89,17 +91,36 @@
     assert!(bytes < 8_192, "{bytes} bytes in each poll that reports them");
 }
 
+/// Few answers of a version may be slow ones by chance, so that the verdict allows for 2.5 standard
+/// errors.
+#[test]
+fn equal_versions_are_rarely_found_slow() {
+    const DRAWS: usize = 5_000;
+    /// The chance that a normal variable is 2.5 standard errors or more above its mean.
+    const ALLOWED_SHARE: f64 = 0.0062;
+    let mut random = ChaCha8Rng::seed_from_u64(890_184);
+    let mut draw = |from: usize, to: usize| random.random_range(from..to);
+    let mut slow = 0;
+    for _ in 0..DRAWS {
+        let count = draw(60, 200);
+        let old: Vec<u64> = (0..count).map(|_| draw(20, 4_000) as u64).collect();
+        let answers = draw(1, 200);
+        let new: Vec<u64> = (0..answers).map(|_| old[draw(0, old.len())]).collect();
+        slow += usize::from(times(&old, &new).verdict().is_slow());
+    }
+    assert!(slow as f64 <= ALLOWED_SHARE * DRAWS as f64, "{slow} of {DRAWS}");
+}
+
 proptest! {
-    /// Of two equally fast versions, the new one is never found slow.
+    /// The mean rank is a share, and a version with the same answers is never found slow.
     #[test]
-    fn equal_versions_are_not_slow(
+    fn mean_rank_is_a_share_and_equal_answers_are_not_slow(
         old in prop::collection::vec(20_u64..4_000, 60..200),
-        picks in prop::collection::vec(any::<prop::sample::Index>(), 1..200),
+        new in prop::collection::vec(20_u64..4_000, 1..200),
     ) {
-        let new: Vec<u64> = picks.iter().map(|pick| *pick.get(&old)).collect();
         let verdict = times(&old, &new).verdict();
         prop_assert!((0.0..=1.0).contains(&verdict.mean_rank));
-        prop_assert!(!verdict.is_slow(), "{verdict}");
+        prop_assert!(!times(&old, &old).verdict().is_slow());
     }
 
     /// A version of which half of the answers take eight times as long is never found sound once
