Bound what a message between VMs can do to permits

What callers would see: an entry VM that ends, or a server whose limit is forgotten, after one malformed message. Cause: counts and rates of messages were used as they came: the sum of two counts overflows, a grant of four billion permits fills the memory, a rate of NaN replaces a limit. Found by reading the diff. Evidence: absurd_permit_messages_do_no_harm failed before and passes.

--- a/src/gateway/limit_message.rs
+++ b/src/gateway/limit_message.rs
@@ -63,6 +63,15 @@
     pub ahead: u32,
 }
 
+impl PermitDemand {
+    /// Returns the number of permits for waiting requests and, if `with_ahead` is true, ahead.
+    #[must_use]
+    pub fn permits(&self, with_ahead: bool) -> u32 {
+        let ahead = if with_ahead { self.ahead } else { 0 };
+        self.waiting.saturating_add(ahead).min(PermitStock::MAX_PERMITS)
+    }
+}
+
 /// Permits for a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitGrant {
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -20,8 +20,7 @@
     pub(super) askers: BTreeMap<VmId, Millis>,
     /// The VMs that this one asks for permits.
     pub(super) asked: BTreeMap<VmId, AskedIssuer>,
-    /// When a permit can be expected for a request that starts to wait now, as last reported by the
-    /// issuer.
+    /// When all requests that wait for permits can have got them, as last reported by the issuer.
     pub(super) expected: BTreeMap<ServerTag, Millis>,
     /// When permits are asked for next, unless a request starts to wait before.
     pub(super) next_ask: Millis,
--- a/src/gateway/permit_issuer.rs
+++ b/src/gateway/permit_issuer.rs
@@ -34,7 +34,7 @@
         self.bucket.add(0.0, (rate.0 * Self::BURST_S).max(1.0));
         self.backlogs.retain(|_, (at, _)| now.since(*at).0 < Self::BACKLOG_EXPIRY_MS);
         let others_wait = self.backlogs.keys().any(|other| other != vm);
-        let wanted = demand.waiting + if others_wait { 0 } else { demand.ahead };
+        let wanted = demand.permits(!others_wait);
         let issued = (0..wanted).take_while(|_| self.bucket.try_spend(1.0)).count() as u32;
         self.backlogs.remove(vm);
         let left = demand.backlog - issued as f32;
--- a/src/gateway/permit_issuing.rs
+++ b/src/gateway/permit_issuing.rs
@@ -40,7 +40,7 @@
             let Some(server) = self.server_of_tag(demand.server) else { continue };
             let Some(rate) = server.limit.rate() else {
                 // As far as this VM knows, the limit has been lifted.
-                let (permits, wait) = (demand.waiting + demand.ahead, Millis(0));
+                let (permits, wait) = (demand.permits(true), Millis(0));
                 grants.push(PermitGrant { server: demand.server, permits, wait });
                 continue;
             };
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -98,7 +98,7 @@
                 ahead: demand.ahead.saturating_sub(held),
                 ..demand
             };
-            if demand.waiting + demand.ahead == 0 {
+            if demand.permits(true) == 0 {
                 continue;
             }
             let centre = &server.entry.data_centre;
--- a/src/gateway/server_limit.rs
+++ b/src/gateway/server_limit.rs
@@ -58,6 +58,9 @@
         rate: Option<RequestsPerSecond>,
         age: Millis,
     ) -> bool {
+        if rate.is_some_and(|rate| !(Self::MIN_RATE.0..f64::INFINITY).contains(&rate.0)) {
+            return false;
+        }
         let stated = now.since(age);
         let is_laxer = Self::is_laxer(rate, self.rate);
         let skew = if is_laxer { Millis(Self::REPORT_SKEW_MS) } else { Millis(0) };
--- a/tests/gateway_permits.rs
+++ b/tests/gateway_permits.rs
@@ -8,7 +8,7 @@
 use guavapass::{
     control::{RefusalCode, RunState},
     gateway::*,
-    ids::{RequestNumber, ServerId},
+    ids::{CallId, RequestNumber, ServerId},
     units::{Millis, RequestsPerSecond},
 };
 use proptest::prelude::*;
@@ -273,3 +273,35 @@
         prop_assert_eq!(limit.rate(), expected);
     }
 }
+
+/// A message with absurd figures must neither end the process nor lift a limit.
+#[test]
+fn absurd_permit_messages_do_no_harm() {
+    let mut world = GatewayFixture::new();
+    world.gateway.set_relay(card("front-1", "norte"), Vec::new());
+    limit_all(&mut world, &BOOKING_SERVERS, 1.0);
+    let tag = ServerTag::from(&server_id("b1"));
+    for rate in [f64::NAN, f64::INFINITY, -1.0] {
+        let start = ServerStart { server: server_id("b1"), born: None };
+        let rate = Some(RequestsPerSecond(rate));
+        let reports = vec![LimitReport { start, rate, age: Millis(0) }];
+        let demand =
+            PermitDemand { server: tag, waiting: u32::MAX, backlog: f32::NAN, ahead: u32::MAX };
+        // A server without a limit as well, for which there are permits at once.
+        let other = PermitDemand { server: ServerTag::from(&server_id("e1")), ..demand };
+        let limits = LimitQuery { reports, demands: vec![demand, other] };
+        let poll = RelayPoll::new(card("front-2", "norte"), PollPurpose::Permits);
+        let poll = Box::new(RelayPoll { limits, ..poll });
+        world.tick(400);
+        world.handle(GatewayEvent::Polled { call: CallId(1), poll });
+    }
+    let granted = world.commands.iter().filter_map(|command| match command {
+        GatewayCommand::AnswerPeer { answer, .. } => Some(&answer.limits.grants),
+        _ => None,
+    });
+    assert!(granted.flatten().all(|grant| grant.permits < 1_000));
+    assert_eq!(world.gateway.limited_servers(), 3);
+    let mut stock = PermitStock::default();
+    stock.add(Millis(0), u32::MAX);
+    assert!(stock.count(Millis(0)) < 1_000);
+}
