--- a/tests/gateway_permits.rs
+++ b/tests/gateway_permits.rs
@@ -140,7 +140,8 @@
     let slot = route("/slot/", RouteKind::Idempotent, BOOKINGS);
     document.routes = RouteTable::new(vec![urgent, slot]);
     world.page(StoreStream::Operators, vec![StoreRecord::Configuration(Arc::new(document))]);
-    limit_all(&mut world, &BOOKING_SERVERS, 1.0);
+    limit_all(&mut world, &BOOKING_SERVERS[..1], 1.0);
+    limit_all(&mut world, &BOOKING_SERVERS[1..], 0.2);
     let earlier = world.arrive("/slot/1");
     let later = world.arrive("/urgent/1");
     run_until_sent(&mut world, &[earlier, later]);
@@ -206,7 +207,8 @@
 #[test]
 fn broken_stream_waits_for_a_permit() {
     let mut world = GatewayFixture::new();
-    limit_all(&mut world, &ENGINE_SERVERS, 1.0);
+    limit_all(&mut world, &ENGINE_SERVERS[..1], 1.0);
+    limit_all(&mut world, &ENGINE_SERVERS[1..], 0.2);
     let request = world.arrive("/plan/1");
     run_until_sent(&mut world, &[request]);
     world.began(request, 1, None);
