Log the shared parts of prompts with each run

Callers saw BUDGET: requests with one part in common crash engine after engine. Both lines now carry the ids of the shared parts, as callers send them: ids are parsed as hexadecimal numbers, so that letter case and leading zeros make no difference; others are hashed as before. At most eight parts are named in a line.

--- a/src/gateway/routed_arrival.rs
+++ b/src/gateway/routed_arrival.rs
@@ -40,3 +40,11 @@
     /// The last event that the caller received of an interrupted stream, if it resumes one.
     pub last_event: Option<u64>,
 }
+
+impl RoutedArrival {
+    /// Returns the parts of the prompt that other requests may share: all but the last.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -118,6 +118,19 @@
         self.arrival.parts.iter().map(of_model).collect()
     }
 
+    /// Returns the ids of the prompt's shared parts for log lines: the first few, and the number of
+    /// the others.
+    #[must_use]
+    pub fn shared_part_names(&self) -> String {
+        const LOGGED_PARTS: usize = 8;
+        let shared = self.arrival.shared_parts();
+        let named: Vec<String> =
+            shared.iter().take(LOGGED_PARTS).map(|part| format!("{:x}", part.id)).collect();
+        let others = shared.len() - named.len();
+        let names = named.join(",");
+        if others == 0 { names } else { format!("{names} and {others} more") }
+    }
+
     /// Returns the run under way, if any.
     #[must_use]
     pub fn open_run(&self) -> Option<&RunRecord> {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -100,6 +100,7 @@
         tracing::info!(
             request = request.0,
             fingerprint = %state.arrival.fingerprint,
+            parts = %state.shared_part_names(),
             attempt = attempt.0,
             server = %ended_run.server,
             took_ms = now.since(ended_run.started).0,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -94,6 +94,7 @@
             request = request.0,
             caller_id = %state.arrival.caller_id,
             fingerprint = %state.arrival.fingerprint,
+            parts = %state.shared_part_names(),
             attempt = attempt.0,
             route = %state.route.name,
             pool = %state.pool,
--- a/src/platform/request_headers.rs
+++ b/src/platform/request_headers.rs
@@ -161,11 +161,20 @@
     let read = |entry: &str| {
         let (id, tokens) = entry.trim().split_once(':').ok_or(wrong.clone())?;
         let tokens = tokens.parse().map(Tokens).map_err(|_| wrong.clone())?;
-        Ok(PromptPart { id: xxh3_64(id.as_bytes()), tokens })
+        Ok(PromptPart { id: parse_part_id(id), tokens })
     };
     value.split(',').filter(|entry| !entry.trim().is_empty()).map(read).collect()
 }
 
+/// Parses a hexadecimal id; letter case and leading zeros do not matter. An id that is no number of
+/// 64 bits is hashed.
+fn parse_part_id(id: &str) -> u64 {
+    let id = id.trim_start_matches('0').to_ascii_lowercase();
+    let is_hexadecimal = id.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = u64::from_str_radix(&id, 16).ok().filter(|_| is_hexadecimal);
+    number.unwrap_or_else(|| if id.is_empty() { 0 } else { xxh3_64(id.as_bytes()) })
+}
+
 fn header_text<'a>(
     headers: &'a HeaderMap,
     name: &'static str,
