--- a/tests/support/crashing_pool.rs
+++ b/tests/support/crashing_pool.rs
@@ -12,17 +12,32 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A run that reached a server, or the crash that it caused.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct SeenRun {
     pub at: Millis,
     pub fingerprint: RequestFingerprint,
+    pub parts: Vec<u64>,
+}
+
+/// A request as its caller sent it.
+#[derive(Clone, Debug)]
+struct Call {
+    fingerprint: RequestFingerprint,
+    /// Ids of the parts of its prompt.
+    parts: Vec<u64>,
+}
+
+impl Call {
+    fn seen(&self, at: Millis) -> SeenRun {
+        SeenRun { at, fingerprint: self.fingerprint, parts: self.parts.clone() }
+    }
 }
 
 #[derive(Clone, Debug)]
 struct OpenRun {
     vm: usize,
     order: RunOrder,
-    fingerprint: RequestFingerprint,
+    call: Call,
     ends: Millis,
 }
 
@@ -37,10 +52,14 @@
 pub struct CrashingPool {
     pub crowd: GatewaySimulation,
     servers: BTreeMap<ServerId, PoolServer>,
-    calls: BTreeMap<(usize, RequestNumber), RequestFingerprint>,
+    calls: BTreeMap<(usize, RequestNumber), Call>,
     next_request: u64,
     /// Requests that crash the servers that start them.
     pub crashing: BTreeSet<RequestFingerprint>,
+    /// Parts of prompts that crash the servers that start them.
+    pub crashing_parts: BTreeSet<u64>,
+    /// Time in ms after which a server crashes under such a request or part.
+    pub crash_after_ms: u64,
     /// Time in ms after which a server answers a request.
     pub work_ms: u64,
     pub seen: Vec<SeenRun>,
@@ -51,7 +70,7 @@
 }
 
 impl CrashingPool {
-    const CRASH_AFTER_MS: u64 = 10;
+    const SHARED_PART: u64 = 7;
     const DOWN_MS: u64 = 3_000;
     const CONNECT_TIMEOUT_MS: u64 = 250;
 
@@ -62,6 +81,8 @@
             calls: BTreeMap::new(),
             next_request: 0,
             crashing: BTreeSet::new(),
+            crashing_parts: BTreeSet::new(),
+            crash_after_ms: 10,
             work_ms: 300,
             seen: Vec::new(),
             crashes: Vec::new(),
@@ -72,12 +93,24 @@
 
     /// Sends a request to an entry VM.
     pub fn call(&mut self, vm: usize, path: &str, fingerprint: RequestFingerprint) {
+        let is_engine = path.starts_with("/plan") || path.starts_with("/frail");
+        let parts = [Self::SHARED_PART, fingerprint.0];
+        self.call_with_parts(vm, path, fingerprint, if is_engine { &parts } else { &[] });
+    }
+
+    /// The same, with the ids of the parts of its prompt.
+    pub fn call_with_parts(
+        &mut self,
+        vm: usize,
+        path: &str,
+        fingerprint: RequestFingerprint,
+        parts: &[u64],
+    ) {
         self.next_request += 1;
         let request = RequestNumber(self.next_request);
-        self.calls.insert((vm, request), fingerprint);
-        let is_engine = path.starts_with("/plan") || path.starts_with("/frail");
-        let part = |id, tokens| PromptPart { id, tokens: Tokens(tokens) };
-        let parts = vec![part(7, 8_000), part(fingerprint.0, 1_000)];
+        self.calls.insert((vm, request), Call { fingerprint, parts: parts.to_vec() });
+        let part = |id: &u64| PromptPart { id: *id, tokens: Tokens(4_000) };
+        let parts: Vec<PromptPart> = parts.iter().map(part).collect();
         let arrival = RoutedArrival {
             request,
             caller_id: format!("call-{}", request.0).into(),
@@ -88,9 +121,9 @@
             deadline: Some(Millis(6_000)),
             session: None,
             any_model: false,
-            prompt_tokens: Tokens(if is_engine { 9_000 } else { 0 }),
+            prompt_tokens: Tokens(4_000 * parts.len() as u64),
             output_limit: Tokens(100),
-            parts: if is_engine { parts } else { Vec::new() },
+            parts,
             last_event: None,
         };
         self.crowd.tell(vm, 0, GatewayEvent::Arrived(Box::new(arrival)));
@@ -146,6 +179,19 @@
         self.crashes.iter().filter(|crash| crash.fingerprint == fingerprint).count()
     }
 
+    /// Returns the number of runs with a part that reached servers more than `later` after the
+    /// crash number `crash` under it.
+    pub fn seen_with_part_after_crash(&self, part: u64, crash: usize, later: Millis) -> usize {
+        let holds_part = |run: &&SeenRun| run.parts.contains(&part);
+        let crash = self.crashes.iter().filter(holds_part).nth(crash - 1);
+        let Some(from) = crash.map(|crash| crash.at + later) else { return 0 };
+        self.seen.iter().filter(holds_part).filter(|run| run.at > from).count()
+    }
+
+    pub fn crashes_under_part(&self, part: u64) -> usize {
+        self.crashes.iter().filter(|crash| crash.parts.contains(&part)).count()
+    }
+
     pub fn answers_of(&self, fingerprint: RequestFingerprint) -> usize {
         self.answered.iter().filter(|answered| **answered == fingerprint).count()
     }
@@ -171,8 +217,8 @@
                 }
             }
             GatewayCommand::Refuse { request, refusal } => {
-                if let Some(fingerprint) = self.calls.remove(&(vm, request)) {
-                    self.refused.push((fingerprint, refusal));
+                if let Some(call) = self.calls.remove(&(vm, request)) {
+                    self.refused.push((call.fingerprint, refusal));
                 }
             }
             _ => {}
@@ -180,7 +226,7 @@
     }
 
     fn start_run(&mut self, vm: usize, order: RunOrder) {
-        let Some(fingerprint) = self.calls.get(&(vm, order.request)).copied() else { return };
+        let Some(call) = self.calls.get(&(vm, order.request)).cloned() else { return };
         let now = self.crowd.now;
         let server = self.servers.entry(order.server.clone()).or_default();
         if server.is_cut || now < server.down_until {
@@ -189,10 +235,20 @@
             self.report(vm, after, &order, RunOutcome::NotRun { cause, load: None });
             return;
         }
-        let is_crashing = self.crashing.contains(&fingerprint);
-        let takes = if is_crashing { Self::CRASH_AFTER_MS } else { self.work_ms };
-        self.seen.push(SeenRun { at: now, fingerprint });
-        server.runs.push(OpenRun { vm, order, fingerprint, ends: now + Millis(takes) });
+        let is_crashing = Self::is_crashing(&self.crashing, &self.crashing_parts, &call);
+        let takes = if is_crashing { self.crash_after_ms } else { self.work_ms };
+        self.seen.push(call.seen(now));
+        server.runs.push(OpenRun { vm, order, call, ends: now + Millis(takes) });
+    }
+
+    fn is_crashing(
+        crashing: &BTreeSet<RequestFingerprint>,
+        crashing_parts: &BTreeSet<u64>,
+        call: &Call,
+    ) -> bool {
+        let shared = call.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        crashing.contains(&call.fingerprint)
+            || shared.iter().any(|part| crashing_parts.contains(part))
     }
 
     fn finish_runs(&mut self) {
@@ -203,14 +259,13 @@
             if server.is_cut {
                 continue;
             }
-            let crashing = &self.crashing;
-            let killer = server
-                .runs
-                .iter()
-                .find(|run| run.ends <= now && crashing.contains(&run.fingerprint))
-                .map(|run| run.fingerprint);
-            if let Some(fingerprint) = killer {
-                self.crashes.push(SeenRun { at: now, fingerprint });
+            let (crashing, crashing_parts) = (&self.crashing, &self.crashing_parts);
+            let is_killer = |run: &&OpenRun| {
+                run.ends <= now && Self::is_crashing(crashing, crashing_parts, &run.call)
+            };
+            let killer = server.runs.iter().find(is_killer).map(|run| run.call.clone());
+            if let Some(call) = killer {
+                self.crashes.push(call.seen(now));
                 self.end_server(&id);
                 continue;
             }
@@ -219,7 +274,7 @@
                 .partition::<Vec<_>, _>(|run| run.ends <= now);
             server.runs = open;
             for run in ended {
-                self.answered.push(run.fingerprint);
+                self.answered.push(run.call.fingerprint);
                 let head = AnswerHead { status: 200, load: None, confidence: None };
                 if run.order.is_stream {
                     self.send_report(run.vm, 1, &run.order, RunReport::Began { head });
