Name no server by an odd entry in the list of servers

Reported by other operators: an odd entry among those of the servers (deep nesting, numbers too large, ports out of range) ended or stopped the processes that read the list. Other VMs' cards are typed MessagePack without free fields.

Such entries are unreadable now, with a cause of 200 characters at most, and what an earlier entry of the server said stays in force in both cases: the server replaces the odd one with its next heartbeat, or its entry is removed.

--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -120,6 +120,10 @@
             StoreRecord::Server(ServerChange::Removed(id)) => {
                 listed.remove(id);
             }
+            // What an earlier entry of the server said stays in force.
+            StoreRecord::Server(ServerChange::Unreadable { key, .. }) => {
+                listed.extend(key.parse::<ServerId>());
+            }
             _ => {}
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,7 @@
         ffi::OsString,
         fmt::{self, Display, Formatter},
         future::Future,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         ops::ControlFlow,
         path::{Path, PathBuf},
         pin::Pin,
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -147,5 +147,8 @@
 }
 
 pub(super) fn parse<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, SmolStr> {
-    serde_json::from_slice(value).map_err(|error| error.to_string().into())
+    /// The length of the longest cause: an error may quote a value of any length.
+    const MAX_CAUSE_CHARS: usize = 200;
+    serde_json::from_slice(value)
+        .map_err(|error| error.to_string().chars().take(MAX_CAUSE_CHARS).collect::<String>().into())
 }
