Close the connection on which a server refused a request

Reported by other operators: a faulty server writes an earlier refusal once more on a kept connection, and callers are told "not run" of requests that ran, or such a request runs at a second server.

A copy that bears the id of the very attempt cannot be told from an answer to it. So no request is sent on a connection after a refusal was read from it. An answer with another id, or none, was and is dropped with its connection, and the request is sent again if it may be. Left open: a faulty server that writes a refusal, unasked, after an answer and with the id of a later attempt, which it cannot know.

Ruled out: to keep the connection until its idle side is quiet for a while (the copy may come later, as "after the next head" shows).

--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -48,10 +48,6 @@
     /// runs that no caller waits for any more.
     const GRACE_MS: u64 = 500;
 
-    /// The time limit for reading the body of an answer that reports that the request was not run.
-    /// If it is exceeded, the connection is closed instead of kept.
-    const NOT_RUN_BODY_TIMEOUT_MS: u64 = 100;
-
     /// Executes the run and reports its outcome. A run that must not be repeated continues after
     /// its caller has disconnected.
     pub(super) async fn run(self) {
@@ -103,12 +99,8 @@
             self.shared.handle.send(GatewayEvent::ServerHinted { start, sent, hint });
         }
         if let Some(cause) = facts.not_run {
-            let timeout = Duration::from_millis(Self::NOT_RUN_BODY_TIMEOUT_MS);
-            let read = tokio::time::timeout(timeout, self.collect(body)).await;
-            let is_read = matches!(read, Ok(Ok(_)));
-            if is_read && self.may_reuse(&facts) {
-                link.return_idle(&self.order.server, facts.idle_limit);
-            }
+            // The connection is closed. A faulty server may write the refusal once more, and there
+            // it could not be told from an answer to the same request sent again.
             return Ok(RunOutcome::NotRun { cause, load: facts.head.load });
         }
         if head.status.is_success() && !facts.is_signed {
--- a/tests/support/gateway_stage.rs
+++ b/tests/support/gateway_stage.rs
@@ -66,9 +66,13 @@
             "service": "booking", "max_attempts": attempts, "public": false, "resumable": true,
         })
     };
+    let mut frail = route("frail", "streaming", 3);
+    frail["resumable"] = json!(false);
     json!({
         "version": version,
-        "routes": [route("slot", "safe", 3), route("book", "unsafe", 1), route("plan", "streaming", 3)],
+        "routes": [
+            route("slot", "safe", 3), route("book", "unsafe", 1), route("plan", "streaming", 3), frail,
+        ],
         "services": [{"name": "booking", "health_path": "/healthz", "max_connections": 100}],
         "limits": {"max_header_bytes": 4096, "max_body_bytes": 1000},
         "tenants": [{"name": "plaza", "api_keys": keys}],
@@ -167,6 +171,24 @@
         send(self.vms[vm].callers, &request)
     }
 
+    /// Sends a request with an attempt id of its own.
+    pub fn call_as(&self, id: &str, method: &str, path: &str) -> CallAnswer {
+        let body = if method == "POST" { "the body" } else { "" };
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: {id}\r\n\
+             Api-Key: key-1\r\nX-Deadline-Ms: 3000\r\nContent-Length: {}\r\n\
+             Connection: close\r\n\r\n{body}",
+            body.len()
+        );
+        send(self.vms[0].callers, &request)
+    }
+
+    /// Returns how often servers have received an attempt.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let seen = self.servers.iter().flat_map(|server| server.seen());
+        seen.filter(|request| request.header("x-attempt-id") == Some(id)).count()
+    }
+
     pub fn seen(&self) -> usize {
         self.servers.iter().map(|server| server.seen().len()).sum()
     }
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -16,6 +16,16 @@
     Fail,
     /// Answers that it has not run the request.
     RejectNotRun,
+    /// Answers that it has not run the request, and writes that refusal once more.
+    RejectTwice(CopyMoment, CopyId),
+    /// Sends a complete answer that is not a stream of events: status, content type and body.
+    Page(&'static str, &'static str, &'static str),
+    /// Sends this many events of a stream, then an error as an event without an id, and ends it.
+    ErrorEventAfter(u64),
+    /// Sends this many events of a stream without a length or chunks, and crashes.
+    EndAfter(u64),
+    /// Sends all events of a stream without a length or chunks, and closes the connection.
+    CloseAfterStream,
     /// Closes the connection after it has read the request.
     Close,
     /// Sends this many events of a stream and an incomplete one, and closes the connection.
@@ -40,6 +50,26 @@
     Flood(FloodedPart),
 }
 
+/// When the copy of a refusal is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyMoment {
+    /// Together with the refusal.
+    AtOnce,
+    /// Once the head of the next request on the connection has arrived.
+    AfterNextHead,
+    /// Once the next request on the connection has arrived completely.
+    AfterNextRequest,
+}
+
+/// The attempt id of the copy of a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyId {
+    /// That of the refused attempt.
+    Same,
+    /// None.
+    Missing,
+}
+
 /// The part of an answer that is endless.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FloodedPart {
@@ -191,7 +221,16 @@
 
     fn serve_requests(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Some(request) = read_request(&mut reader) {
+        let mut copy: Option<(CopyMoment, String)> = None;
+        loop {
+            let mut writer = stream;
+            let early = copy.as_ref().filter(|(moment, _)| *moment == CopyMoment::AfterNextHead);
+            let on_head =
+                || early.is_none_or(|(_, text)| writer.write_all(text.as_bytes()).is_ok());
+            let Some(request) = read_request(&mut reader, on_head) else { return };
+            if let Some((CopyMoment::AfterNextRequest, text)) = copy.take() {
+                let _ = writer.write_all(text.as_bytes());
+            }
             let next = {
                 let mut script = self.script.lock().unwrap();
                 script.seen.push(request.clone());
@@ -203,6 +242,9 @@
                     (false, false) => ServerAction::Answer,
                 }
             };
+            if let ServerAction::RejectTwice(moment, id) = next {
+                copy = Some((moment, Self::refusal(&request, id)));
+            }
             if !self.act(stream, &request, next) {
                 return;
             }
@@ -211,7 +253,7 @@
 
     fn act(&self, mut stream: &TcpStream, request: &SeenRequest, next: ServerAction) -> bool {
         let id = request.header("x-attempt-id").unwrap_or_default();
-        let is_stream = request.line.contains("/plan/");
+        let is_stream = request.line.contains("/plan/") || request.line.contains("/frail/");
         match next {
             ServerAction::Answer if is_stream => self.stream(stream, request, Self::EVENTS, true),
             ServerAction::CutAfter(events) => self.stream(stream, request, events, false),
@@ -219,10 +261,36 @@
             ServerAction::Fail => self.answer(stream, "500 Internal Server Error", id, "failed"),
             ServerAction::WrongId => self.answer(stream, "200 OK", "another-call", "not yours"),
             ServerAction::RejectNotRun => {
-                let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
-                let text = format!("{head}X-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                stream.write_all(Self::refusal(request, CopyId::Same).as_bytes()).is_ok()
+            }
+            ServerAction::RejectTwice(moment, id) => {
+                let mut text = Self::refusal(request, CopyId::Same);
+                if moment == CopyMoment::AtOnce {
+                    text.push_str(&Self::refusal(request, id));
+                }
+                stream.write_all(text.as_bytes()).is_ok()
+            }
+            ServerAction::Page(status, kind, body) => {
+                self.answer(stream, &format!("{status}\r\nContent-Type: {kind}"), id, body)
+            }
+            ServerAction::ErrorEventAfter(events) => {
+                let from = request.header("last-event-id").map_or(0, |last| last.parse().unwrap());
+                let chunks: String = (from + 1..=from + events).map(Self::event_chunk).collect();
+                let error = Self::chunk("event: error\ndata: the engine failed\n\n");
+                let text = format!("{}{chunks}{error}0\r\n\r\n", self.stream_head(id));
                 stream.write_all(text.as_bytes()).is_ok()
             }
+            ServerAction::EndAfter(events) => {
+                let text = self.undelimited_stream(request, events);
+                let _ = stream.write_all(text.as_bytes());
+                std::thread::sleep(Duration::from_millis(50));
+                self.end()
+            }
+            ServerAction::CloseAfterStream => {
+                let text = self.undelimited_stream(request, Self::EVENTS);
+                let _ = stream.write_all(text.as_bytes());
+                false
+            }
             ServerAction::Leave if is_stream => {
                 let head =
                     self.stream_head(id).replace("\r\n\r\n", "\r\nServer-Leaving: 1\r\n\r\n");
@@ -295,6 +363,26 @@
         )
     }
 
+    /// Returns a stream up to an event that ends with its connection.
+    fn undelimited_stream(&self, request: &SeenRequest, to: u64) -> String {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let from = request.header("last-event-id").map_or(0, |last| last.parse().unwrap());
+        let head = self.stream_head(id).replace("Transfer-Encoding: chunked\r\n", "");
+        let event = |event: u64| format!("id: {event}\ndata: piece {event}\n\n");
+        head + &(from + 1..=to).map(event).collect::<String>()
+    }
+
+    fn refusal(request: &SeenRequest, id: CopyId) -> String {
+        let id = match id {
+            CopyId::Same => {
+                format!("X-Attempt-Id: {}\r\n", request.header("x-attempt-id").unwrap_or_default())
+            }
+            CopyId::Missing => String::new(),
+        };
+        let head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+        format!("{head}{id}Content-Length: 0\r\n\r\n")
+    }
+
     fn event_chunk(event: u64) -> String {
         Self::chunk(&format!("id: {event}\ndata: piece {event}\n\n"))
     }
@@ -374,7 +462,11 @@
     }
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<SeenRequest> {
+/// Reads a request; calls `on_head` between its head and its body.
+fn read_request(
+    reader: &mut BufReader<TcpStream>,
+    mut on_head: impl FnMut() -> bool,
+) -> Option<SeenRequest> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
     let mut headers = Vec::new();
@@ -384,6 +476,7 @@
         let Some((name, value)) = header.trim_end().split_once(':') else { break };
         headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
+    on_head();
     let length = headers.iter().find(|(name, _)| name == "content-length");
     let length = length.map_or(0, |(_, value)| value.parse().unwrap());
     let mut body = vec![0; length];
