Deliver nothing but events of the stream when a stream goes on at another server

Reported by other operators: a stream broke off, the next server answered with an error, and callers found the error's text in the middle of their stream, or a stream that ended as if it were complete.

Shown by tests/gateway_stream_errors.rs, all but one of its tests failing before: - An answer of 200 with another content type was read as events, and its text delivered in the stream, with a complete end. It counts as malformed now, and the stream goes on elsewhere. - An event without an id in a resumed stream (an error) was delivered. It ends that run now. - Any error answer to a resumed stream broke it off, although another attempt was allowed. - A stream without length or chunks whose server crashed between two events was delivered as complete. Its end counts only if the server still listens; a crash there also counts as a crash. - Found beside these: when a stream was broken off, the caller's connection stayed open for 20 s and more, as the second descriptor that watches for callers that leave kept it. It is shut down at once now.

--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -196,8 +196,9 @@
         match outcome {
             RunOutcome::Whole { .. } if run.stage == RunStage::Begun => self.finish(now, request),
             RunOutcome::Whole { head } => {
-                let is_failure = head.status >= 500;
-                let may_repeat = state.route.kind.may_repeat() && !state.is_delivered;
+                // The rest of a stream that was delivered in part is no whole answer.
+                let is_failure = head.status >= 500 || state.is_delivered;
+                let may_repeat = state.route.kind.may_repeat();
                 let reason = "the server answered with an error";
                 if is_failure && may_repeat && self.retry(now, request, reason).is_ok() {
                     self.emit(GatewayCommand::Cancel { request, attempt });
--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -58,6 +58,11 @@
                 connection.end_watch();
                 return;
             }
+            () = connection.abort_requested.notified() => {
+                // xitca-web drops only its own descriptor of the socket.
+                let _ = socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Both);
+                break;
+            }
         };
         match ready {
             Ok(Ok(ready)) if !ready.is_read_closed() => {
@@ -123,6 +128,7 @@
     closed: AtomicBool,
     notify: tokio::sync::Notify,
     close_requested: tokio::sync::Notify,
+    abort_requested: tokio::sync::Notify,
     busy: AtomicU64,
     /// The time at which either side closed the connection; unset while it is open.
     watch_ended: OnceLock<Instant>,
@@ -154,6 +160,11 @@
         self.busy.load(Ordering::Relaxed) > 0
     }
 
+    /// Closes the connection at once, within a response that ends early.
+    pub fn abort(&self) {
+        self.abort_requested.notify_one();
+    }
+
     /// Records the start of a request on this connection.
     pub fn start_request(&self) {
         self.busy.fetch_add(1, Ordering::Relaxed);
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -187,7 +187,11 @@
 
     /// Returns the next event of a stream, `None` at its end, or an error if it ends early.
     async fn next_event(&mut self) -> Result<Option<Bytes>, io::Error> {
-        let broken = || io::Error::from(io::ErrorKind::ConnectionAborted);
+        let connection = Arc::clone(&self.connection);
+        let broken = || {
+            connection.abort();
+            io::Error::from(io::ErrorKind::ConnectionAborted)
+        };
         loop {
             match self.next_input().await {
                 ExchangeInput::Part(AnswerPart::Event(event)) => return Ok(Some(event)),
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -106,8 +106,11 @@
         if head.status.is_success() && !facts.is_signed {
             return Err(AttemptFault::Malformed.into());
         }
-        let outcome = if self.order.is_stream && head.status.is_success() {
+        let is_stream = self.order.is_stream && head.status.is_success();
+        let outcome = if is_stream && Self::may_have_events(&head.headers) {
             self.pass_stream(head, body, facts.head).await?
+        } else if is_stream && self.order.after_event.is_some() {
+            return Err(AttemptFault::Malformed.into());
         } else {
             self.pass_whole(head, body, facts.head).await?
         };
@@ -117,6 +120,20 @@
         Ok(outcome)
     }
 
+    /// Returns whether an answer may be a stream of events: it does not state another type.
+    fn may_have_events(headers: &http::HeaderMap) -> bool {
+        headers.get(http::header::CONTENT_TYPE).is_none_or(|kind| {
+            let kind = kind.to_str().unwrap_or_default().split(';').next().unwrap_or_default();
+            kind.trim().eq_ignore_ascii_case("text/event-stream")
+        })
+    }
+
+    /// Returns whether the end of a body that has neither a length nor chunks is that of the
+    /// answer. A server that crashes closes its connections too, but does not listen any more.
+    async fn is_end_of_answer(&self, is_delimited: bool) -> bool {
+        is_delimited || probe_server(self.order.address).await == ProbeResult::Listens
+    }
+
     /// Returns whether the connection may return to the idle pool. The connection of an
     /// at-most-once call may not: such calls never reuse a pooled connection, so those left by a
     /// burst would use up the server's connection limit.
@@ -212,6 +229,8 @@
         /// malformed.
         const EVENT_LIMIT_BYTES: usize = 256 * 1_024;
         let mut framer = EventFramer::default();
+        let lengths = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
+        let is_delimited = lengths.iter().any(|name| head.headers.contains_key(name));
         let mut head = Some(head);
         let mut progress = Instant::now();
         loop {
@@ -232,6 +251,10 @@
             framer.feed(&data);
             tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
+                // An error, rather than a later event of the stream.
+                if event.has_content && event.id.is_none() && self.order.after_event.is_some() {
+                    return Err(AttemptFault::Malformed);
+                }
                 match sequence.classify(event.id) {
                     EventPosition::New => {}
                     EventPosition::Repeated => continue,
@@ -249,7 +272,7 @@
                 return Err(AttemptFault::Malformed);
             }
         }
-        if !framer.is_at_boundary() {
+        if !framer.is_at_boundary() || !self.is_end_of_answer(is_delimited).await {
             return Err(AttemptFault::Truncated);
         }
         self.begin(&mut head, facts).await?;
