--- a/tests/gateway_crash_sockets.rs
+++ b/tests/gateway_crash_sockets.rs
@@ -66,3 +66,31 @@
     std::thread::sleep(Duration::from_millis(100));
     assert_eq!(stage.call("GET", "/slot/a").status, 200, "the servers still run");
 }
+
+#[test]
+fn crashing_part_is_stopped_at_all_vms() {
+    let stage = Stage::start(6, 3);
+    let call = |round: usize, parts: &str| {
+        // No two requests are alike.
+        let headers = format!("X-Prompt-Prefix: {parts},{round:x}:100\r\n");
+        let path = format!("/plan/{round}");
+        stage.call_with(round % stage.vms.len(), "POST", &path, "key-1", &headers)
+    };
+    assert_eq!(call(0, "a1:100,b2:100").status, 200);
+    let answers: Vec<CallAnswer> = (1..8)
+        .map(|round| {
+            let answer = call(round, "A1:100,000dead:100");
+            std::thread::sleep(Duration::from_millis(500));
+            answer
+        })
+        .collect();
+    // The first request crashes three servers itself; the next one shows that it is the part.
+    assert_eq!(crashed_servers(&stage), CRASHES_TO_QUARANTINE + 1);
+    let last = answers.last().unwrap();
+    assert_eq!(last.status, 503, "{last:?}");
+    assert!(last.head.contains("retry-after: "), "{last:?}");
+    assert!(last.head.contains("guavapass-run: not-run"), "{last:?}");
+    for round in 10..13 {
+        assert_eq!(call(round, "a1:100,c3:100").status, 200, "sound requests are served");
+    }
+}
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -234,7 +234,8 @@
             let next = {
                 let mut script = self.script.lock().unwrap();
                 script.seen.push(request.clone());
-                let ends = request.line.contains("/crash");
+                let parts = request.header("x-prompt-prefix").unwrap_or_default();
+                let ends = request.line.contains("/crash") || parts.contains("dead:");
                 let is_scripted = !script.moves.is_empty();
                 match (ends, is_scripted) {
                     (true, _) => ServerAction::End,
