Let a VM that was suspended ask for crash news before it sends prompts

Now requests with prompts wait 300 ms after a gap of a second between two events, which cannot come about otherwise at a VM that polls others each 100 ms; that is long enough for the next poll's answer.

--- a/recipes.sh
+++ b/recipes.sh
@@ -5,10 +5,9 @@
 
 # The deployments that each landing is measured on, each with the days of a hunt.
 sites=(
-  further/mahebourg-eel.toml:40
-  further-grown/mahebourg-eel-grown.toml:8
-  large/ruedaparque-fleet-large.toml:8
   sites/kencana-cube.toml:40
+  sites/ruedaparque-fleet.toml:40
+  large/ruedaparque-fleet-large.toml:8
   grown/kencana-cube-grown.toml:8
   grown/ruedaparque-fleet-grown.toml:8
 )
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -9,7 +9,7 @@
 //! server whose address refuses connections has crashed. A request that was broken is sent again
 //! after that, as the crash may be the one that shows its request or a part of it to be the cause.
 //!
-//! [`Gateway::quarantine`] decides for every way to a server, from [`send`] and [`escalate`].
+//! [`CrashWatch::quarantine`] decides for every way to a server, from [`send`] and [`escalate`].
 
 use super::*;
 
@@ -27,6 +27,10 @@
     /// Runs at servers that crashed while their pool had a roll-out, by the time at which they
     /// count against the version unless a quarantine explains the crash.
     uncounted: VecDeque<(Millis, BrokenRun)>,
+    /// When this VM last handled an event.
+    handled: Millis,
+    /// Until when requests with prompts wait, as this VM was suspended and has missed crash events.
+    catches_up_until: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -74,6 +78,37 @@
         self.tracker.is_suspect(subject) || broken.any(|run| run.suspects.request == subject)
     }
 
+    /// The time between two events after which a VM that polls others has been suspended.
+    const SUSPENDED_MS: u64 = 1_000;
+    /// The time in which it gets the answers of its next polls.
+    const CATCH_UP_MS: u64 = 300;
+
+    /// Notices that this VM was suspended.
+    pub(super) fn observe_time(&mut self, now: Millis) {
+        let gap = now.since(std::mem::replace(&mut self.handled, now));
+        if gap.0 >= Self::SUSPENDED_MS && gap != now {
+            tracing::info!(suspended_ms = gap.0, "was suspended; catching up with crash news");
+            self.catches_up_until = now + Millis(Self::CATCH_UP_MS);
+        }
+    }
+
+    /// Returns until when requests with prompts wait, if they do.
+    pub(super) fn catch_up_end(&self, now: Millis) -> Option<Millis> {
+        (now < self.catches_up_until).then_some(self.catches_up_until)
+    }
+
+    /// Returns why a request must not run at its model, or `None` if it may. If `may_try` is true,
+    /// it may run as a trial.
+    pub(super) fn quarantine(
+        &mut self,
+        now: Millis,
+        state: &RoutedRequest,
+        may_try: bool,
+    ) -> Option<CrashQuarantine> {
+        let RunSuspects { request, parts } = RunSuspects::of(state);
+        self.tracker.quarantine(now, request, &parts, may_try)
+    }
+
     /// Returns when [`Gateway::end_crash_waits`] is due next.
     pub(super) fn next(&self) -> Option<Millis> {
         let held = self.held.first().map(|(at, _)| *at);
@@ -209,17 +244,6 @@
         );
     }
 
-    /// Returns why a request must not run at its model, or `None` if it may.
-    pub(super) fn quarantine(
-        &mut self,
-        now: Millis,
-        state: &RoutedRequest,
-    ) -> Option<CrashQuarantine> {
-        let may_try = state.runs.is_empty() && self.holds_trials();
-        let RunSuspects { request, parts } = RunSuspects::of(state);
-        self.crashes.tracker.quarantine(now, request, &parts, may_try)
-    }
-
     /// Returns whether this VM runs the trials of quarantined subjects: the hub of the data centre
     /// that is first by name.
     fn holds_trials(&self) -> bool {
@@ -235,8 +259,10 @@
         now: Millis,
         request: RequestNumber,
     ) -> Option<Refusal> {
-        let state = self.requests.get(&request)?.clone();
-        let CrashQuarantine { subject, rest } = self.quarantine(now, &state)?;
+        let may_try = self.holds_trials();
+        let state = self.requests.get(&request)?;
+        let may_try = may_try && state.runs.is_empty();
+        let CrashQuarantine { subject, rest } = self.crashes.quarantine(now, state, may_try)?;
         let is_request = subject == CrashSubject::request(state.arrival.fingerprint);
         let message = if is_request {
             "Backend servers ended while they ran this request; it is not run for now."
@@ -244,7 +270,7 @@
             "Backend servers ended under a part of this prompt; it is not run for now."
         };
         tracing::info!(request = request.0, %subject, is_request, "stopped by a quarantine");
-        let refusal = Self::final_refusal(&state, RefusalCode::Unavailable, message);
+        let refusal = Self::final_refusal(state, RefusalCode::Unavailable, message);
         let is_not_run = refusal.run == RunState::NotRun;
         Some(if is_not_run { refusal.with_retry_after(rest) } else { refusal })
     }
--- a/src/gateway/escalate.rs
+++ b/src/gateway/escalate.rs
@@ -35,7 +35,7 @@
         let pressure = self.pressure(now, &state.pool);
         let prognosis = EscalationInputs { confidence, is_on_time, pressure, unread_share };
         if !prognosis.should_escalate()
-            || self.quarantine(now, &larger).is_some()
+            || self.crashes.quarantine(now, &larger, false).is_some()
             || !self.spend_retry(now, &larger.pool)
         {
             return false;
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -109,6 +109,9 @@
 
     /// Processes one event and returns the resulting commands in order.
     pub fn handle(&mut self, now: Millis, event: GatewayEvent) -> Vec<GatewayCommand> {
+        if !self.relay.peers.is_empty() {
+            self.crashes.observe_time(now);
+        }
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -25,6 +25,12 @@
             return Err(refusal);
         }
         let Some(state) = self.requests.get(&request) else { return Ok(()) };
+        if let Some(end) = self.crashes.catch_up_end(now)
+            && !state.arrival.parts.is_empty()
+        {
+            self.wait_until(now, request, end, "waits: this VM was suspended; asks for crash news");
+            return Ok(());
+        }
         let found = self.find_server(now, state);
         let pool = state.pool.clone();
         let Some((place, side)) = found else {
--- a/src/health/crash_tracker.rs
+++ b/src/health/crash_tracker.rs
@@ -171,7 +171,7 @@
         if self.answered.len() >= Self::ANSWER_LIMIT {
             self.answered.retain(|_, at| now.since(*at).0 < Self::ANSWER_WINDOW_MS);
         }
-        if self.answered.len() < Self::ANSWER_LIMIT {
+        if self.answered.len() < Self::ANSWER_LIMIT || self.answered.contains_key(&subject) {
             let latest = self.answered.entry(subject).or_default();
             *latest = started.max(*latest);
         }
--- a/tests/gateway_crash_parts.rs
+++ b/tests/gateway_crash_parts.rs
@@ -242,6 +242,28 @@
     assert_eq!(pool.crashes_under_part(CRASHING_PART), before, "the other VMs have reported it");
 }
 
+#[test]
+fn vm_that_wakes_learns_of_the_crashing_part() {
+    let mut pool = pool();
+    pool.crashing_parts.insert(CRASHING_PART);
+    let last = pool.crowd.len() - 1;
+    send_sound(&mut pool, 1);
+    pool.crowd.freeze(last, 4_000);
+    for step in 0..20 {
+        let own = 5_000 + step;
+        let vm = step as usize % last;
+        pool.call_with_parts(vm, "/plan/1", RequestFingerprint(own), &[1, CRASHING_PART, own]);
+        pool.run(190);
+    }
+    // The request waits at the VM while it is suspended.
+    let before = pool.crashes_under_part(CRASHING_PART);
+    pool.call_with_parts(last, "/plan/1", RequestFingerprint(6_000), &[1, CRASHING_PART, 6_000]);
+    pool.call_with_parts(last, "/plan/1", RequestFingerprint(6_001), &[1, 1_001, 6_001]);
+    pool.run(2_000);
+    assert_eq!(pool.crashes_under_part(CRASHING_PART), before, "the other VMs have reported it");
+    assert_eq!(pool.answers_of(RequestFingerprint(6_001)), 1);
+}
+
 #[test]
 fn part_that_is_sound_again_is_served_after_a_trial() {
     let mut pool = pool();
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -153,7 +153,7 @@
     }
     stage.platform.log().append("keyed.servers", [write_keyed("", b"{}").into(), vec![9].into()]);
     stage.register_server(1, "draining");
-    std::thread::sleep(std::time::Duration::from_millis(3_000));
+    std::thread::sleep(std::time::Duration::from_secs(3));
     for vm in 0..2 {
         let answer = stage.call_with(vm, "GET", "/slot/a", "key-1", "");
         assert_eq!(
--- a/tests/support/gateway_crowd.rs
+++ b/tests/support/gateway_crowd.rs
@@ -289,7 +289,9 @@
     fn count_crash_bytes(&mut self, vms: [usize; 2], news: &CrashUpdate) {
         if !news.notices.is_empty() {
             let bytes = rmp_serde::to_vec(news).unwrap().len() as u64;
-            vms.into_iter().for_each(|vm| *self.crash_bytes.entry(vm).or_default() += bytes);
+            for vm in vms {
+                *self.crash_bytes.entry(vm).or_default() += bytes;
+            }
         }
     }
 
--- a/tests/support/gateway_stage.rs
+++ b/tests/support/gateway_stage.rs
@@ -185,7 +185,7 @@
 
     /// Returns how often servers have received an attempt.
     pub fn runs_of(&self, id: &str) -> usize {
-        let seen = self.servers.iter().flat_map(|server| server.seen());
+        let seen = self.servers.iter().flat_map(RouteServer::seen);
         seen.filter(|request| request.header("x-attempt-id") == Some(id)).count()
     }
 
