Let a request that two servers crashed under wait before its next attempt

What callers saw in the incident: three requests crashed the first eight engines by their own attempts, one after the other within 1.4 s, before anything could be known about them.

A request that has two counted crashes waits 500 ms; the VMs exchange crashes within 300 ms, so that the quarantine, if there is one, stops its third attempt.

request_that_crashed_two_servers_waits_for_the_verdict failed before (three crashes within 500 ms).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -21,8 +21,8 @@
     positions: SyncPositions,
     /// Runs whose connection broke, by the server that is being probed because of them.
     awaiting_probe: BTreeMap<ServerId, Vec<BrokenRun>>,
-    /// Broken runs of requests that are sent again after the probe, by the time at which they are
-    /// sent again in any case.
+    /// Requests that wait for the probe of the server that broke them, or longer as suspects, by
+    /// the time at which they are sent again in any case.
     held: BTreeSet<(Millis, RequestNumber)>,
     /// Runs at servers that crashed while their pool had a roll-out, by the time at which they
     /// count against the version unless a quarantine explains the crash.
@@ -125,6 +125,11 @@
     /// The longest time for which a broken request waits for the probe of its server. A process
     /// that has ended refuses connections after a round trip.
     const PROBE_WAIT_MS: u64 = 30;
+    /// The number of crashes after which a request waits before it is sent again. Most requests
+    /// that meet so many of them are their cause, or run beside it.
+    const CRASHES_BEFORE_WAIT: usize = 2;
+    /// How long it waits: the VMs exchange crashes within 300 ms, and a stream may pause longer.
+    const SUSPECT_WAIT_MS: u64 = 500;
     /// The time in which the VMs find out and exchange what has caused a crash.
     const VERDICT_WAIT_MS: u64 = 1_000;
 
@@ -161,8 +166,8 @@
         true
     }
 
-    /// Returns whether a request is sent again after the probe of the server that broke it.
-    pub(super) fn is_held_for_probe(&self, request: RequestNumber) -> bool {
+    /// Returns whether a request waits before it is sent again.
+    pub(super) fn waits_after_crash(&self, request: RequestNumber) -> bool {
         self.crashes.held.iter().any(|(_, held)| *held == request)
     }
 
@@ -183,10 +188,15 @@
                 self.count_broken(&run.pool, run.side);
             }
         }
-        for BrokenRun { request, .. } in runs {
-            if self.is_held_for_probe(request) {
-                self.crashes.held.retain(|(_, held)| *held != request);
-                self.retry_or_end(now, request, "incomplete answer");
+        for run in runs.iter().filter(|run| self.waits_after_crash(run.request)).collect::<Vec<_>>()
+        {
+            self.crashes.held.retain(|(_, held)| *held != run.request);
+            let crashes = self.crashes.tracker.crashes(run.suspects.request).len();
+            if result == ProbeResult::Refused && crashes >= Self::CRASHES_BEFORE_WAIT {
+                let at = now + Millis(Self::SUSPECT_WAIT_MS);
+                self.crashes.held.insert((at, run.request));
+            } else {
+                self.retry_or_end(now, run.request, "incomplete answer");
             }
         }
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -217,7 +217,7 @@
             }
             RunOutcome::NotRun { cause: NotRunCause::Crowded, .. } => self.on_crowded(now, request),
             RunOutcome::NotRun { .. } => self.retry_or_end(now, request, "not run by the server"),
-            RunOutcome::Broken { .. } if self.is_held_for_probe(request) => {}
+            RunOutcome::Broken { .. } if self.waits_after_crash(request) => {}
             RunOutcome::Broken { .. } => self.retry_or_end(now, request, "incomplete answer"),
         }
     }
--- a/tests/gateway_crash_parts.rs
+++ b/tests/gateway_crash_parts.rs
@@ -155,6 +155,17 @@
     assert_stopped(&pool, CRASHING_PART);
 }
 
+#[test]
+fn request_that_crashed_two_servers_waits_for_the_verdict() {
+    let mut pool = pool();
+    pool.crashing_parts.insert(CRASHING_PART);
+    call_with(&mut pool, CRASHING_PART, 0);
+    pool.run(500);
+    assert_eq!(pool.crashes_under_part(CRASHING_PART), 2, "each attempt crashes after 100 ms");
+    pool.run(1_000);
+    assert_eq!(pool.crashes_under_part(CRASHING_PART), 3);
+}
+
 #[test]
 fn two_crashing_parts_are_both_stopped() {
     const SECOND: u64 = 0xdeae;
