--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -72,17 +72,17 @@
 }
 
 impl CrashWatch {
+    /// The time between two events after which a VM that polls others has been suspended.
+    const SUSPENDED_MS: u64 = 1_000;
+    /// The time in which it gets the answers of its next polls.
+    const CATCH_UP_MS: u64 = 300;
+
     /// Returns whether a server has crashed, or may have crashed, while it ran a request.
     fn is_suspect(&self, subject: CrashSubject) -> bool {
         let mut broken = self.awaiting_probe.values().flatten();
         self.tracker.is_suspect(subject) || broken.any(|run| run.suspects.request == subject)
     }
 
-    /// The time between two events after which a VM that polls others has been suspended.
-    const SUSPENDED_MS: u64 = 1_000;
-    /// The time in which it gets the answers of its next polls.
-    const CATCH_UP_MS: u64 = 300;
-
     /// Notices that this VM was suspended.
     pub(super) fn observe_time(&mut self, now: Millis) {
         let gap = now.since(std::mem::replace(&mut self.handled, now));
@@ -188,8 +188,10 @@
                 self.count_broken(&run.pool, run.side);
             }
         }
-        for run in runs.iter().filter(|run| self.waits_after_crash(run.request)).collect::<Vec<_>>()
-        {
+        for run in &runs {
+            if !self.waits_after_crash(run.request) {
+                continue;
+            }
             self.crashes.held.retain(|(_, held)| *held != run.request);
             let crashes = self.crashes.tracker.crashes(run.suspects.request).len();
             if result == ProbeResult::Refused && crashes >= Self::CRASHES_BEFORE_WAIT {
