--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -362,7 +362,10 @@
     let news = (1..=3).map(|number| said(server(&format!("n{number}"), ENGINES, "v2")));
     let records = world.keep(news.chain([StoreRecord::Order(order)]).collect());
     world.answered(None, PollPurpose::Records, Some(answer(&names[0], 9, records)));
-    world.tick(RolloutTrack::SETTLE_MS);
+    // In small steps: a VM that handles no event for a second has been suspended.
+    for _ in 0..RolloutTrack::SETTLE_MS / 100 {
+        world.tick(100);
+    }
     let is_new = |world: &GatewayFixture, request| {
         world.starts(request).first().is_some_and(|order| order.server.as_str().starts_with('n'))
     };
