--- a/src/health/crash_verdict.rs
+++ b/src/health/crash_verdict.rs
@@ -3,8 +3,8 @@
 /// The finding that a subject crashes the servers that run it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct CrashVerdict {
-    /// Subjects that were present at exactly the same crashes, so that no evidence tells them
-    /// apart. A request is stopped only if it has all of them.
+    /// Subjects that were present at the same crashes, or all but one, so that too little evidence
+    /// tells them apart. A request is stopped only if it has all of them.
     pub(super) inseparable: Vec<CrashSubject>,
     /// Whether it holds for parts of prompts only, as it disregards answers before the crashes.
     pub(super) is_after_answers: bool,
