Answer 502 if a server fails an at-most-once request with a status that says "not run"

What callers saw: a server ran a booking and failed it with 503 without saying that it had not run it. The caller got the 503, which states that the request has not run, and sent the booking again; it ran twice.

Cause: follow_up delivered every complete answer of a request that may not be repeated, whatever its status. Only the router's own refusals were compared with the state of the run.

Ruled out: that the adapter takes such a 503 for "not run" (the answers carry the server's signature, which no refusal has), and a second attempt (one run for each id).

Fix: RunState::stated_by is the one place that knows these statuses (408, 421, 429, 503). Answers of servers and refusals of the router both pass it. A server's answer whose status would be false is replaced by 502 without its signature and body. Requests that may be repeated get the server's answer unchanged, as the protocol says. A Guavapass-Run header of a server no longer reaches callers at either door.

--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -31,6 +31,16 @@
 }
 
 impl RunState {
+    /// Returns the run state that an HTTP status states by itself: callers take these statuses to
+    /// mean that the request has not run and never will.
+    #[must_use]
+    pub const fn stated_by(status: u16) -> Option<Self> {
+        match status {
+            408 | 421 | 429 | 503 => Some(Self::NotRun),
+            _ => None,
+        }
+    }
+
     /// Returns the value of the `Guavapass-Run` header.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -57,9 +57,41 @@
         self.finish(now, request);
     }
 
+    /// Delivers the complete answer of a run that has ended, unless its status states that the
+    /// request has not run. The caller would then send an at-most-once request again.
+    pub(super) fn deliver_whole(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        run: &RunRecord,
+        status: u16,
+    ) {
+        let Some(state) = self.requests.get(&request) else { return };
+        if !state.route.kind.may_repeat() && !Self::is_status_true(state, status) {
+            tracing::warn!(
+                request = request.0,
+                attempt = run.attempt.0,
+                server = %run.server,
+                status,
+                "withheld an answer whose status states that the request has not run"
+            );
+            let refusal = Self::failure_refusal(state);
+            self.refuse(now, request, refusal);
+            return;
+        }
+        self.emit(GatewayCommand::Deliver { request, attempt: run.attempt });
+        self.finish(now, request);
+    }
+
+    /// Returns whether what a status states about the run of a request is true.
+    fn is_status_true(state: &RoutedRequest, status: u16) -> bool {
+        RunState::stated_by(status).is_none_or(|stated| stated == state.run_state())
+    }
+
     /// Ends a request with a refusal.
     pub(super) fn refuse(&mut self, now: Millis, request: RequestNumber, refusal: Refusal) {
         let Some(state) = self.requests.get(&request) else { return };
+        let refusal = Self::true_refusal(state, refusal);
         // A retry is pointless before a server of the pool accepts requests again.
         let backoff = self.pool_backoff(now, &state.pool);
         let longer = backoff.filter(|backoff| refusal.retry_after < Some(*backoff));
@@ -130,7 +162,18 @@
             let retry = Millis(Self::NO_SERVER_RETRY_MS);
             return Refusal::not_run(RefusalCode::Unavailable, message).with_retry_after(retry);
         }
-        let code = if code == RefusalCode::Unavailable { RefusalCode::BadGateway } else { code };
-        Refusal::not_run(code, message).with_run(run)
+        Self::true_refusal(state, Refusal::not_run(code, message))
+    }
+
+    /// Returns the refusal with what is known about the run. If a server may have run the request,
+    /// its status states nothing about that, and it invites no retry.
+    fn true_refusal(state: &RoutedRequest, refusal: Refusal) -> Refusal {
+        let run = state.run_state();
+        if run == RunState::NotRun {
+            return refusal;
+        }
+        let is_true = Self::is_status_true(state, refusal.code.status());
+        let code = if is_true { refusal.code } else { RefusalCode::BadGateway };
+        Refusal { code, retry_after: None, run, ..refusal }
     }
 }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -212,8 +212,7 @@
                     );
                     return;
                 }
-                self.emit(GatewayCommand::Deliver { request, attempt });
-                self.finish(now, request);
+                self.deliver_whole(now, request, run, head.status);
             }
             RunOutcome::NotRun { cause: NotRunCause::Crowded, .. } => self.on_crowded(now, request),
             RunOutcome::NotRun { .. } => self.retry_or_end(now, request, "not run by the server"),
--- a/src/platform/refusals.rs
+++ b/src/platform/refusals.rs
@@ -10,7 +10,7 @@
 pub fn refusal_response(refusal: &Refusal, request: RequestNumber) -> WebResponse {
     let mut response = reply::json(refusal.code.status(), &reply::refusal_body(refusal));
     let headers = response.headers_mut();
-    headers.insert("guavapass-run", HeaderValue::from_static(refusal.run.as_str()));
+    headers.insert(reply::RUN_HEADER, HeaderValue::from_static(refusal.run.as_str()));
     reply::insert_text(headers, "guavapass-request", &request.to_string());
     if let Some(retry_after) = refusal.retry_after {
         let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -232,6 +232,7 @@
         *response.headers_mut() = head.headers;
         let headers = response.headers_mut();
         reply::strip_hop_headers(headers);
+        headers.remove(reply::RUN_HEADER);
         let id = self.shared.request_id(self.number);
         reply::insert_text(headers, "guavapass-request", &id.to_string());
         let attempt = self.attempts.iter().find(|attempt| Some(attempt.id) == self.released);
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -163,6 +163,7 @@
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
         reply::strip_hop_headers(response.headers_mut());
+        response.headers_mut().remove(reply::RUN_HEADER);
         response
     }
 
--- a/src/traffic/reply.rs
+++ b/src/traffic/reply.rs
@@ -36,7 +36,7 @@
 pub(crate) fn refusal(refusal: &Refusal, request: &RequestId) -> WebResponse {
     let mut response = json(refusal.code.status(), &refusal_body(refusal));
     let headers = response.headers_mut();
-    headers.insert("guavapass-run", HeaderValue::from_static(refusal.run.as_str()));
+    headers.insert(RUN_HEADER, HeaderValue::from_static(refusal.run.as_str()));
     insert_text(headers, "guavapass-request", &request.to_string());
     if let Some(retry_after) = refusal.retry_after {
         headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after.0.div_ceil(1_000)));
@@ -54,6 +54,9 @@
     }
 }
 
+/// The header that states whether a request has run. Only guavapass sets it, never a server.
+pub(crate) const RUN_HEADER: &str = "guavapass-run";
+
 /// Removes the hop-by-hop headers, and the length, which is set anew for each connection.
 pub(crate) fn strip_hop_headers(headers: &mut http::HeaderMap) {
     const HOP_HEADERS: [header::HeaderName; 7] = [
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -20,6 +20,11 @@
     RejectTwice(CopyMoment, CopyId),
     /// Sends a complete answer that is not a stream of events: status, content type and body.
     Page(&'static str, &'static str, &'static str),
+    /// Runs the request and sends the answer as it is written here, after `{id}` has been replaced
+    /// by the attempt's id, and closes the connection.
+    Raw(&'static str),
+    /// Waits for this many milliseconds, and then sends the answer like [`Self::Raw`].
+    RawAfter(u64, &'static str),
     /// Sends this many events of a stream, then an error as an event without an id, and ends it.
     ErrorEventAfter(u64),
     /// Sends this many events of a stream without a length or chunks, and crashes.
@@ -274,6 +279,15 @@
             ServerAction::Page(status, kind, body) => {
                 self.answer(stream, &format!("{status}\r\nContent-Type: {kind}"), id, body)
             }
+            ServerAction::Raw(text) => {
+                let _ = stream.write_all(text.replace("{id}", id).as_bytes());
+                false
+            }
+            ServerAction::RawAfter(pause, text) => {
+                std::thread::sleep(Duration::from_millis(pause));
+                let _ = stream.write_all(text.replace("{id}", id).as_bytes());
+                false
+            }
             ServerAction::ErrorEventAfter(events) => {
                 let from = request.header("last-event-id").map_or(0, |last| last.parse().unwrap());
                 let chunks: String = (from + 1..=from + events).map(Self::event_chunk).collect();
