Keep routes closed when a configuration names teams that have no keys

What callers saw: once the last key of the last team was taken away, requests with revoked keys, with keys that never existed and without a key were run.

Cause: "no teams are named" and "the teams have no keys" were one value, an empty map, from the parser to admission and in messages between VMs. admit opened all routes for it, before the check of the lease.

Ruled out: a configuration that was not learned (the log names its revision, with no keys) and a lease renewed by old records (a key that never existed was admitted).

Fix: TeamKeys tells the two apart. Only a configuration without the list of teams is open; null and other odd forms are unreadable and change nothing.

The callers' interface was closed already; tests/control.rs now checks the last key, the last team and a waiting request of a removed team.

--- a/src/driver/relay_client.rs
+++ b/src/driver/relay_client.rs
@@ -51,6 +51,9 @@
         }
         let body = Limited::new(response.into_body(), Self::ANSWER_LIMIT_BYTES).collect().await;
         let body = body.map_err(|error| text(&error))?.to_bytes();
-        rmp_serde::from_slice(&body).map_err(|error| text(&error))
+        rmp_serde::from_slice(&body).map_err(|error| {
+            tracing::warn!(%address, %error, "cannot decode the answer of an entry VM");
+            text(&error)
+        })
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -88,6 +88,7 @@
 mod store_feed;
 mod store_record;
 mod sync_positions;
+mod team_keys;
 mod team_shares;
 mod version_latencies;
 
@@ -99,7 +100,7 @@
     gateway_bounds::GatewayBounds,
     gateway_command::GatewayCommand,
     gateway_core::Gateway,
-    gateway_document::{GatewayDocument, KeyHolder},
+    gateway_document::GatewayDocument,
     gateway_event::GatewayEvent,
     held_sessions::{HeldSessionUpdate, HeldSessions},
     hub_support::HubSupport,
@@ -135,6 +136,7 @@
     store_error::StoreError,
     store_feed::{FeedAnswer, FeedProgress, FeedRead, StoreFeed},
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
+    team_keys::{KeyHolder, TeamKeys},
     version_latencies::{LatencyComparison, VersionLatencies},
 };
 
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -58,16 +58,19 @@
             let message = "This entry VM is ending and has no time for a stream; ask again.";
             return Err(Self::retry_elsewhere(message));
         }
-        if route.keyless || document.keys.is_empty() {
-            let rank = route.rank;
-            return Ok(Admission { route, team: None, rank });
-        }
+        let keys = match &document.keys {
+            TeamKeys::Named(keys) if !route.keyless => keys,
+            TeamKeys::Named(_) | TeamKeys::Open => {
+                let rank = route.rank;
+                return Ok(Admission { route, team: None, rank });
+            }
+        };
         if !self.is_fresh(now) {
             let message =
                 "This entry VM is cut off from the store and cannot check keys; ask again.";
             return Err(Self::retry_elsewhere(message));
         }
-        let holder = arrival.key.as_ref().and_then(|key| document.keys.get(key));
+        let holder = arrival.key.as_ref().and_then(|key| keys.get(key));
         let Some(holder) = holder else {
             let message = "The key is missing or unknown; send a key of your team.";
             return Err(Refusal::not_run(RefusalCode::Unauthorised, message));
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -137,7 +137,7 @@
             revision = document.revision.0,
             before = known.map(|known| known.0),
             routes = document.routes.len(),
-            keys = document.keys.len(),
+            keys = document.keys.count(),
             "configuration in force"
         );
         self.document = Some(Arc::clone(document));
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -1,6 +1,7 @@
 //! Parses the records that operators write: the route configuration and rollout orders.
 
 use super::*;
+use serde::Deserializer;
 
 const CONFIGURATION_KEY: &str = "config";
 
@@ -10,8 +11,9 @@
     routes: Vec<WireRoute>,
     #[serde(default)]
     limits: WireLimits,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
+    /// None only if the member is missing; null is an error.
+    #[serde(default, deserialize_with = "read_tenants")]
+    tenants: Option<Vec<WireTenant>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -84,23 +86,33 @@
 fn read_configuration(value: &[u8]) -> Result<StoreRecord, SmolStr> {
     let wire: WireConfiguration = parse(value)?;
     let routes = wire.routes.into_iter().map(read_route).collect::<Result<Vec<_>, _>>()?;
-    let mut keys = BTreeMap::new();
-    for tenant in wire.tenants {
-        for key in tenant.api_keys {
-            let holder = KeyHolder { team: tenant.name.clone(), rank: tenant.priority };
-            keys.insert(key, holder);
-        }
-    }
     let document = GatewayDocument {
         revision: Revision(wire.version),
         routes: RouteTable::new(routes),
-        keys,
+        keys: wire.tenants.map_or(TeamKeys::Open, |tenants| TeamKeys::Named(read_keys(tenants))),
         body_limit: ByteSize(wire.limits.max_body_bytes.unwrap_or(u64::MAX)),
         head_limit: ByteSize(wire.limits.max_header_bytes.unwrap_or(u64::MAX)),
     };
     Ok(StoreRecord::Configuration(Arc::new(document)))
 }
 
+fn read_tenants<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<Vec<WireTenant>>, D::Error> {
+    Vec::deserialize(deserializer).map(Some)
+}
+
+fn read_keys(tenants: Vec<WireTenant>) -> BTreeMap<SmolStr, KeyHolder> {
+    let mut keys = BTreeMap::new();
+    for tenant in tenants {
+        for key in tenant.api_keys {
+            let holder = KeyHolder { team: tenant.name.clone(), rank: tenant.priority };
+            keys.insert(key, holder);
+        }
+    }
+    keys
+}
+
 fn read_route(wire: WireRoute) -> Result<RouteEntry, SmolStr> {
     let kind = match wire.kind.as_str() {
         "safe" => RouteKind::Idempotent,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -58,19 +58,24 @@
     }
 
     fn publish_text(&mut self, text: &str) {
+        self.publish_after(0, text);
+    }
+
+    /// Publishes a document as the successor of a revision.
+    fn publish_after(&mut self, base: u64, text: &str) -> Vec<Command> {
         let text = text.replace("KEY", &hash_key("secret"));
         let document: ConfigurationDocument = serde_json::from_str(&text).unwrap();
         let record = ConfigurationRecord {
             schema: 1,
-            publication: "first".into(),
-            base: Revision(0),
+            publication: format!("after-{base}").into(),
+            base: Revision(base),
             change: ConfigurationChange::Document(Box::new(document)),
         };
         let record = serde_json::to_vec(&record).unwrap().into();
-        let records = vec![LogRecord { offset: Offset(0), record }];
-        let page = LogPage { oldest: Offset(0), next: Offset(1), records };
+        let records = vec![LogRecord { offset: Offset(base), record }];
+        let page = LogPage { oldest: Offset(0), next: Offset(base + 1), records };
         let stream = "configuration".parse().unwrap();
-        self.control.handle(self.now, Event::LogRead { stream, result: Ok(page) });
+        self.control.handle(self.now, Event::LogRead { stream, result: Ok(page) })
     }
 
     fn list_server(&mut self) {
@@ -158,6 +163,57 @@
     assert_eq!(refusal(&commands).code, RefusalCode::Unauthorised);
 }
 
+/// Returns [`DOCUMENT`] without keys, and without teams.
+fn documents_without_keys() -> [String; 2] {
+    let mut document: serde_json::Value = serde_json::from_str(DOCUMENT).unwrap();
+    document["teams"]["crews"]["keys"] = serde_json::json!([]);
+    let without_keys = document.to_string();
+    document["teams"] = serde_json::json!({});
+    [without_keys, document.to_string()]
+}
+
+// Guards against a callers' interface that opens, or ends, with the last key or team.
+#[test]
+fn arrival_after_last_key() {
+    for text in documents_without_keys() {
+        let mut harness = CoreHarness::new();
+        harness.publish();
+        harness.list_server();
+        for number in 1..=3 {
+            harness.ask(number, "secret", "auto");
+        }
+        harness.publish_after(1, &text);
+        for (number, key) in [(4, "secret"), (5, "guess")] {
+            let commands = harness.ask(number, key, "auto");
+            assert_eq!(refusal(&commands).code, RefusalCode::Unauthorised, "{text}");
+        }
+        // The third request waits for a slot of one of the first two.
+        let outcome = AttemptOutcome::Whole { status: 200, usage: TokenUsage::default() };
+        let commands = harness.report(1, AttemptReport::Ended(outcome));
+        assert!(started(&commands).is_none_or(|start| start.request == RequestNumber(3)));
+    }
+}
+
+// Guards against a control thread that ends when the team of a waiting request is removed.
+#[test]
+fn queued_request_of_removed_team() {
+    let mut harness = CoreHarness::new();
+    harness.publish();
+    harness.list_server();
+    for number in 1..=3 {
+        harness.ask(number, "secret", "auto");
+    }
+    // The third request waits with a plan for version 1, and needs a new plan.
+    let [_, without_teams] = documents_without_keys();
+    let mut document: serde_json::Value = serde_json::from_str(&without_teams).unwrap();
+    document["models"]["planner"]["versions"]["1"]["state"] = "withdrawn".into();
+    let mut commands = harness.publish_after(1, &document.to_string());
+    let outcome = AttemptOutcome::Whole { status: 200, usage: TokenUsage::default() };
+    commands.extend(harness.report(1, AttemptReport::Ended(outcome)));
+    assert!(started(&commands).is_none());
+    assert_eq!(refusal(&commands).code, RefusalCode::Forbidden);
+}
+
 #[test]
 fn arrival_withdrawn_version() {
     let mut harness = CoreHarness::new();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -57,8 +57,8 @@
 fn admit_removed_key() {
     let mut world = GatewayFixture::new();
     let mut next = document(2);
-    next.keys.clear();
-    next.keys.insert("another".into(), KeyHolder { team: text("valle"), rank: None });
+    let holder = KeyHolder { team: text("valle"), rank: None };
+    next.keys = TeamKeys::Named([("another".into(), holder)].into());
     world.page(StoreStream::Operators, vec![StoreRecord::Configuration(Arc::new(next))]);
     let request = world.arrive("/slot/1");
     assert_eq!(world.refusal(request).unwrap().code, RefusalCode::Unauthorised);
--- a/tests/gateway_crowded.rs
+++ b/tests/gateway_crowded.rs
@@ -86,10 +86,11 @@
 fn full_pool_heavy_team_waits_longer() {
     let mut world = GatewayFixture::new();
     let mut next = document(2);
-    for team in ["heavy", "light", "third", "fourth"] {
+    let holders = ["heavy", "light", "third", "fourth"].map(|team| {
         let holder = KeyHolder { team: text::<TeamId>(team), rank: None };
-        next.keys.insert(format!("key-{team}").into(), holder);
-    }
+        (format!("key-{team}").into(), holder)
+    });
+    next.keys = TeamKeys::Named(holders.into());
     world.page(StoreStream::Operators, vec![StoreRecord::Configuration(Arc::new(next))]);
     let arrive = |world: &mut GatewayFixture, team: &str| {
         world.arrive_with("/book/1", |arrival| arrival.key = Some(format!("key-{team}").into()))
--- a/tests/mixed_builds.rs
+++ b/tests/mixed_builds.rs
@@ -398,6 +398,41 @@
     routes("mixed-routes-one-centre", &other_build(), &this_build(), "norte");
 }
 
+/// Takes the last key away while the hub is of another build. The VM of this build learns of it from
+/// the hub, or reads the store itself if the hub's message does not tell.
+fn last_key(name: &str, hub_build: &str, other_centre: &str) {
+    let bench = RouteBench::start(name);
+    let hub = bench.vm(hub_build, 1, "norte", 4.0);
+    let vm = bench.vm(&this_build(), 2, other_centre, 1.0);
+    for vm in [&hub, &vm] {
+        eventually("a key that holds", || vm.call("key-1") == 200);
+    }
+    bench.publish(2, &[]);
+    let is_refused = |vm: &RouteVm| ["key-1", "never"].iter().all(|key| vm.call(key) == 401);
+    eventually("the last key is withdrawn", || is_refused(&vm));
+    let joining = bench.vm(&this_build(), 3, other_centre, 1.0);
+    for _ in 0..20 {
+        assert!(is_refused(&vm) && is_refused(&joining));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    bench.publish(3, &["key-3"]);
+    for vm in [&hub, &vm, &joining] {
+        eventually("a key that is added", || vm.call("key-3") == 200);
+        assert_eq!(vm.call("key-1"), 401);
+    }
+}
+
+// Guards against an empty list of keys from an earlier build that opens the routes.
+#[test]
+fn last_key_taken_away_two_centres() {
+    last_key("mixed-last-key", &other_build(), "sur");
+}
+
+#[test]
+fn last_key_taken_away_one_centre() {
+    last_key("mixed-last-key-one", &other_build(), "norte");
+}
+
 #[test]
 fn check_reads_examples() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -68,7 +68,8 @@
     assert_eq!(route.kind, RouteKind::Stream { resumable: true });
     assert_eq!((route.pools.len(), route.models.len(), route.attempt_limit), (2, 2, 3));
     assert_eq!((document.revision.0, document.body_limit.0), (7, 10));
-    assert_eq!(document.keys["k"].rank, Some(1));
+    let TeamKeys::Named(keys) = &document.keys else { panic!("teams are named") };
+    assert_eq!(keys["k"].rank, Some(1));
 }
 
 #[test]
--- a/tests/support/gateway_stage.rs
+++ b/tests/support/gateway_stage.rs
@@ -28,6 +28,7 @@
     pub platform: PlatformStandIn,
     pub servers: Vec<RouteServer>,
     pub vms: Vec<GatewayVm>,
+    seeds: Vec<SocketAddr>,
 }
 
 pub const WAIT: Duration = Duration::from_secs(20);
@@ -84,39 +85,41 @@
         let platform = PlatformStandIn::start();
         let servers: Vec<_> =
             (1..=server_count).map(|number| RouteServer::start(&format!("s{number}"))).collect();
-        let mut stage = Self { platform, servers, vms: Vec::new() };
+        let mut stage = Self { platform, servers, vms: Vec::new(), seeds: Vec::new() };
         stage.publish(&configuration(1, &["key-1", "key-2"]));
         for index in 0..server_count {
             stage.register_server(index, "ready");
         }
-        let mut seeds = Vec::new();
-        for number in 1..=vm_count {
-            let peers = free_address();
-            seeds.push(peers);
-            let settings = GatewaySettings {
-                vm: format!("front-{number}").parse().unwrap(),
-                data_centre: "norte".parse().unwrap(),
-                processor_cores: 1.0,
-                callers: RouteListener {
-                    listen: "127.0.0.1:0".parse().unwrap(),
-                    answer_limit_bytes: ByteSize(100_000),
-                },
-                status: StatusListener { listen: "127.0.0.1:0".parse().unwrap() },
-                peers: Some(RelayListener { listen: peers, seeds: seeds.clone() }),
-                store: PlatformSettings { address: stage.platform.address() },
-                bounds: GatewayBounds { shutdown_ms: Millis(8_000), ..GatewayBounds::default() },
-                log: LogSettings::default(),
-            };
-            let store = stage.platform.address();
-            let vm = GatewayVm::start(&settings, move || Arc::new(HttpStore::new(store))).unwrap();
-            stage.vms.push(vm);
-        }
+        (0..vm_count).for_each(|_| stage.add_vm());
         for index in 0..vm_count {
             eventually("readiness", || stage.is_ready(index));
         }
         stage
     }
 
+    /// Starts another VM, which finds the others through the addresses of those before it.
+    pub fn add_vm(&mut self) {
+        let peers = free_address();
+        self.seeds.push(peers);
+        let settings = GatewaySettings {
+            vm: format!("front-{}", self.seeds.len()).parse().unwrap(),
+            data_centre: "norte".parse().unwrap(),
+            processor_cores: 1.0,
+            callers: RouteListener {
+                listen: "127.0.0.1:0".parse().unwrap(),
+                answer_limit_bytes: ByteSize(100_000),
+            },
+            status: StatusListener { listen: "127.0.0.1:0".parse().unwrap() },
+            peers: Some(RelayListener { listen: peers, seeds: self.seeds.clone() }),
+            store: PlatformSettings { address: self.platform.address() },
+            bounds: GatewayBounds { shutdown_ms: Millis(8_000), ..GatewayBounds::default() },
+            log: LogSettings::default(),
+        };
+        let store = self.platform.address();
+        let vm = GatewayVm::start(&settings, move || Arc::new(HttpStore::new(store))).unwrap();
+        self.vms.push(vm);
+    }
+
     pub fn publish(&self, configuration: &Value) {
         let record = write_keyed("config", configuration.to_string().as_bytes());
         self.platform.log().append("keyed.op", [record.into()]);
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -11,7 +11,7 @@
     units::{ByteSize, Millis, Share, Tokens},
 };
 use smol_str::SmolStr;
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 pub const KEY: &str = "key-of-plaza";
 pub const ENGINES: &str = "engines";
@@ -86,7 +86,7 @@
     GatewayDocument {
         revision: Revision(revision),
         routes: RouteTable::new(routes),
-        keys: BTreeMap::from([(SmolStr::new(KEY), holder)]),
+        keys: TeamKeys::Named([(SmolStr::new(KEY), holder)].into()),
         body_limit: ByteSize(1_000_000),
         head_limit: ByteSize(16_384),
     }
