Bound the memory of all request and answer bodies together

What could happen: a faulty server sends bodies without end to many callers at once. Each answer was bounded (4 MiB), their sum was not, and the VM runs out of memory. Large uploads and callers that do not read their answers did the same.

Fix: bodies share a quarter of the new setting memory_mb (ByteBudget). A body may grow only while at least as much as it holds is free, and an eighth is reserved for small bodies. Requests over it are refused as not run with Retry-After; answers over it are broken runs that count neither against the server nor its version. Large answers are written in pieces, and count until they have been written. Connections buffer 32 KB at servers and 64 KB at callers. The store and other VMs have budgets of their own.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -209,6 +209,8 @@
     Malformed,
     /// The answer exceeds the size limit.
     TooLong,
+    /// This VM has no memory left to hold the answer.
+    OutOfMemory,
     /// The server answered with a status of 500 or more.
     ServerError,
     /// The attempt was cancelled by this VM.
@@ -225,6 +227,7 @@
             Self::Truncated => "truncated",
             Self::Malformed => "malformed",
             Self::TooLong => "too-long",
+            Self::OutOfMemory => "out-of-memory",
             Self::ServerError => "server-error",
             Self::Cancelled => "cancelled",
         })
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -20,6 +20,9 @@
     /// The longest wait for answers that are still being written after the core has ended.
     const EXCHANGE_WAIT: Duration = Duration::from_millis(300);
     const TRAFFIC_THREADS: usize = 1;
+    /// What a caller's connection may buffer in each direction: the head of a request, and what is
+    /// read and written of a body at a time.
+    const CALLER_BUFFER_BYTES: usize = 64 * 1_024;
 
     /// Starts an entry VM that reads its configuration and servers from a store. `store` is called
     /// on the control thread, inside its runtime.
@@ -81,9 +84,9 @@
                 });
             })?
         };
-        let limit = settings.callers.answer_limit_bytes;
+        let limits = settings.body_limits();
         let handler =
-            GatewayHandler::new(handle.clone(), flags, limit, Arc::clone(&connections), page);
+            GatewayHandler::new(handle.clone(), flags, &limits, Arc::clone(&connections), page);
         let exchanges = handler.exchanges();
         let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
         let server = serve(listener, [Some(status), peers], handler)?;
@@ -149,6 +152,8 @@
         .worker_threads(GatewayVm::TRAFFIC_THREADS)
         .disable_signal()
         .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
+        .max_read_buf_size::<{ GatewayVm::CALLER_BUFFER_BYTES }>()
+        .max_write_buf_size::<{ GatewayVm::CALLER_BUFFER_BYTES }>()
         .listen(callers)?;
     for listener in others.into_iter().flatten() {
         server = server.listen(listener)?;
--- a/src/driver/relay_client.rs
+++ b/src/driver/relay_client.rs
@@ -1,10 +1,12 @@
 use super::*;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 
 /// Polls other entry VMs for the records that they have read from the store.
 pub(super) struct RelayClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    /// The memory for answers that are being received.
+    bodies: ByteBudget,
 }
 
 impl RelayClient {
@@ -14,15 +16,20 @@
     const CONNECT_TIMEOUT_MS: u64 = 200;
     const IDLE_MS: u64 = 5_000;
     /// Leaves room for a configuration with many routes and several hundred servers.
-    const ANSWER_LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
+    const ANSWER_LIMIT: ByteSize = ByteSize(8 * 1_024 * 1_024);
+    /// All answers that are being received together; one of the largest.
+    const ANSWER_MEMORY: ByteSize = ByteSize(16 * 1_024 * 1_024);
+    /// The head of an answer, and what is read of its body at a time.
+    const READ_BUFFER_BYTES: usize = 64 * 1_024;
 
     pub(super) fn new() -> Self {
         let connector = http_connector(Millis(Self::CONNECT_TIMEOUT_MS));
         let client = Client::builder(hyper_util::rt::TokioExecutor::new())
             .pool_idle_timeout(Duration::from_millis(Self::IDLE_MS))
             .pool_max_idle_per_host(1)
+            .http1_max_buf_size(Self::READ_BUFFER_BYTES)
             .build(connector);
-        Self { client }
+        Self { client, bodies: ByteBudget::new(Self::ANSWER_MEMORY) }
     }
 
     /// Returns the answer; `None` if it does not arrive in time or cannot be decoded.
@@ -49,9 +56,10 @@
         if !response.status().is_success() {
             return Err(format!("status {}", response.status()).into());
         }
-        let body = Limited::new(response.into_body(), Self::ANSWER_LIMIT_BYTES).collect().await;
-        let body = body.map_err(|error| text(&error))?.to_bytes();
-        rmp_serde::from_slice(&body).map_err(|error| {
+        let body =
+            HeldBuffer::collect(response.into_body(), Self::ANSWER_LIMIT, &self.bodies).await;
+        let body = body.map_err(|error| text(&error))?;
+        rmp_serde::from_slice(&body.bytes).map_err(|error| {
             tracing::warn!(%address, %error, "cannot decode the answer of an entry VM");
             text(&error)
         })
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -181,7 +181,10 @@
         match outcome {
             RunOutcome::Whole { .. } if run.stage == RunStage::Begun => {}
             RunOutcome::Whole { head } => track.count(side, head.status >= 500),
-            RunOutcome::Broken { fault: AttemptFault::Cancelled, .. }
+            RunOutcome::Broken {
+                fault: AttemptFault::Cancelled | AttemptFault::OutOfMemory,
+                ..
+            }
             | RunOutcome::NotRun { .. } => {}
             RunOutcome::Broken { .. } => track.count(side, true),
         }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -147,6 +147,8 @@
                         server.record_load(now, *load);
                     }
                 }
+                // It says nothing about the server.
+                RunOutcome::Broken { fault: AttemptFault::OutOfMemory, .. } => {}
                 RunOutcome::Broken { .. } => server.record_answer(true),
             }
         }
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -2,13 +2,15 @@
 
 use super::*;
 use base64::Engine;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 
 /// A client of the platform's store, with pooled connections.
 pub struct HttpStore {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
+    /// The memory for answers that are being received.
+    bodies: ByteBudget,
 }
 
 #[derive(Debug, Deserialize)]
@@ -51,7 +53,11 @@
     const PROBE_COUNT: u32 = 2;
     const IDLE_MS: u64 = 10_000;
     /// Twice the size of the store's largest page (1 MB) in base64.
-    const ANSWER_LIMIT_BYTES: usize = 3 * 1_024 * 1_024;
+    const ANSWER_LIMIT: ByteSize = ByteSize(3 * 1_024 * 1_024);
+    /// All answers that are being received together; two of the largest.
+    const ANSWER_MEMORY: ByteSize = ByteSize(8 * 1_024 * 1_024);
+    /// The head of an answer, and what is read of its body at a time.
+    const READ_BUFFER_BYTES: usize = 64 * 1_024;
 
     /// Creates a client of the store at an address.
     #[must_use]
@@ -64,8 +70,9 @@
         let client = Client::builder(hyper_util::rt::TokioExecutor::new())
             .pool_idle_timeout(Duration::from_millis(Self::IDLE_MS))
             .retry_canceled_requests(false)
+            .http1_max_buf_size(Self::READ_BUFFER_BYTES)
             .build(connector);
-        Self { address, client }
+        Self { address, client, bodies: ByteBudget::new(Self::ANSWER_MEMORY) }
     }
 
     async fn call(
@@ -93,10 +100,11 @@
                 }
             })?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), Self::ANSWER_LIMIT_BYTES).collect().await;
+            let body =
+                HeldBuffer::collect(response.into_body(), Self::ANSWER_LIMIT, &self.bodies).await;
             let body =
                 body.map_err(|error| StoreError::Lost { cause: error.to_string().into() })?;
-            Ok((status, body.to_bytes()))
+            Ok((status, body.bytes))
         };
         tokio::time::timeout(timeout, exchange)
             .await
--- a/src/platform/refusals.rs
+++ b/src/platform/refusals.rs
@@ -1,7 +1,7 @@
 //! Error responses in the format of the platform's callers.
 
 use super::*;
-use http::{HeaderValue, header};
+use http::HeaderValue;
 
 /// Returns the HTTP response for a refusal.
 ///
@@ -16,8 +16,5 @@
         let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
         reply::insert_text(headers, "retry-after", &seconds);
     }
-    if matches!(refusal.code, RefusalCode::TooLarge | RefusalCode::HeadTooLarge) {
-        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
     response
 }
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -12,6 +12,9 @@
     /// read the store on behalf of others.
     #[serde(default = "default_processor_cores")]
     pub processor_cores: f64,
+    /// The memory available to the process, in MB; 128 if absent.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
     /// The listener for requests of callers.
     pub callers: RouteListener,
     /// The listener for the load balancer's readiness probes and for metrics.
@@ -67,7 +70,24 @@
     1.0
 }
 
+const fn default_memory_mb() -> u32 {
+    128
+}
+
 impl GatewaySettings {
+    /// The part of the memory for the bodies of requests and answers. The rest is for the program,
+    /// the state of the core and the buffers of connections.
+    const BODY_MEMORY_PART: u64 = 4;
+    const MIN_MEMORY_MB: u32 = 32;
+
+    /// Returns the limits on the bodies that are held in memory.
+    #[must_use]
+    pub fn body_limits(&self) -> BodyLimits {
+        let memory = u64::from(self.memory_mb) * 1_024 * 1_024;
+        let all = ByteSize(memory / Self::BODY_MEMORY_PART);
+        BodyLimits { answer: self.callers.answer_limit_bytes, all }
+    }
+
     /// Returns the CPU time available to the VM, in hundredths of a core.
     #[must_use]
     pub fn processor_percent(&self) -> u32 {
@@ -92,6 +112,11 @@
                 expected: "a number of cores above 0, at most 1024",
             });
         }
+        if settings.memory_mb < Self::MIN_MEMORY_MB {
+            let found = settings.memory_mb.to_string().into();
+            let (field, expected) = ("memory_mb", "at least 32 MB");
+            return Err(SettingsError::Range { file, field, found, expected });
+        }
         let lengths = [
             ("bounds.key_removal_ms", bounds.key_removal_ms),
             ("bounds.drain_ms", bounds.drain_ms),
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -10,6 +10,7 @@
 mod answer_body;
 mod answer_store;
 mod attempt_event;
+mod byte_budget;
 mod caller_handler;
 mod caller_listener;
 mod caller_request;
@@ -20,6 +21,7 @@
 mod forward;
 mod gateway_exchange;
 mod gateway_handler;
+mod held_bytes;
 mod operator_handler;
 mod peer_handler;
 mod progress_limit;
@@ -33,13 +35,17 @@
 
 pub use {
     answer_store::{AnswerStore, StoredAnswer},
+    byte_budget::{BudgetExceeded, ByteBudget, ByteReservation},
     caller_handler::CallerHandler,
     caller_listener::{CallerConnection, CallerListener, ConnectionTable},
     event_framer::{EventFramer, FramedEvent},
     event_sequence::{EventPosition, EventSequence},
     exchange_count::ExchangeCount,
     forward::FORWARD_PATH,
-    gateway_handler::{GatewayFlags, GatewayHandler, GatewayShared, RELAY_PATH, RoutedCall},
+    gateway_handler::{
+        BodyLimits, GatewayFlags, GatewayHandler, GatewayShared, RELAY_PATH, RoutedCall,
+    },
+    held_bytes::{CollectError, HeldBuffer, HeldBytes},
     operator_handler::{OPERATOR_PATH, OperatorHandler},
     peer_handler::{PEER_PATH, PeerHandler},
     rating_text_cache::RatingTextCache,
@@ -55,6 +61,7 @@
     exchange::CallerExchange,
     exchange_count::CountedBody,
     gateway_exchange::GatewayExchange,
+    held_bytes::HeldBody,
     progress_limit::{ProgressAllowance, ProgressLimited},
     server_connections::ServerConnection,
     server_run::{AnswerPart, ServerRun},
--- a/src/traffic/caller_handler.rs
+++ b/src/traffic/caller_handler.rs
@@ -16,6 +16,8 @@
     pub(super) store: AnswerStore,
     pub(super) peer_keys: KeyRing,
     pub(super) exchanges: ExchangeCount,
+    /// The memory for the bodies of all requests, and of all answers that are being collected.
+    pub(super) bodies: ByteBudget,
     ready: Arc<AtomicBool>,
     connections: Arc<ConnectionTable>,
     numbers: AtomicU64,
@@ -48,6 +50,8 @@
 }
 
 impl CallerHandler {
+    const BODY_MEMORY: ByteSize = ByteSize(64 * 1_024 * 1_024);
+
     /// Creates the handler; request numbers start at 1.
     #[must_use]
     pub fn new(
@@ -67,6 +71,7 @@
             store: AnswerStore::default(),
             peer_keys: peer_keys.clone(),
             exchanges: ExchangeCount::default(),
+            bodies: ByteBudget::new(Self::BODY_MEMORY),
             ready: Arc::clone(ready),
             connections: Arc::clone(connections),
             numbers: AtomicU64::new(1),
@@ -85,6 +90,11 @@
         &self.shared.peer_keys
     }
 
+    /// Returns the memory for the bodies of requests and answers.
+    pub(super) fn bodies(&self) -> &ByteBudget {
+        &self.shared.bodies
+    }
+
     /// Answers a request forwarded by another entry VM; only service calls are forwarded.
     pub(super) async fn serve_forwarded(&self, request: WebRequest) -> WebResponse {
         let service = match Self::route(&request) {
@@ -156,7 +166,9 @@
             Ok(arrival) => arrival,
             Err(error) => {
                 let refusal = error.refusal().with_run(earlier);
-                return reply::refusal(&refusal, &self.shared.request_id(number));
+                let mut response = reply::refusal(&refusal, &self.shared.request_id(number));
+                response.headers_mut().insert(http::header::CONNECTION, reply::CLOSE);
+                return response;
             }
         };
         let (mailbox, directives) = tokio::sync::mpsc::unbounded_channel();
@@ -184,11 +196,12 @@
             return Err(RequestError::TooLarge { limit });
         }
         let timeout = settings.body_timeout_ms;
-        let body = tokio::time::timeout(timeout.duration(), read_body(body, limit))
-            .await
-            .map_err(|_| RequestError::TooSlow { limit: timeout })??;
+        let body =
+            tokio::time::timeout(timeout.duration(), read_body(body, limit, &self.shared.bodies))
+                .await
+                .map_err(|_| RequestError::TooSlow { limit: timeout })??;
         let chat = match route {
-            Route::Chat => Some(parse_chat(&body)?),
+            Route::Chat => Some(parse_chat(&body.bytes)?),
             _ => None,
         };
         let streams = chat.as_ref().and_then(|chat| chat.get("stream")?.as_bool());
@@ -265,18 +278,23 @@
     headers
 }
 
-/// Reads a whole body; returns [`RequestError::TooLarge`] as soon as it exceeds the limit.
-pub(super) async fn read_body(body: RequestBody, limit: ByteSize) -> Result<Bytes, RequestError> {
+/// Reads a whole body; returns [`RequestError::TooLarge`] as soon as it exceeds the limit, and
+/// [`RequestError::OutOfMemory`] as soon as it exceeds its part of the budget.
+pub(super) async fn read_body(
+    body: RequestBody,
+    limit: ByteSize,
+    budget: &ByteBudget,
+) -> Result<HeldBytes, RequestError> {
     let mut body = std::pin::pin!(body);
-    let mut bytes = Vec::new();
+    let mut buffer = HeldBuffer::new(budget);
     loop {
         let frame = std::future::poll_fn(|context| body.as_mut().poll_frame(context)).await;
-        let Some(frame) = frame else { return Ok(bytes.into()) };
+        let Some(frame) = frame else { return Ok(buffer.freeze()) };
         let Ok(frame) = frame else { return Err(RequestError::Broken) };
         let Ok(data) = frame.into_data() else { continue };
-        if bytes.len() as u64 + data.len() as u64 > limit.0 {
+        if buffer.len() as u64 + data.len() as u64 > limit.0 {
             return Err(RequestError::TooLarge { limit });
         }
-        bytes.extend_from_slice(&data);
+        buffer.push(&data).map_err(|cause| RequestError::OutOfMemory { cause })?;
     }
 }
--- a/src/traffic/caller_request.rs
+++ b/src/traffic/caller_request.rs
@@ -10,7 +10,7 @@
     /// The headers for the backend server.
     pub(super) headers: http::HeaderMap,
     /// The body as the caller sent it.
-    pub(super) body: Bytes,
+    pub(super) body: HeldBytes,
     /// The parsed body of a chat request; `None` for other requests.
     pub(super) chat: Option<serde_json::Value>,
     /// Whether the caller requested a streamed answer.
@@ -67,6 +67,12 @@
         /// The limit.
         limit: Millis,
     },
+    /// The bodies of other requests and answers leave no memory for the body.
+    #[error("{cause}")]
+    OutOfMemory {
+        /// The limit that it exceeds.
+        cause: BudgetExceeded,
+    },
     /// The connection failed while the body was read.
     #[error("The body ended early; send the request again.")]
     Broken,
@@ -76,6 +82,9 @@
 }
 
 impl RequestError {
+    /// `Retry-After` of a request whose body did not fit into memory: most bodies are gone by then.
+    const MEMORY_RETRY: Millis = Millis(1_000);
+
     /// Returns the refusal to send to the caller.
     pub(super) fn refusal(&self) -> Refusal {
         let code = match self {
@@ -84,6 +93,10 @@
             }
             Self::TooLarge { .. } => RefusalCode::TooLarge,
             Self::TooSlow { .. } => RefusalCode::Timeout,
+            Self::OutOfMemory { .. } => {
+                let refusal = Refusal::not_run(RefusalCode::Unavailable, self.to_string());
+                return refusal.with_retry_after(Self::MEMORY_RETRY);
+            }
             Self::NotFound => RefusalCode::NotFound,
         };
         Refusal::not_run(code, self.to_string())
@@ -99,7 +112,7 @@
     /// selected version, and the priority is set.
     pub(super) fn upstream_body(&self, start: &AttemptStart) -> Bytes {
         let (Some(chat), WorkTarget::Version(version)) = (&self.chat, &start.target) else {
-            return self.body.clone();
+            return self.body.bytes.clone();
         };
         let mut chat = chat.clone();
         if let Some(fields) = chat.as_object_mut() {
@@ -134,9 +147,9 @@
             key: bearer(caller_headers).map(hash_key),
             target,
             mode: self.mode,
-            prompt_tokens: Tokens(self.body.len() as u64 / Self::BYTES_PER_TOKEN),
+            prompt_tokens: Tokens(self.body.bytes.len() as u64 / Self::BYTES_PER_TOKEN),
             max_tokens: Tokens(max_tokens),
-            prefix: xxh3_64(&self.body[..self.body.len().min(Self::PREFIX_BYTES)]),
+            prefix: xxh3_64(&self.body.bytes[..self.body.bytes.len().min(Self::PREFIX_BYTES)]),
             fingerprint: self.fingerprint(),
             session: session.map(SmolStr::new),
             idempotency_key: text_header(caller_headers, "idempotency-key")?.map(SmolStr::new),
@@ -147,12 +160,12 @@
 
     fn fingerprint(&self) -> u64 {
         let head = format!("{} {}\n", self.method, self.path);
-        xxh3_64(head.as_bytes()) ^ xxh3_64(&self.body).rotate_left(1)
+        xxh3_64(head.as_bytes()) ^ xxh3_64(&self.body.bytes).rotate_left(1)
     }
 
     /// Returns the body as text for the rating service; empty if it is not valid UTF-8.
     pub(super) fn question(&self) -> &str {
-        std::str::from_utf8(&self.body).unwrap_or_default()
+        std::str::from_utf8(&self.body.bytes).unwrap_or_default()
     }
 }
 
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -40,7 +40,7 @@
     let mut outgoing = http::Request::builder()
         .method(request.method.clone())
         .uri(format!("http://{address}{FORWARD_PATH}{path}"))
-        .body(Full::new(request.body.clone()))
+        .body(Full::new(request.body.bytes.clone()))
         .ok()?;
     let headers = outgoing.headers_mut();
     *headers = request.headers.clone();
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -75,7 +75,7 @@
                 ExchangeInput::Part(AnswerPart::Head(parts)) => head = Some(parts),
                 ExchangeInput::Part(AnswerPart::Body(body)) => {
                     self.is_answered = true;
-                    return Self::response(head, ResponseBody::bytes(body));
+                    return Self::response(head, HeldBody::wrap(body));
                 }
                 ExchangeInput::Part(AnswerPart::Event(event)) => {
                     return self.stream(head, Some(event));
@@ -168,8 +168,12 @@
     }
 
     /// Returns the response of a stream, whose body continues the exchange.
-    fn stream(self, head: Option<Box<http::response::Parts>>, first: Option<Bytes>) -> WebResponse {
-        let start = first.map(|first| (first, self));
+    fn stream(
+        self,
+        head: Option<Box<http::response::Parts>>,
+        first: Option<HeldBytes>,
+    ) -> WebResponse {
+        let start = first.map(|first| (first.bytes, self));
         let parts = futures_util::stream::unfold(StreamState::from(start), |state| async move {
             match state {
                 StreamState::First(event, exchange) => {
@@ -195,7 +199,7 @@
         };
         loop {
             match self.next_input().await {
-                ExchangeInput::Part(AnswerPart::Event(event)) => return Ok(Some(event)),
+                ExchangeInput::Part(AnswerPart::Event(event)) => return Ok(Some(event.bytes)),
                 ExchangeInput::Part(AnswerPart::End) => {
                     self.is_answered = true;
                     return Ok(None);
--- a/src/traffic/gateway_handler.rs
+++ b/src/traffic/gateway_handler.rs
@@ -20,6 +20,8 @@
     pub state: Arc<GatewayFlags>,
     /// The size limit of an answer that is buffered completely.
     pub answer_limit: ByteSize,
+    /// The memory for the bodies of all requests and answers.
+    pub bodies: ByteBudget,
     /// The connections of callers, which detect disconnects.
     pub connections: Arc<ConnectionTable>,
     /// The counter of open exchanges.
@@ -29,6 +31,15 @@
     numbers: AtomicU64,
 }
 
+/// The limits on the bodies that are held in memory.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// One answer.
+    pub answer: ByteSize,
+    /// All requests and answers together.
+    pub all: ByteSize,
+}
+
 /// The state that the control thread shares with the traffic threads through atomics.
 #[derive(Debug)]
 pub struct GatewayFlags {
@@ -64,7 +75,7 @@
     /// The method, URI and headers.
     pub head: http::request::Parts,
     /// The complete body.
-    pub body: Bytes,
+    pub body: HeldBytes,
 }
 
 impl GatewayHandler {
@@ -81,14 +92,15 @@
     pub fn new(
         handle: GatewayHandle,
         state: Arc<GatewayFlags>,
-        answer_limit: ByteSize,
+        limits: &BodyLimits,
         connections: Arc<ConnectionTable>,
         metrics: MetricPage,
     ) -> Self {
         let shared = GatewayShared {
             handle,
             state,
-            answer_limit,
+            answer_limit: limits.answer,
+            bodies: ByteBudget::new(limits.all),
             connections,
             exchanges: ExchangeCount::default(),
             metrics,
@@ -113,8 +125,7 @@
             None => self.serve_status(&request),
         };
         if self.shared.state.is_ending.load(Ordering::Relaxed) {
-            let close = http::HeaderValue::from_static("close");
-            response.headers_mut().insert(http::header::CONNECTION, close);
+            response.headers_mut().insert(http::header::CONNECTION, reply::CLOSE);
         }
         response
     }
@@ -135,10 +146,10 @@
     async fn serve_poll(&self, request: WebRequest) -> WebResponse {
         let (_, body) = request.into_parts();
         let (_, body) = body.replace_body(());
-        let Ok(body) = read_body(body, Self::POLL_LIMIT).await else {
+        let Ok(body) = read_body(body, Self::POLL_LIMIT, &self.shared.bodies).await else {
             return reply::plain(400, "The body cannot be read.\n");
         };
-        let Ok(poll) = rmp_serde::from_slice(&body) else {
+        let Ok(poll) = rmp_serde::from_slice(&body.bytes) else {
             return reply::plain(400, "The body is not a poll.\n");
         };
         let Some(answer) = self.shared.handle.poll(poll).await else {
@@ -172,7 +183,9 @@
                     reason = %refusal.message,
                     "request refused before routing"
                 );
-                return refusal_response(&refusal, number);
+                let mut response = refusal_response(&refusal, number);
+                response.headers_mut().insert(http::header::CONNECTION, reply::CLOSE);
+                return response;
             }
         };
         let (mailbox, directives) = tokio::sync::mpsc::unbounded_channel();
@@ -207,11 +220,11 @@
             return Err(too_large);
         }
         let timeout = Duration::from_millis(Self::BODY_TIMEOUT_MS);
-        let body = tokio::time::timeout(timeout, read_body(body, limit))
+        let body = tokio::time::timeout(timeout, read_body(body, limit, &self.shared.bodies))
             .await
             .map_err(|_| RequestError::TooSlow { limit: Millis(Self::BODY_TIMEOUT_MS) }.refusal())?
             .map_err(|error| error.refusal())?;
-        let arrival = read_arrival(number, &head, &body)
+        let arrival = read_arrival(number, &head, &body.bytes)
             .map_err(|error| Refusal::not_run(RefusalCode::BadRequest, error.to_string()))?;
         Ok((RoutedCall { caller_id: arrival.caller_id.clone(), head, body }, arrival))
     }
--- a/src/traffic/operator_handler.rs
+++ b/src/traffic/operator_handler.rs
@@ -8,15 +8,19 @@
     secrets: Vec<Secret>,
     handle: ControlHandle,
     ready: Arc<AtomicBool>,
+    /// The memory for the bodies of all calls.
+    bodies: ByteBudget,
 }
 
 impl OperatorHandler {
     const BODY_LIMIT: ByteSize = ByteSize(16 << 20);
+    /// Room for two of the largest bodies.
+    const BODY_MEMORY: ByteSize = ByteSize(64 << 20);
 
     /// Creates a handler that accepts any of these secrets as the bearer token.
     #[must_use]
-    pub const fn new(secrets: Vec<Secret>, handle: ControlHandle, ready: Arc<AtomicBool>) -> Self {
-        Self { secrets, handle, ready }
+    pub fn new(secrets: Vec<Secret>, handle: ControlHandle, ready: Arc<AtomicBool>) -> Self {
+        Self { secrets, handle, ready, bodies: ByteBudget::new(Self::BODY_MEMORY) }
     }
 
     /// Answers one request; only calls to [`OPERATOR_PATH`] need a secret.
@@ -42,11 +46,11 @@
             return Self::error(401, "The operators' secret is missing or wrong.");
         }
         let (_, body) = request.into_parts().1.replace_body(());
-        let body = match caller_handler::read_body(body, Self::BODY_LIMIT).await {
+        let body = match caller_handler::read_body(body, Self::BODY_LIMIT, &self.bodies).await {
             Ok(body) => body,
             Err(error) => return Self::error(400, &error.to_string()),
         };
-        match serde_json::from_slice(&body) {
+        match serde_json::from_slice(&body.bytes) {
             Ok(request) => reply::json(200, &self.handle.ask(request).await),
             Err(error) => Self::error(400, &format!("The call cannot be read: {error}.")),
         }
--- a/src/traffic/peer_handler.rs
+++ b/src/traffic/peer_handler.rs
@@ -44,10 +44,12 @@
 
     async fn receive_message(&self, request: WebRequest) -> WebResponse {
         let (_, body) = request.into_parts().1.replace_body(());
-        let Ok(body) = caller_handler::read_body(body, Self::BODY_LIMIT).await else {
+        let Ok(body) =
+            caller_handler::read_body(body, Self::BODY_LIMIT, self.callers.bodies()).await
+        else {
             return reply::plain(400, "");
         };
-        match self.open(&body) {
+        match self.open(&body.bytes) {
             Ok((from, message)) => {
                 self.handle.send(Event::FromPeer { from, message });
                 reply::plain(204, "")
--- a/src/traffic/reply.rs
+++ b/src/traffic/reply.rs
@@ -42,7 +42,7 @@
         headers.insert(header::RETRY_AFTER, HeaderValue::from(retry_after.0.div_ceil(1_000)));
     }
     if matches!(refusal.code, RefusalCode::TooLarge | RefusalCode::Timeout) {
-        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        headers.insert(header::CONNECTION, CLOSE);
     }
     response
 }
@@ -54,6 +54,8 @@
     }
 }
 
+/// The value of the header `Connection` that ends a connection after the response.
+pub(crate) const CLOSE: HeaderValue = HeaderValue::from_static("close");
 /// The header that states whether a request has run. Only guavapass sets it, never a server.
 pub(crate) const RUN_HEADER: &str = "guavapass-run";
 
--- a/src/traffic/server_connections.rs
+++ b/src/traffic/server_connections.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use tokio::task::AbortHandle;
@@ -56,6 +56,9 @@
     /// The time before the server's idle timeout at which an idle connection is closed on this
     /// side.
     const IDLE_MARGIN_MS: u64 = 1_000;
+    /// The head of an answer, and what is read of its body at a time. Hundreds of connections may
+    /// read at once.
+    const READ_BUFFER_BYTES: usize = 32 * 1_024;
     /// The number of idle connections kept to one server. They count towards the server's
     /// connection limit for all entry VMs together: 295 entry VMs hold a little over half of a
     /// limit of 2,100.
@@ -91,8 +94,11 @@
         Self::enable_keep_alive(&stream);
         let allowance = ProgressAllowance::default();
         let stream = ProgressLimited { stream, allowance: allowance.clone() };
-        let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|_| NotRunCause::Unreachable)?;
+        let opened = Builder::new()
+            .max_buf_size(Self::READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
+        let (sender, connection) = opened.map_err(|_| NotRunCause::Unreachable)?;
         let task = tokio::spawn(connection).abort_handle();
         Ok(Self { sender, is_reused: false, allowance, task })
     }
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -11,9 +11,9 @@
     /// The status and headers of an answer.
     Head(Box<http::response::Parts>),
     /// The complete body of an answer that is not streamed.
-    Body(Bytes),
+    Body(HeldBytes),
     /// A complete event of a stream.
-    Event(Bytes),
+    Event(HeldBytes),
     /// The end of a stream that was received completely.
     End,
 }
@@ -178,21 +178,32 @@
         let mut request = http::Request::builder()
             .method(self.call.head.method.clone())
             .uri(self.call.head.uri.path_and_query()?.as_str())
-            .body(Full::new(self.call.body.clone()))
+            .body(Full::new(self.call.body.bytes.clone()))
             .ok()?;
         *request.headers_mut() = run_headers(&self.call.head.headers, &self.order);
         Some(request)
     }
 
-    async fn collect(&self, mut body: AnswerBody) -> Result<Bytes, AttemptFault> {
-        let mut bytes = Vec::new();
+    async fn collect(&self, mut body: AnswerBody) -> Result<HeldBytes, AttemptFault> {
+        let mut buffer = HeldBuffer::new(&self.shared.bodies);
         while let Some(data) = body.next_chunk().await? {
-            if bytes.len() + data.len() > self.shared.answer_limit.0 as usize {
+            if buffer.len() + data.len() > self.shared.answer_limit.0 as usize {
                 return Err(AttemptFault::TooLong);
             }
-            bytes.extend_from_slice(&data);
+            buffer.push(&data).map_err(|error| self.out_of_memory(error))?;
         }
-        Ok(bytes.into())
+        Ok(buffer.freeze())
+    }
+
+    fn out_of_memory(&self, error: BudgetExceeded) -> AttemptFault {
+        tracing::warn!(
+            request = self.order.request.0,
+            attempt = self.order.attempt.0,
+            server = %self.order.server,
+            %error,
+            "gave up an answer for want of memory"
+        );
+        AttemptFault::OutOfMemory
     }
 
     async fn pass_whole(
@@ -229,6 +240,7 @@
         /// malformed.
         const EVENT_LIMIT_BYTES: usize = 256 * 1_024;
         let mut framer = EventFramer::default();
+        let mut held = self.shared.bodies.reserve();
         let lengths = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
         let is_delimited = lengths.iter().any(|name| head.headers.contains_key(name));
         let mut head = Some(head);
@@ -248,6 +260,9 @@
                 }
             };
             let Some(data) = chunk else { break };
+            // The buffer may grow to twice its contents.
+            held.resize(2 * (framer.held_bytes() + data.len()) as u64)
+                .map_err(|error| self.out_of_memory(error))?;
             framer.feed(&data);
             tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
@@ -261,7 +276,9 @@
                     EventPosition::AfterGap => return Err(AttemptFault::Truncated),
                 }
                 self.begin(&mut head, facts).await?;
-                self.pass(AnswerPart::Event(event.bytes)).await?;
+                let bytes = HeldBytes::new(&self.shared.bodies, event.bytes)
+                    .map_err(|error| self.out_of_memory(error))?;
+                self.pass(AnswerPart::Event(bytes)).await?;
                 sequence.record_forwarded(event.id);
                 // Comments and repeated events do not count as progress.
                 if event.has_content {
--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -165,18 +165,19 @@
         head: http::response::Parts,
         mut body: Incoming,
     ) -> Result<AttemptOutcome, Failure> {
-        let mut bytes = Vec::new();
+        let mut buffer = HeldBuffer::new(&self.shared.bodies);
         while let Some(frame) = self.in_time(body.frame()).await? {
             let frame = frame.map_err(|_| AttemptFault::Truncated)?;
             let Ok(data) = frame.into_data() else { continue };
-            if bytes.len() + data.len() > self.answer_limit.0 as usize {
+            if buffer.len() + data.len() > self.answer_limit.0 as usize {
                 return Err(AttemptFault::TooLong.into());
             }
-            bytes.extend_from_slice(&data);
+            buffer.push(&data).map_err(|_| AttemptFault::OutOfMemory)?;
         }
-        let usage = self.check_whole(&head, &bytes)?;
+        let held = buffer.freeze();
+        let body = held.bytes.clone();
+        let usage = self.check_whole(&head, &body)?;
         let status = head.status.as_u16();
-        let body = Bytes::from(bytes);
         let once = self.start.repeat == RepeatRule::AtMostOnce;
         if once {
             let (status, headers) = (head.status, head.headers.clone());
--- a/tests/support/gateway_stage.rs
+++ b/tests/support/gateway_stage.rs
@@ -105,6 +105,7 @@
             vm: format!("front-{}", self.seeds.len()).parse().unwrap(),
             data_centre: "norte".parse().unwrap(),
             processor_cores: 1.0,
+            memory_mb: 128,
             callers: RouteListener {
                 listen: "127.0.0.1:0".parse().unwrap(),
                 answer_limit_bytes: ByteSize(100_000),
--- a/tests/support/vm_process.rs
+++ b/tests/support/vm_process.rs
@@ -16,6 +16,18 @@
     }
 }
 
+impl VmProcess {
+    /// Returns the largest resident memory that the process has had, in kB; none if it has ended.
+    pub fn peak_kb(&mut self) -> Option<u64> {
+        if !matches!(self.0.try_wait(), Ok(None)) {
+            return None;
+        }
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+}
+
 impl Drop for VmProcess {
     fn drop(&mut self) {
         let _ = self.0.kill();
