Read the rest of an upload that is refused before its end

What callers saw: an upload that is refused before its end (413, or 503 for want of memory) left the connection open with nobody reading. A caller that writes its whole request first waited for 90 s and saw no answer.

Cause: xitca-web shuts down only its sending side, and the task that watches for disconnects holds a duplicate of the socket until it has been idle for 90 s.

Fix: the watching task reads and discards the rest for up to 2 s, so that the answer arrives and the connection ends. At both doors; the answer says "Connection: close".

--- a/src/traffic/caller_handler.rs
+++ b/src/traffic/caller_handler.rs
@@ -167,6 +167,9 @@
             Err(error) => {
                 let refusal = error.refusal().with_run(earlier);
                 let mut response = reply::refusal(&refusal, &self.shared.request_id(number));
+                if let Some(connection) = connection {
+                    connection.discard_rest();
+                }
                 response.headers_mut().insert(http::header::CONNECTION, reply::CLOSE);
                 return response;
             }
--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -58,6 +58,10 @@
                 connection.end_watch();
                 return;
             }
+            () = connection.discard_requested.notified() => {
+                let _ = tokio::time::timeout(DISCARD_LIMIT, discard(&stream)).await;
+                break;
+            }
             () = connection.abort_requested.notified() => {
                 // xitca-web drops only its own descriptor of the socket.
                 let _ = socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Both);
@@ -78,6 +82,24 @@
     connection.end_watch();
 }
 
+/// Reads and discards what the caller still sends. A caller that writes all of its request before
+/// it reads the answer would wait for this side, and lose the answer if the connection was reset.
+async fn discard(stream: &tokio::net::TcpStream) {
+    const BUFFER_BYTES: usize = 16 * 1_024;
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while stream.readable().await.is_ok() {
+        match stream.try_read(&mut buffer) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// The time for a caller to send the rest of a request that has been answered.
+const DISCARD_LIMIT: Duration = Duration::from_secs(2);
+
 /// Longer than the keep-alive timeout of xitca-web (60 s).
 const IDLE_LIMIT: Duration = Duration::from_secs(90);
 
@@ -129,6 +151,7 @@
     notify: tokio::sync::Notify,
     close_requested: tokio::sync::Notify,
     abort_requested: tokio::sync::Notify,
+    discard_requested: tokio::sync::Notify,
     busy: AtomicU64,
     /// The time at which either side closed the connection; unset while it is open.
     watch_ended: OnceLock<Instant>,
@@ -165,6 +188,12 @@
         self.abort_requested.notify_one();
     }
 
+    /// Ends the connection of a request that is answered although its body has not been read to
+    /// the end. xitca-web reads nothing more from it.
+    pub fn discard_rest(&self) {
+        self.discard_requested.notify_one();
+    }
+
     /// Records the start of a request on this connection.
     pub fn start_request(&self) {
         self.busy.fetch_add(1, Ordering::Relaxed);
--- a/src/traffic/gateway_handler.rs
+++ b/src/traffic/gateway_handler.rs
@@ -184,6 +184,7 @@
                     "request refused before routing"
                 );
                 let mut response = refusal_response(&refusal, number);
+                connection.discard_rest();
                 response.headers_mut().insert(http::header::CONNECTION, reply::CLOSE);
                 return response;
             }
