Refuse requests that may not finish before a planned stop ends

What could happen: in a planned stop of one VM, requests that came late were sent to servers and cut when the process ended, among them bookings: they ran and got 502.

Cause: only streams were asked whether there is time left.

Fix: once the balancer has had time to notice the stop, a request that has not run is sent only if its deadline or its route's timeout comes before the process ends. Else it is refused at once as not run. Requests that are open at the end are answered with what is known of their runs.

gateway: shutdown_refuses_late_streams called a request with a deadline of 6 s short, with 4.5 s left. It now checks a deadline of 4.5 s, which is served, and one of 4.501 s, which is refused.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -54,10 +54,6 @@
             return Err(Refusal::not_run(RefusalCode::NotFound, message));
         };
         let route = Arc::clone(route);
-        if route.kind.is_stream() && self.is_too_late_for_streams(now) {
-            let message = "This entry VM is ending and has no time for a stream; ask again.";
-            return Err(Self::retry_elsewhere(message));
-        }
         let keys = match &document.keys {
             TeamKeys::Named(keys) if !route.keyless => keys,
             TeamKeys::Named(_) | TeamKeys::Open => {
@@ -79,7 +75,7 @@
         Ok(Admission { route, team: Some(holder.team.clone()), rank })
     }
 
-    fn retry_elsewhere(message: &str) -> Refusal {
+    pub(super) fn retry_elsewhere(message: &str) -> Refusal {
         Refusal::not_run(RefusalCode::Unavailable, message)
             .with_retry_after(Millis(Self::RETRY_ELSEWHERE_MS))
     }
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -33,6 +33,18 @@
         }
     }
 
+    /// Ends the requests that are left when the process ends: refuses them with what is known about
+    /// their runs, or breaks their answers off.
+    pub(super) fn end_open_requests(&mut self, now: Millis) {
+        let open: Vec<RequestNumber> = self.requests.keys().copied().collect();
+        for request in open {
+            let Some(state) = self.requests.get(&request) else { continue };
+            let message = "This entry VM ended before the request did.";
+            let refusal = Self::final_refusal(state, RefusalCode::Unavailable, message);
+            self.give_up(now, request, refusal, "the process ends");
+        }
+    }
+
     /// Ends a request without a complete answer: refuses it, or breaks the answer off if a part has
     /// been delivered. `reason` is logged in the second case.
     pub(super) fn give_up(
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -186,10 +186,19 @@
         self.document.as_ref()
     }
 
-    /// Returns whether a stream that arrives now might not finish before the process ends. Until
-    /// the balancer has noticed the shutdown, streams are still accepted.
-    pub(super) fn is_too_late_for_streams(&self, now: Millis) -> bool {
-        self.ending.is_some_and(|requested| now.since(requested).0 >= Self::BALANCER_LAG_MS)
+    /// Returns whether a request that is sent to a server now, and ends at `ends` at the latest,
+    /// might not finish before the process ends. Until the balancer has noticed the shutdown, all
+    /// requests are sent, as callers cannot be expected to use another VM.
+    pub(super) fn is_too_late_to_send(&self, now: Millis, ends: Millis) -> bool {
+        self.ending.is_some_and(|requested| {
+            let is_noticed = now.since(requested).0 >= Self::BALANCER_LAG_MS;
+            is_noticed && ends > self.last_answer(requested)
+        })
+    }
+
+    /// Returns when the process ends at the latest, after a shutdown that was requested then.
+    fn last_answer(&self, requested: Millis) -> Millis {
+        requested + self.bounds.shutdown_ms.since(Millis(Self::END_MARGIN_MS))
     }
 
     /// Returns whether the configuration is recent enough to check keys.
@@ -222,9 +231,9 @@
             self.emit(GatewayCommand::CloseIdleConnections);
         }
         let is_idle = self.requests.is_empty() && now.since(requested).0 >= Self::BALANCER_LAG_MS;
-        let last = self.bounds.shutdown_ms.since(Millis(Self::END_MARGIN_MS));
-        if is_idle || now.since(requested) >= last {
+        if is_idle || now >= self.last_answer(requested) {
             tracing::info!(requests = self.requests.len(), "shutdown complete");
+            self.end_open_requests(now);
             self.emit(GatewayCommand::Stop);
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -21,6 +21,11 @@
         if state.ends.since(now).0 < Self::MIN_TIME_LEFT_MS {
             return Err(Self::timeout_refusal(state));
         }
+        if state.run_state() == RunState::NotRun && self.is_too_late_to_send(now, state.ends) {
+            let message =
+                "This entry VM is ending and may have no time for the request; ask again.";
+            return Err(Self::retry_elsewhere(message));
+        }
         if let Some(refusal) = self.quarantine_refusal(now, request) {
             return Err(refusal);
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -300,8 +300,10 @@
     world.quiet(StoreStream::Operators);
     let late = world.arrive("/plan/1");
     assert_eq!(world.refusal(late).unwrap().run, RunState::NotRun);
-    let plain = world.arrive("/slot/1");
-    assert_eq!(world.starts(plain).len(), 1, "a short request can still be served");
+    let plain = world.arrive_with("/slot/1", |arrival| arrival.deadline = Some(Millis(4_500)));
+    assert_eq!(world.starts(plain).len(), 1, "it ends before the process does");
+    let long = world.arrive_with("/slot/1", |arrival| arrival.deadline = Some(Millis(4_501)));
+    assert_eq!(world.refusal(long).unwrap().run, RunState::NotRun, "it may end after it");
     assert!(world.commands.contains(&GatewayCommand::CloseIdleConnections));
     assert!(!world.commands.contains(&GatewayCommand::Stop), "requests are under way");
 }
