Take a body without a length for whole only if its server still listens

What callers saw: a server that was killed within an answer without a length left the caller with 200, its signature and the part of the body, framed as whole.

Cause: pass_whole took the end of the connection for the end of the body. For streams the server is probed; for pages it was not. A stream without a length that ended right after its head was delivered as an empty one.

Fix: both kinds of answers ask is_end_of_answer; answers that have no body are not probed. A stream without a length and without events is broken.

--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -128,6 +128,15 @@
         })
     }
 
+    /// Returns whether the head of an answer tells where its body ends.
+    fn is_delimited(&self, head: &http::response::Parts) -> bool {
+        let lengths = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
+        let has_no_body = matches!(head.status.as_u16(), 204 | 304);
+        has_no_body
+            || self.call.head.method == http::Method::HEAD
+            || lengths.iter().any(|name| head.headers.contains_key(name))
+    }
+
     /// Returns whether the end of a body that has neither a length nor chunks is that of the
     /// answer. A server that crashes closes its connections too, but does not listen any more.
     async fn is_end_of_answer(&self, is_delimited: bool) -> bool {
@@ -212,7 +221,11 @@
         body: AnswerBody,
         facts: AnswerHead,
     ) -> Result<RunOutcome, RunFailure> {
+        let is_delimited = self.is_delimited(&head);
         let body = self.collect(body).await?;
+        if !self.is_end_of_answer(is_delimited).await {
+            return Err(AttemptFault::Truncated.into());
+        }
         self.pass(AnswerPart::Head(Box::new(head))).await?;
         self.pass(AnswerPart::Body(body)).await?;
         Ok(RunOutcome::Whole { head: facts })
@@ -241,8 +254,7 @@
         const EVENT_LIMIT_BYTES: usize = 256 * 1_024;
         let mut framer = EventFramer::default();
         let mut held = self.shared.bodies.reserve();
-        let lengths = [http::header::CONTENT_LENGTH, http::header::TRANSFER_ENCODING];
-        let is_delimited = lengths.iter().any(|name| head.headers.contains_key(name));
+        let is_delimited = self.is_delimited(&head);
         let mut head = Some(head);
         let mut progress = Instant::now();
         loop {
@@ -289,7 +301,11 @@
                 return Err(AttemptFault::Malformed);
             }
         }
-        if !framer.is_at_boundary() || !self.is_end_of_answer(is_delimited).await {
+        let is_empty = sequence.last().is_none() && head.is_some();
+        if !framer.is_at_boundary()
+            || (is_empty && !is_delimited)
+            || !self.is_end_of_answer(is_delimited).await
+        {
             return Err(AttemptFault::Truncated);
         }
         self.begin(&mut head, facts).await?;
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -23,6 +23,10 @@
     /// Runs the request and sends the answer as it is written here, after `{id}` has been replaced
     /// by the attempt's id, and closes the connection.
     Raw(&'static str),
+    /// Sends only this many bytes of the answer, and closes or resets the connection.
+    Cut(&'static str, usize, CutEnd),
+    /// Sends the answer like [`Self::Raw`], and crashes.
+    RawThenEnd(&'static str),
     /// Waits for this many milliseconds, and then sends the answer like [`Self::Raw`].
     RawAfter(u64, &'static str),
     /// Sends this many events of a stream, then an error as an event without an id, and ends it.
@@ -55,6 +59,13 @@
     Flood(FloodedPart),
 }
 
+/// How a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutEnd {
+    Close,
+    Reset,
+}
+
 /// When the copy of a refusal is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopyMoment {
@@ -283,6 +294,22 @@
                 let _ = stream.write_all(text.replace("{id}", id).as_bytes());
                 false
             }
+            ServerAction::Cut(text, length, end) => {
+                let text = text.replace("{id}", id);
+                let _ = stream.write_all(&text.as_bytes()[..length.min(text.len())]);
+                if end == CutEnd::Reset {
+                    // What has been sent arrives first.
+                    std::thread::sleep(Duration::from_millis(1));
+                    let linger = Some(Duration::ZERO);
+                    socket2::SockRef::from(stream).set_linger(linger).unwrap();
+                }
+                false
+            }
+            ServerAction::RawThenEnd(text) => {
+                let _ = stream.write_all(text.replace("{id}", id).as_bytes());
+                std::thread::sleep(Duration::from_millis(20));
+                self.end()
+            }
             ServerAction::RawAfter(pause, text) => {
                 std::thread::sleep(Duration::from_millis(pause));
                 let _ = stream.write_all(text.replace("{id}", id).as_bytes());
