Refuse an upload that ended before its body did

What callers saw: a caller closed its connection in the middle of an upload, and the part that had arrived ran as a booking.

Cause: xitca-web reports the end of the input as the end of the body, and the declared length was not compared.

Fix: a body shorter than declared is refused at both doors, and so is a body in chunks if the input of its connection has ended with it.

--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -56,7 +56,7 @@
 use {
     answer_body::AnswerBody,
     attempt_event::AttemptEvent,
-    caller_handler::{CallerShared, read_body},
+    caller_handler::{CallerShared, check_complete, declared_length, read_body},
     caller_request::{CallerRequest, RequestError},
     exchange::CallerExchange,
     exchange_count::CountedBody,
--- a/src/traffic/caller_handler.rs
+++ b/src/traffic/caller_handler.rs
@@ -156,7 +156,7 @@
         let (_, body) = body.replace_body(());
         let number = self.next_number();
         let earlier = earlier_run(&head.headers, &route);
-        let read = self.read(&head, body, &route, source).await;
+        let read = self.read(&head, body, &route, source, connection.as_deref()).await;
         let arrival = read.and_then(|request| {
             let arrival =
                 request.arrival(number, &head.headers, Self::target(&route, &request)?)?;
@@ -190,12 +190,11 @@
         body: RequestBody,
         route: &Route,
         source: ArrivalSource,
+        connection: Option<&CallerConnection>,
     ) -> Result<CallerRequest, RequestError> {
         let settings = &self.shared.settings;
         let limit = settings.body_limit_bytes;
-        let declared = head.headers.get(http::header::CONTENT_LENGTH);
-        let declared = declared.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-        if declared.is_some_and(|length| length > limit.0) {
+        if declared_length(&head.headers).is_some_and(|length| length > limit.0) {
             return Err(RequestError::TooLarge { limit });
         }
         let timeout = settings.body_timeout_ms;
@@ -203,6 +202,7 @@
             tokio::time::timeout(timeout.duration(), read_body(body, limit, &self.shared.bodies))
                 .await
                 .map_err(|_| RequestError::TooSlow { limit: timeout })??;
+        check_complete(&head.headers, &body.bytes, connection)?;
         let chat = match route {
             Route::Chat => Some(parse_chat(&body.bytes)?),
             _ => None,
@@ -282,7 +282,8 @@
 }
 
 /// Reads a whole body; returns [`RequestError::TooLarge`] as soon as it exceeds the limit, and
-/// [`RequestError::OutOfMemory`] as soon as it exceeds its part of the budget.
+/// [`RequestError::OutOfMemory`] as soon as it exceeds its part of the budget. It may be a part of
+/// the body, see [`check_complete`].
 pub(super) async fn read_body(
     body: RequestBody,
     limit: ByteSize,
@@ -301,3 +302,30 @@
         buffer.push(&data).map_err(|cause| RequestError::OutOfMemory { cause })?;
     }
 }
+
+/// Checks that a body which was read to its end is complete. xitca-web reports the end of the input
+/// as the end of the body: a shorter body than declared is a part, and so is a body in chunks if the
+/// input has ended with it.
+///
+/// # Errors
+///
+/// Returns [`RequestError::Broken`] if it is only a part.
+pub(super) fn check_complete(
+    headers: &http::HeaderMap,
+    body: &Bytes,
+    connection: Option<&CallerConnection>,
+) -> Result<(), RequestError> {
+    let is_whole = match declared_length(headers) {
+        Some(length) => body.len() as u64 == length,
+        None if headers.contains_key(http::header::TRANSFER_ENCODING) => {
+            !connection.is_some_and(CallerConnection::has_input_ended)
+        }
+        None => true,
+    };
+    if is_whole { Ok(()) } else { Err(RequestError::Broken) }
+}
+
+/// Returns the length of a body as its `Content-Length` states it.
+pub(super) fn declared_length(headers: &http::HeaderMap) -> Option<u64> {
+    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -1,5 +1,9 @@
 use super::*;
-use std::{io, net::TcpListener, sync::OnceLock};
+use std::{
+    io,
+    net::TcpListener,
+    sync::{OnceLock, Weak},
+};
 use tokio::io::Interest;
 use xitca_io::net::Stream;
 use xitca_server::net::{IntoListener, Listen};
@@ -38,7 +42,8 @@
         let (stream, address) = self.listener.accept().await?;
         let stream = stream.into_std()?;
         let watched = tokio::net::TcpStream::from_std(stream.try_clone()?)?;
-        let connection = self.connections.insert(address);
+        let watched = Arc::new(watched);
+        let connection = self.connections.insert(address, &watched);
         tokio::spawn(watch(watched, connection));
         Ok(Stream::Tcp(stream, address))
     }
@@ -46,7 +51,7 @@
 
 /// Waits until the caller closes the connection, or it has been idle for longer than xitca-web
 /// keeps idle connections open.
-async fn watch(stream: tokio::net::TcpStream, connection: Arc<CallerConnection>) {
+async fn watch(stream: Arc<tokio::net::TcpStream>, connection: Arc<CallerConnection>) {
     loop {
         let ready = tokio::time::timeout(IDLE_LIMIT, stream.ready(Interest::READABLE));
         let ready = tokio::select! {
@@ -54,7 +59,7 @@
             () = connection.close_requested.notified() => {
                 // xitca-web reads the end of input, sends the pending response and closes the
                 // connection.
-                let _ = socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Read);
+                let _ = socket2::SockRef::from(&*stream).shutdown(std::net::Shutdown::Read);
                 connection.end_watch();
                 return;
             }
@@ -64,7 +69,7 @@
             }
             () = connection.abort_requested.notified() => {
                 // xitca-web drops only its own descriptor of the socket.
-                let _ = socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Both);
+                let _ = socket2::SockRef::from(&*stream).shutdown(std::net::Shutdown::Both);
                 break;
             }
         };
@@ -111,8 +116,13 @@
 }
 
 impl ConnectionTable {
-    fn insert(&self, address: SocketAddr) -> Arc<CallerConnection> {
-        let connection = Arc::new(CallerConnection::default());
+    fn insert(
+        &self,
+        address: SocketAddr,
+        socket: &Arc<tokio::net::TcpStream>,
+    ) -> Arc<CallerConnection> {
+        let socket = Arc::downgrade(socket);
+        let connection = Arc::new(CallerConnection { socket, ..CallerConnection::default() });
         if let Ok(mut connections) = self.connections.lock() {
             if connections.len() == connections.capacity() {
                 connections.retain(|_, connection| !connection.is_expired());
@@ -153,6 +163,8 @@
     abort_requested: tokio::sync::Notify,
     discard_requested: tokio::sync::Notify,
     busy: AtomicU64,
+    /// The watched duplicate of the socket, as long as it is open.
+    socket: Weak<tokio::net::TcpStream>,
     /// The time at which either side closed the connection; unset while it is open.
     watch_ended: OnceLock<Instant>,
 }
@@ -188,6 +200,18 @@
         self.abort_requested.notify_one();
     }
 
+    /// Returns whether the input has ended: the caller has closed or reset the connection, or this
+    /// side reads no more, and all bytes have been read.
+    #[must_use]
+    pub fn has_input_ended(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else { return true };
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        match socket2::SockRef::from(&*socket).peek(&mut byte) {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Ends the connection of a request that is answered although its body has not been read to
     /// the end. xitca-web reads nothing more from it.
     pub fn discard_rest(&self) {
--- a/src/traffic/caller_request.rs
+++ b/src/traffic/caller_request.rs
@@ -73,7 +73,7 @@
         /// The limit that it exceeds.
         cause: BudgetExceeded,
     },
-    /// The connection failed while the body was read.
+    /// The connection failed, or its input ended, while the body was read.
     #[error("The body ended early; send the request again.")]
     Broken,
     /// No endpoint has this method and path.
--- a/src/traffic/gateway_handler.rs
+++ b/src/traffic/gateway_handler.rs
@@ -173,7 +173,7 @@
         let number = RequestNumber(self.shared.numbers.fetch_add(1, Ordering::Relaxed));
         let (head, body) = request.into_parts();
         let (_, body) = body.replace_body(());
-        let read = self.read(number, head, body).await;
+        let read = self.read(number, head, body, &connection).await;
         let (call, arrival) = match read {
             Ok(read) => read,
             Err(refusal) => {
@@ -203,6 +203,7 @@
         number: RequestNumber,
         head: http::request::Parts,
         body: RequestBody,
+        connection: &CallerConnection,
     ) -> Result<(RoutedCall, RoutedArrival), Refusal> {
         let state = &self.shared.state;
         let head_bytes: usize =
@@ -214,10 +215,8 @@
             return Err(Refusal::not_run(RefusalCode::HeadTooLarge, message));
         }
         let limit = ByteSize(state.body_limit.load(Ordering::Relaxed));
-        let declared = head.headers.get(http::header::CONTENT_LENGTH);
-        let declared = declared.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
         let too_large = RequestError::TooLarge { limit }.refusal();
-        if declared.is_some_and(|length| length > limit.0) {
+        if declared_length(&head.headers).is_some_and(|length| length > limit.0) {
             return Err(too_large);
         }
         let timeout = Duration::from_millis(Self::BODY_TIMEOUT_MS);
@@ -225,6 +224,8 @@
             .await
             .map_err(|_| RequestError::TooSlow { limit: Millis(Self::BODY_TIMEOUT_MS) }.refusal())?
             .map_err(|error| error.refusal())?;
+        check_complete(&head.headers, &body.bytes, Some(connection))
+            .map_err(|error| error.refusal())?;
         let arrival = read_arrival(number, &head, &body.bytes)
             .map_err(|error| Refusal::not_run(RefusalCode::BadRequest, error.to_string()))?;
         Ok((RoutedCall { caller_id: arrival.caller_id.clone(), head, body }, arrival))
--- a/tests/gateway_uploads.rs
+++ b/tests/gateway_uploads.rs
@@ -42,3 +42,67 @@
     }
     assert_eq!(stage.seen(), 0);
 }
+
+/// How a caller leaves in the middle of its upload.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum LeaveMode {
+    Close,
+    HalfClose,
+    Reset,
+}
+
+fn upload_head(path: &str, id: &str, framing: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: {id}\r\n\
+         Api-Key: key-1\r\nX-Deadline-Ms: 3000\r\n{framing}\r\n\r\n"
+    )
+}
+
+// Guards against a booking that runs with the part of its body that came before its caller left
+// (review/1).
+#[test]
+fn upload_that_ends_early_is_no_request() {
+    const LENGTH: (&str, &str) = ("Content-Length: 20", "0123456789abcdefghij");
+    const CHUNKED: (&str, &str) =
+        ("Transfer-Encoding: chunked", "8\r\n01234567\r\n8\r\n89abcdef\r\n0\r\n\r\n");
+    let stage = Stage::start(1, 1);
+    let mut number = 0;
+    for path in ["/book/a", "/slot/a", "/frail/a", "/plan/a"] {
+        for (framing, body) in [LENGTH, CHUNKED] {
+            for mode in [LeaveMode::Close, LeaveMode::HalfClose, LeaveMode::Reset] {
+                for sent in 0..body.len() {
+                    number += 1;
+                    let mut stream = TcpStream::connect(stage.vms[0].callers).unwrap();
+                    let head = upload_head(path, &format!("part-{number}"), framing);
+                    stream.write_all((head + &body[..sent]).as_bytes()).unwrap();
+                    std::thread::sleep(Duration::from_millis(2));
+                    match mode {
+                        LeaveMode::Close => {}
+                        LeaveMode::HalfClose => {
+                            stream.shutdown(std::net::Shutdown::Write).unwrap();
+                            std::thread::sleep(Duration::from_millis(5));
+                        }
+                        LeaveMode::Reset => {
+                            let linger = Some(Duration::ZERO);
+                            socket2::SockRef::from(&stream).set_linger(linger).unwrap();
+                        }
+                    }
+                }
+            }
+        }
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let seen: Vec<_> = stage.servers[0].seen();
+    assert!(seen.is_empty(), "{} of {number} parts ran: {:?}", seen.len(), seen.first());
+    // A whole body in either framing runs.
+    for (framing, body) in [LENGTH, CHUNKED] {
+        let mut stream = TcpStream::connect(stage.vms[0].callers).unwrap();
+        let head = upload_head("/book/a", &format!("whole {framing}"), framing);
+        stream.write_all((head + body).as_bytes()).unwrap();
+        let mut buffer = [0; 1_024];
+        let read = stream.read(&mut buffer).unwrap();
+        assert!(buffer[..read].starts_with(b"HTTP/1.1 200"), "{framing}");
+    }
+    let bodies: Vec<Vec<u8>> = stage.servers[0].seen().into_iter().map(|one| one.body).collect();
+    assert_eq!(bodies, [&b"0123456789abcdefghij"[..], b"0123456789abcdef"]);
+}
