Give a process that ends time to close its listener before it is probed

Cause: the probe was sent in the same millisecond in which the connection ended, and a process that is killed may close its connections before its listener, which still accepted it.

Fix: probe_server waits 20 ms before it connects, for ends of answers and for the verdict on crashes.

Evidence: a stand-in that closes its listener 5 ms after the connection; the test failed before the fix.

--- a/src/traffic/server_probe.rs
+++ b/src/traffic/server_probe.rs
@@ -1,8 +1,14 @@
 use super::*;
 use std::io::ErrorKind;
 
-/// Opens a connection to find out whether a server process listens at an address.
+/// The time in which the system closes all sockets of a process that ends. It may close the
+/// connections before the listener.
+const EXIT_TIME: Duration = Duration::from_millis(20);
+
+/// Opens a connection to find out whether the process of a server that has just closed one still
+/// listens.
 pub async fn probe_server(address: SocketAddr) -> ProbeResult {
+    tokio::time::sleep(EXIT_TIME).await;
     let timeout = Duration::from_millis(ServerConnection::CONNECT_TIMEOUT_MS);
     let connect = tokio::net::TcpStream::connect(address);
     match tokio::time::timeout(timeout, connect).await.map(|result| result.map_err(|e| e.kind())) {
--- a/tests/gateway_cut_answers.rs
+++ b/tests/gateway_cut_answers.rs
@@ -114,3 +114,15 @@
         assert_eq!((answer.status, answer.body.as_str()), (200, "done"), "{answer:?}");
     }
 }
+
+// Guards against a probe that reaches the listener of a server which is just ending.
+#[test]
+fn body_without_length_of_a_server_whose_listener_closes_last() {
+    const PART: &str =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig\r\n\r\npart";
+    let stage = Stage::start(1, 1);
+    stage.servers[0].script(&[ServerAction::RawThenEndLate(PART)]);
+    let answer = stage.call("POST", "/book/a");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert!(!answer.body.contains("part"), "{answer:?}");
+}
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -27,6 +27,8 @@
     Cut(&'static str, usize, CutEnd),
     /// Sends the answer like [`Self::Raw`], and crashes.
     RawThenEnd(&'static str),
+    /// The same, with the listener closed some milliseconds after the connection.
+    RawThenEndLate(&'static str),
     /// Waits for this many milliseconds, and then sends the answer like [`Self::Raw`].
     RawAfter(u64, &'static str),
     /// Sends this many events of a stream, then an error as an event without an id, and ends it.
@@ -310,6 +312,12 @@
                 std::thread::sleep(Duration::from_millis(20));
                 self.end()
             }
+            ServerAction::RawThenEndLate(text) => {
+                let _ = stream.write_all(text.replace("{id}", id).as_bytes());
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                std::thread::sleep(Duration::from_millis(5));
+                self.end()
+            }
             ServerAction::RawAfter(pause, text) => {
                 std::thread::sleep(Duration::from_millis(pause));
                 let _ = stream.write_all(text.replace("{id}", id).as_bytes());
