--- a/src/traffic/progress_limit.rs
+++ b/src/traffic/progress_limit.rs
@@ -19,8 +19,8 @@
 }
 
 impl ProgressAllowance {
-    /// More than a head and the part of the body that hyper reads with it (32 KB).
-    const STEP_BYTES: u64 = 256 * 1_024;
+    /// Twice what hyper buffers: a head and the part of the body that it reads with it (32 KB).
+    const STEP_BYTES: u64 = 64 * 1_024;
     /// No limit, while the connection is idle.
     const UNBOUNDED: u64 = u64::MAX;
 
