--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -307,16 +307,9 @@
                 }
                 false
             }
-            ServerAction::RawThenEnd(text) => {
-                let _ = stream.write_all(text.replace("{id}", id).as_bytes());
-                std::thread::sleep(Duration::from_millis(20));
-                self.end()
-            }
+            ServerAction::RawThenEnd(text) => self.raw_then_end(stream, id, text, Duration::ZERO),
             ServerAction::RawThenEndLate(text) => {
-                let _ = stream.write_all(text.replace("{id}", id).as_bytes());
-                let _ = stream.shutdown(std::net::Shutdown::Both);
-                std::thread::sleep(Duration::from_millis(5));
-                self.end()
+                self.raw_then_end(stream, id, text, Duration::from_millis(5))
             }
             ServerAction::RawAfter(pause, text) => {
                 std::thread::sleep(Duration::from_millis(pause));
@@ -376,6 +369,16 @@
         }
     }
 
+    /// Sends an answer, closes the connection, and crashes after a pause.
+    fn raw_then_end(&self, mut stream: &TcpStream, id: &str, text: &str, pause: Duration) -> bool {
+        let _ = stream.write_all(text.replace("{id}", id).as_bytes());
+        if pause > Duration::ZERO {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            std::thread::sleep(pause);
+        }
+        self.end()
+    }
+
     fn end(&self) -> bool {
         self.script.lock().unwrap().is_ending = true;
         let _ = TcpStream::connect(self.address);
