Wait for a VM's operators' listener in mixed_builds

Cause: the test publishes right after it has started the process, and the program does not repeat a call that finds no listener.

Change: the test waits until the listener accepts. What it checks is the same.

--- a/tests/mixed_builds.rs
+++ b/tests/mixed_builds.rs
@@ -99,7 +99,10 @@
         let file = self.folder.join(format!("{name}.jsonc"));
         std::fs::write(&file, settings.to_string()).unwrap();
         expect_success(&run(build, &["check", file.to_str().unwrap()]));
-        OwnVm { callers, operators, process: VmProcess::start(build, "serve", &file) }
+        let vm = OwnVm { callers, operators, process: VmProcess::start(build, "serve", &file) };
+        // The program does not repeat a call that finds no listener.
+        eventually("the operators' listener", || std::net::TcpStream::connect(operators).is_ok());
+        vm
     }
 
     fn operate(&self, build: &str, vm: &OwnVm, words: &[&str]) -> String {
