--- a/src/driver/relay_client.rs
+++ b/src/driver/relay_client.rs
@@ -17,7 +17,7 @@
     const IDLE_MS: u64 = 5_000;
     /// Leaves room for a configuration with many routes and several hundred servers.
     const ANSWER_LIMIT: ByteSize = ByteSize(8 * 1_024 * 1_024);
-    /// All answers that are being received together; one of the largest.
+    /// All answers that are being received together. One alone may have up to 7 MB of it.
     const ANSWER_MEMORY: ByteSize = ByteSize(16 * 1_024 * 1_024);
     /// The head of an answer, and what is read of its body at a time.
     const READ_BUFFER_BYTES: usize = 64 * 1_024;
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -54,7 +54,7 @@
     const IDLE_MS: u64 = 10_000;
     /// Twice the size of the store's largest page (1 MB) in base64.
     const ANSWER_LIMIT: ByteSize = ByteSize(3 * 1_024 * 1_024);
-    /// All answers that are being received together; two of the largest.
+    /// All answers that are being received together; room for one of the largest beside small ones.
     const ANSWER_MEMORY: ByteSize = ByteSize(8 * 1_024 * 1_024);
     /// The head of an answer, and what is read of its body at a time.
     const READ_BUFFER_BYTES: usize = 64 * 1_024;
