Obey orders to evacuate a data centre

Change: the order is a record of the operators' stream, kept and passed on like the others; the newest by offset counts, and one that a complete read or a restarted peer no longer lists has ended. ServerRegistry::open leaves out the servers of a closed data centre, so that no path sends there. Prompt parts leave over at most a quarter of evacuate_ms, at most a second, less if the order may be older; what this VM learned late holds at once.

Measured: 7 tests in tests/gateway_zones.rs, 14 in tests/platform.rs pass.

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -81,6 +81,11 @@
             self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
             self.metrics.gauge("open_requests", self.mailboxes.len() as u64);
             self.metrics.gauge("limited_servers", self.gateway.limited_servers() as u64);
+            let gateway = &self.gateway;
+            self.metrics.gauge("evacuated_centres", gateway.evacuated_centres() as u64);
+            self.metrics.gauge("evacuation_age_ms", gateway.evacuation_age(now).0);
+            self.metrics.gauge("evacuating_requests", gateway.evacuating_requests().into());
+            self.metrics.gauge("withheld_sends", gateway.withheld_sends());
             let subjects = self.gateway.quarantined_subjects();
             self.metrics.gauge("quarantined_subjects", subjects as u64);
         }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,7 +15,8 @@
 //! their answers that they are leaving or need a backoff ([`server_hints`]), or name a limit on the
 //! requests of all VMs together ([`limits`], [`permits`]). [`store_access`]
 //! decides whether this VM reads the store itself ([`reads`]) or through another VM ([`relay`]).
-//! [`rollouts`] advances roll-outs.
+//! [`rollouts`] advances roll-outs. Operators may order that the servers of a data centre get no more
+//! requests ([`zones`]).
 
 use super::*;
 
@@ -91,6 +92,7 @@
 mod team_keys;
 mod team_shares;
 mod version_latencies;
+mod zones;
 
 pub use {
     answer_counts::AnswerCounts,
@@ -138,6 +140,7 @@
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
     team_keys::{KeyHolder, TeamKeys},
     version_latencies::{LatencyComparison, VersionLatencies},
+    zones::{EvacuatedCentres, EvacuationOrder},
 };
 
 use {
@@ -155,4 +158,5 @@
     store_access::{StoreAccess, StoreUse},
     sync_positions::SyncPositions,
     team_shares::TeamShares,
+    zones::EvacuationReads,
 };
--- a/src/gateway/gateway_bounds.rs
+++ b/src/gateway/gateway_bounds.rs
@@ -23,6 +23,9 @@
     pub exposure_share: Share,
     /// The longest backoff that a server may ask for.
     pub longest_backoff_ms: Millis,
+    /// The time after an order to evacuate a data centre from which on its servers must get no
+    /// requests.
+    pub evacuate_ms: Millis,
 }
 
 impl Default for GatewayBounds {
@@ -38,6 +41,7 @@
             session_s: 10.0,
             exposure_share: Share::new(0.1).unwrap_or(Share::ZERO),
             longest_backoff_ms: Millis(30_000),
+            evacuate_ms: Millis(5_000),
         }
     }
 }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -21,6 +21,7 @@
     pub(super) held_positions: SyncPositions,
     pub(super) crashes: CrashWatch,
     pub(super) limits: LimitState,
+    pub(super) evacuation_reads: EvacuationReads,
     pub(super) rollout_end: Option<Offset>,
     pub(super) rollout_append: Option<Millis>,
     pub(super) evidence_next: Millis,
@@ -72,6 +73,7 @@
             held_positions: SyncPositions::default(),
             crashes: CrashWatch::default(),
             limits: LimitState::default(),
+            evacuation_reads: EvacuationReads::default(),
             rollout_end: None,
             rollout_append: None,
             evidence_next: Millis(0),
@@ -112,6 +114,7 @@
         if !self.relay.peers.is_empty() {
             self.crashes.observe_time(now);
         }
+        self.advance_evacuations(now);
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
@@ -159,11 +162,23 @@
         let response_deadline = self.response_deadlines.first().map(|(at, _)| *at);
         let (access, crowded) = (self.access.next(), self.crowded.next());
         let (permits, crashes) = (self.permits_next(), self.crashes.next());
-        [end, response_deadline, read, advance, relay, access, crowded, permits, crashes]
-            .into_iter()
-            .flatten()
-            .min()
-            .unwrap_or(Millis::MAX)
+        let evacuation = self.servers.evacuated.next();
+        [
+            end,
+            response_deadline,
+            read,
+            advance,
+            relay,
+            access,
+            crowded,
+            permits,
+            crashes,
+            evacuation,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(Millis::MAX)
     }
 
     /// Returns whether the VM is ready for new requests: it is not shutting down, has read the list
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -85,7 +85,8 @@
         let mut issuers: BTreeMap<&DataCentreId, Option<PeerCard>> = BTreeMap::new();
         let mut needs: BTreeMap<Option<VmId>, IssuerNeed> = BTreeMap::new();
         for (tag, id) in &self.limits.servers {
-            let Some(server) = self.servers.get(id).filter(|server| server.is_open()) else {
+            let server = self.servers.get(id).filter(|server| self.servers.takes_work(server));
+            let Some(server) = server else {
                 continue;
             };
             let Some(rate) = server.limit.rate() else { continue };
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -15,21 +15,31 @@
     pub(super) fn on_read(&mut self, now: Millis, stream: StoreStream, answer: &FeedAnswer) {
         let jitter = self.draw();
         let Some(feed) = self.feeds.get_mut(&stream) else { return };
-        let before = feed.failures();
+        let (before, starts_list) = (feed.failures(), feed.starts_list());
         let step = feed.answered(now, jitter, answer);
         Self::log_read(stream, before, answer);
         let is_newest = matches!(answer, FeedAnswer::Newest(Ok(_)));
         if is_newest && stream == StoreStream::Servers && self.listed.is_none() {
             self.listed = Some(BTreeSet::new());
         }
+        if is_newest && stream == StoreStream::Operators && starts_list {
+            self.start_evacuation_list();
+        }
         match answer {
-            FeedAnswer::Newest(Ok(page)) => self.apply_records(now, &page.records),
+            FeedAnswer::Newest(Ok(page)) => {
+                self.collect_evacuations(&page.records);
+                self.apply_records(now, &page.records);
+            }
             FeedAnswer::From(Ok(page)) => self.apply_records(now, &page.records),
             FeedAnswer::Newest(Err(_)) | FeedAnswer::From(Err(_)) => {}
         }
         let FeedProgress::CaughtUp { sent } = step else { return };
         match stream {
             StoreStream::Operators => {
+                if is_newest {
+                    let end = self.feeds.get(&stream).and_then(StoreFeed::end);
+                    self.end_evacuation_list(now, end.unwrap_or_default());
+                }
                 self.lease.renew(sent);
                 self.end_probe(now);
             }
@@ -98,6 +108,7 @@
                 StoreRecord::Server(change) => self.apply_server(now, change),
                 StoreRecord::Rollout(record) => self.apply_rollout(now, record),
                 StoreRecord::Evidence(evidence) => self.apply_evidence(evidence),
+                StoreRecord::Evacuation(order) => self.apply_evacuation(now, order),
                 StoreRecord::Unreadable { key, cause } => {
                     tracing::warn!(%key, %cause, "ignoring unreadable record");
                 }
--- a/src/gateway/record_cache.rs
+++ b/src/gateway/record_cache.rs
@@ -20,6 +20,17 @@
             _ => None,
         }
     }
+
+    /// Returns the data centre for which the record lists an order, be it unreadable. `None` if it
+    /// is no order to evacuate.
+    #[must_use]
+    pub fn listed_evacuation(&self) -> Option<DataCentreId> {
+        match &self.record {
+            StoreRecord::Evacuation(EvacuationOrder::TakeBack(_)) => None,
+            StoreRecord::Evacuation(order) => Some(order.data_centre().clone()),
+            _ => None,
+        }
+    }
 }
 
 /// The newest record of each key, from any source.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -369,6 +369,9 @@
             let listed = answer.records.iter().filter_map(StreamRecord::listed_server).collect();
             self.remove_unlisted(now, servers.end, &listed);
             self.listed = None;
+            let listed =
+                answer.records.iter().filter_map(StreamRecord::listed_evacuation).collect();
+            self.end_unlisted_evacuations(now, operators.end, &listed);
         }
         let answered = polled.sent + answer.held;
         self.lease.renew(answered.since(operators.age));
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -44,7 +44,11 @@
             }
             let Some(state) = self.requests.get(&request) else { return Ok(()) };
             let backoff = self.pool_backoff(now, &state.pool);
-            let Some(backoff) = backoff else { return Err(Self::no_server_refusal(state)) };
+            let Some(backoff) = backoff else {
+                let refusal = Self::no_server_refusal(state);
+                self.record_withheld(request);
+                return Err(refusal);
+            };
             return self.wait_backoff(now, request, backoff);
         };
         self.start(now, request, place, side, reason);
--- a/src/gateway/server_registry.rs
+++ b/src/gateway/server_registry.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerRegistry {
     servers: BTreeMap<ServerId, BackendServer>,
+    /// The data centres whose servers operators want to get no requests.
+    pub(super) evacuated: EvacuatedCentres,
 }
 
 /// The effect of a change in the list of servers.
@@ -36,13 +38,56 @@
 
     /// Returns the servers of a pool that may get new requests.
     pub fn open<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a BackendServer> {
-        self.servers.values().filter(move |server| server.is_open() && server.entry.pool == *pool)
+        self.servers
+            .values()
+            .filter(move |server| self.takes_work(server) && server.entry.pool == *pool)
+    }
+
+    /// Returns whether a server may get new requests: it accepts them, and its data centre is not
+    /// evacuated.
+    #[must_use]
+    pub fn takes_work(&self, server: &BackendServer) -> bool {
+        server.is_open() && !self.evacuated.is_closed(&server.entry.data_centre)
+    }
+
+    /// Returns the number of a pool's servers that get no requests only because their data centre
+    /// is evacuated.
+    #[must_use]
+    pub fn closed_count(&self, pool: &PoolId) -> usize {
+        let of_pool = self.servers.values().filter(|server| server.entry.pool == *pool);
+        of_pool.filter(|server| server.is_open() && !self.takes_work(server)).count()
+    }
+
+    /// Returns this VM's requests under way at the servers of a data centre.
+    #[must_use]
+    pub fn in_flight_in(&self, centre: &DataCentreId) -> u32 {
+        let servers = self.servers.values().filter(|server| server.entry.data_centre == *centre);
+        servers.map(|server| server.in_flight).sum()
+    }
+
+    /// Leaves out the servers of data centres that the prompt part `part` has left, if others can
+    /// take its requests.
+    #[must_use]
+    pub fn without_left<'a>(
+        &self,
+        now: Millis,
+        servers: Vec<&'a BackendServer>,
+        part: u64,
+    ) -> Vec<&'a BackendServer> {
+        if self.evacuated.is_empty() {
+            return servers;
+        }
+        let has_left =
+            |server: &BackendServer| self.evacuated.has_left(now, &server.entry.data_centre, part);
+        let remaining = servers.iter().copied().filter(|server| !has_left(server));
+        let remaining: Vec<&BackendServer> = remaining.collect();
+        if remaining.iter().any(|server| server.is_reachable(now)) { remaining } else { servers }
     }
 
     /// Returns the number of servers in all pools that may get new requests.
     #[must_use]
     pub fn open_count(&self) -> usize {
-        self.servers.values().filter(|server| server.is_open()).count()
+        self.servers.values().filter(|server| self.takes_work(server)).count()
     }
 
     /// Returns this VM's outstanding load at each server.
--- a/src/gateway/server_selection.rs
+++ b/src/gateway/server_selection.rs
@@ -86,6 +86,8 @@
             wish.software.allows(&server.entry.software) && server.accepts(now) && is_permitted
         })
         .collect();
+    let subject = wish.parts.iter().rev().nth(1).or(wish.parts.last());
+    let fit = book.without_left(now, fit, subject.map_or(wish.tie, |part| part.id));
     let homes = RendezvousServers::of(&home_candidates(&fit), wish.parts);
     let mean_failure_rate =
         fit.iter().map(|server| server.failure_rate).sum::<f64>() / fit.len().max(1) as f64;
--- a/src/gateway/store_feed.rs
+++ b/src/gateway/store_feed.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Returns whether the next page is the first one of the newest records of all keys.
+    #[must_use]
+    pub const fn starts_list(&self) -> bool {
+        matches!(self.stage, FeedStage::Newest { follow: None, .. })
+    }
+
     /// Returns the number of failed reads since the last successful one.
     #[must_use]
     pub const fn failures(&self) -> u32 {
--- a/src/gateway/store_record.rs
+++ b/src/gateway/store_record.rs
@@ -52,6 +52,8 @@
         /// The parse error.
         cause: SmolStr,
     },
+    /// An order to evacuate a data centre, or to take it back.
+    Evacuation(EvacuationOrder),
 }
 
 impl StoreRecord {
@@ -69,6 +71,7 @@
                 let EvidenceRecord { vm, incarnation, pool, .. } = evidence;
                 format!("evidence/{vm}/{incarnation}/{pool}").into()
             }
+            Self::Evacuation(order) => format!("evacuation/{}", order.data_centre()).into(),
             Self::Server(ServerChange::Unreadable { .. }) | Self::Unreadable { .. } => return None,
         })
     }
--- a/src/platform/http_store.rs
+++ b/src/platform/http_store.rs
@@ -323,7 +323,6 @@
 
 fn decode_keyed_record(stream: StoreStream, key: &str, value: &[u8]) -> Option<StoreRecord> {
     match stream {
-        StoreStream::Operators if value.is_empty() => None,
         StoreStream::Operators => read_operator_record(key, value),
         StoreStream::Servers => Some(read_server_record(key, value)),
         StoreStream::Rollouts => read_rollout_record(key, value),
@@ -357,6 +356,7 @@
         StoreRecord::Configuration(_)
         | StoreRecord::Order(_)
         | StoreRecord::Server(_)
+        | StoreRecord::Evacuation(_)
         | StoreRecord::Unreadable { .. } => Err(StoreError::Malformed {
             cause: "entry VMs do not write records of this kind".into(),
         }),
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -4,6 +4,8 @@
 use serde::Deserializer;
 
 const CONFIGURATION_KEY: &str = "config";
+/// The prefix of the keys of orders to evacuate a zone; the zone follows.
+const EVACUATION_PREFIX: &str = "evacuate/";
 
 #[derive(Debug, Deserialize)]
 struct WireConfiguration {
@@ -69,10 +71,17 @@
     duration_s: f64,
 }
 
-/// Parses a record written by an operator; none if the router does not use its key.
+#[derive(Debug, Deserialize)]
+struct WireEvacuation {}
+
+/// Parses a record written by an operator; none if the router does not use its key or its removal.
 #[must_use]
 pub fn read_operator_record(key: &str, value: &[u8]) -> Option<StoreRecord> {
-    let record = if key == CONFIGURATION_KEY {
+    let record = if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
+        read_evacuation(zone, value)
+    } else if value.is_empty() {
+        return None;
+    } else if key == CONFIGURATION_KEY {
         read_configuration(value)
     } else if key.starts_with(rollout_records::KEY_PREFIX) {
         read_rollout(value)
@@ -158,6 +167,18 @@
     }))
 }
 
+/// Parses an order to evacuate a zone; an empty value means that the zone is taken back.
+fn read_evacuation(zone: &str, value: &[u8]) -> Result<StoreRecord, SmolStr> {
+    let zone = zone.parse::<DataCentreId>().map_err(|error| SmolStr::new(error.to_string()))?;
+    if value.is_empty() {
+        return Ok(StoreRecord::Evacuation(EvacuationOrder::TakeBack(zone)));
+    }
+    Ok(StoreRecord::Evacuation(match parse::<WireEvacuation>(value) {
+        Ok(WireEvacuation {}) => EvacuationOrder::Evacuate(zone),
+        Err(cause) => EvacuationOrder::Unreadable { data_centre: zone, cause },
+    }))
+}
+
 pub(super) fn parse<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, SmolStr> {
     /// The length of the longest cause: an error may quote a value of any length.
     const MAX_CAUSE_CHARS: usize = 200;
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -122,6 +122,7 @@
             ("bounds.drain_ms", bounds.drain_ms),
             ("bounds.shutdown_ms", bounds.shutdown_ms),
             ("bounds.resend_window_ms", bounds.resend_window_ms),
+            ("bounds.evacuate_ms", bounds.evacuate_ms),
         ];
         for (field, found) in lengths {
             if found.0 < Self::MIN_BOUND_MS {
--- /dev/null
+++ b/tests/gateway_zones.rs
@@ -0,0 +1,219 @@
+//! Evacuated data centres: orders by each way, and what no longer is sent.
+
+#[path = "support/gateway_crowd.rs"]
+#[allow(dead_code)]
+mod gateway_crowd;
+#[path = "support/gateway_world.rs"]
+#[allow(dead_code)]
+mod gateway_world;
+
+use gateway_crowd::{GatewaySimulation, StoreMode};
+use gateway_world::*;
+use guavapass::{gateway::*, ids::Offset, units::Millis};
+
+/// Engines `e1` and `e2`, in data centres of their own.
+fn world() -> GatewayFixture {
+    let mut world = GatewayFixture::new();
+    place(&mut world, "e3", "norte", "v1");
+    place(&mut world, "e2", "sur", "v1");
+    world.page(StoreStream::Servers, vec![removed("e3")]);
+    world
+}
+
+fn place(world: &mut GatewayFixture, id: &str, centre: &str, software: &str) {
+    world.page(StoreStream::Servers, vec![said(entry(id, centre, software))]);
+}
+
+fn entry(id: &str, centre: &str, software: &str) -> ServerEntry {
+    ServerEntry { data_centre: text(centre), ..server(id, ENGINES, software) }
+}
+
+fn removed(id: &str) -> StoreRecord {
+    StoreRecord::Server(ServerChange::Removed(text(id)))
+}
+
+fn evacuate(centre: &str) -> StoreRecord {
+    StoreRecord::Evacuation(EvacuationOrder::Evacuate(text(centre)))
+}
+
+fn take_back(centre: &str) -> StoreRecord {
+    StoreRecord::Evacuation(EvacuationOrder::TakeBack(text(centre)))
+}
+
+/// Sends requests for many different parts, and returns how many went to a server.
+fn sent_to(world: &mut GatewayFixture, server: &str) -> usize {
+    let count = |number: u64| {
+        let request = world.arrive_with("/plan/1", |arrival| {
+            arrival.parts[0].id = number * 7_919;
+        });
+        let sent = world.starts(request).first().map(|order| order.server.clone());
+        world.whole(request, 1, 200);
+        usize::from(sent == Some(text(server)))
+    };
+    (0..40).map(count).sum()
+}
+
+#[test]
+fn no_request_goes_to_an_evacuated_data_centre() {
+    let mut world = world();
+    assert!(sent_to(&mut world, "e2") > 5);
+    world.page(StoreStream::Operators, vec![evacuate("sur")]);
+    world.tick(1_250);
+    assert_eq!(sent_to(&mut world, "e2"), 0);
+    // A run that is under way ends there; a second send, a resumed stream and a waiting call do not
+    // go there, even if there is no other server.
+    let request = world.arrive("/plan/1");
+    assert_eq!(world.starts(request)[0].server, server_id("e1"));
+    world.began(request, 1, None);
+    world.page(StoreStream::Servers, vec![removed("e1")]);
+    world.broken(request, 1, Some(3));
+    world.tick(500);
+    assert_eq!(world.starts(request).len(), 1);
+    let refused = world.arrive("/plan/1");
+    assert!(world.starts(refused).is_empty());
+    assert!(world.refusal(refused).is_some());
+    assert!(world.gateway.withheld_sends() >= 1);
+    world.page(StoreStream::Operators, vec![take_back("sur")]);
+    assert_eq!(world.gateway.evacuated_centres(), 0);
+    assert_eq!(sent_to(&mut world, "e2"), 40);
+}
+
+#[test]
+fn parts_leave_gradually_and_well_before_the_bound() {
+    let mut world = world();
+    let before = sent_to(&mut world, "e2");
+    world.page(StoreStream::Operators, vec![evacuate("sur")]);
+    world.tick(500);
+    let half = sent_to(&mut world, "e2");
+    assert!(half > 0 && half < before, "{before} {half}");
+    world.tick(500);
+    assert_eq!(sent_to(&mut world, "e2"), 0);
+}
+
+#[test]
+fn order_of_unknown_age_holds_at_once() {
+    let mut world = world();
+    // The last read was answered so long ago that the order may be as old.
+    world.tick(2_600);
+    world.page(StoreStream::Operators, vec![evacuate("sur")]);
+    assert_eq!(sent_to(&mut world, "e2"), 0);
+    let mut started = GatewayFixture::new();
+    started.gateway = Gateway::new(identity("front-2"), bounds());
+    started.tick(0);
+    let document = StoreRecord::Configuration(std::sync::Arc::new(document(1)));
+    started.newest(StoreStream::Operators, vec![document, evacuate("sur")]);
+    started.newest(
+        StoreStream::Servers,
+        vec![said(entry("e1", "norte", "v1")), said(entry("e2", "sur", "v1"))],
+    );
+    assert_eq!(sent_to(&mut started, "e2"), 0);
+}
+
+#[test]
+fn newest_order_counts() {
+    let mut world = world();
+    let records = world.keep(vec![evacuate("sur"), take_back("sur"), evacuate("valle")]);
+    let read = |world: &mut GatewayFixture, records: &[StreamRecord]| {
+        let end = Offset(records.iter().map(|kept| kept.offset.0).max().unwrap_or(0) + 1);
+        let page = StorePage { records: records.to_vec(), next: end, end };
+        let (stream, answer) = (StoreStream::Operators, FeedAnswer::From(Ok(page)));
+        world.handle(GatewayEvent::Read { stream, answer });
+    };
+    read(&mut world, &records[1..]);
+    read(&mut world, &records[..1]);
+    world.tick(2_000);
+    assert_eq!(world.gateway.evacuated_centres(), 1, "the older order of sur comes too late");
+    assert!(sent_to(&mut world, "e2") > 5);
+    let two = vec![evacuate("sur"), evacuate("norte")];
+    world.page(StoreStream::Operators, two);
+    world.tick(2_000);
+    let request = world.arrive("/plan/1");
+    assert!(world.starts(request).is_empty());
+    world.page(StoreStream::Operators, vec![take_back("norte")]);
+    let request = world.arrive("/plan/1");
+    assert_eq!(world.starts(request)[0].server, server_id("e1"));
+}
+
+#[test]
+fn order_that_a_complete_read_does_not_list_has_ended() {
+    let mut world = world();
+    world.page(StoreStream::Operators, vec![evacuate("sur"), evacuate("valle")]);
+    let first = Offset(1);
+    let trimmed = FeedAnswer::From(Err(StoreError::Trimmed { first }));
+    let stream = StoreStream::Operators;
+    world.handle(GatewayEvent::Read { stream, answer: trimmed.clone() });
+    world.newest(stream, vec![evacuate("valle")]);
+    assert_eq!(world.gateway.evacuated_centres(), 1);
+    // The page was made before the order that another VM has passed on.
+    world.handle(GatewayEvent::Read { stream, answer: trimmed.clone() });
+    let page = NewestPage { records: Vec::new(), end: Offset(5), more_after: None };
+    world.handle(GatewayEvent::Read { stream, answer: FeedAnswer::Newest(Ok(page)) });
+    assert_eq!(world.gateway.evacuated_centres(), 1);
+    // An unreadable order does not end the one before.
+    let cause = "not JSON".into();
+    let unreadable = EvacuationOrder::Unreadable { data_centre: text("valle"), cause };
+    world.handle(GatewayEvent::Read { stream, answer: trimmed });
+    world.newest(stream, vec![StoreRecord::Evacuation(unreadable)]);
+    assert_eq!(world.gateway.evacuated_centres(), 1);
+}
+
+/// Returns VMs of three data centres with an engine in each.
+fn simulation(per_centre: usize) -> GatewaySimulation {
+    let mut crowd = GatewaySimulation::new(&["norte", "sur", "valle"], per_centre);
+    crowd.register(entry("e2", "sur", "v1"));
+    crowd.register(entry("e3", "valle", "v1"));
+    crowd.start_all();
+    crowd.run(4_000);
+    assert_eq!(crowd.ready(), crowd.len());
+    crowd
+}
+
+fn knowing(crowd: &GatewaySimulation) -> usize {
+    (0..crowd.len()).filter(|vm| crowd.gateway(*vm).evacuated_centres() > 0).count()
+}
+
+#[test]
+fn order_reaches_all_vms_by_the_relay_and_after_a_restart() {
+    let mut crowd = simulation(30);
+    crowd.order(evacuate("sur"));
+    crowd.run(600);
+    assert_eq!(knowing(&crowd), crowd.len());
+    for vm in [0, 30, 31, 60] {
+        crowd.kill(vm);
+        crowd.start(vm);
+    }
+    crowd.run(1_500);
+    assert_eq!(knowing(&crowd), crowd.len());
+    crowd.order(take_back("sur"));
+    crowd.run(600);
+    assert_eq!(knowing(&crowd), 0);
+}
+
+#[test]
+fn order_reaches_vms_while_the_store_turns_most_of_them_away() {
+    let mut crowd = simulation(3);
+    for vm in 0..crowd.len() - 1 {
+        crowd.store_modes.insert(vm, StoreMode::Refuses);
+    }
+    crowd.run(1_000);
+    crowd.order(evacuate("sur"));
+    crowd.run(2_500);
+    assert_eq!(knowing(&crowd), crowd.len());
+    // While the order ends, a VM is out of reach; it learns the end from a VM that never knew the
+    // order.
+    crowd.store_modes.clear();
+    crowd.cut.insert(4);
+    crowd.store_modes.insert(4, StoreMode::Silent);
+    crowd.order(take_back("sur"));
+    crowd.run(1_000);
+    for vm in (0..crowd.len()).filter(|vm| *vm != 4) {
+        crowd.kill(vm);
+        crowd.start(vm);
+    }
+    crowd.run(3_000);
+    assert_eq!(knowing(&crowd), 1);
+    crowd.cut.clear();
+    crowd.run(3_000);
+    assert_eq!(knowing(&crowd), 0);
+    assert!(crowd.gateway(4).evacuation_age(Millis(0)) == Millis(0));
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -78,6 +78,9 @@
     assert!(is_unreadable(read_operator_record("config", b"{")));
     assert!(is_unreadable(read_operator_record("rollout/x", b"{\"service\":3}")));
     assert!(read_operator_record("something-else", b"{").is_none());
+    assert!(read_operator_record("config", b"").is_none());
+    assert!(is_unreadable(read_operator_record("evacuate/", b"{}")));
+    assert!(is_unreadable(read_operator_record("evacuate/a zone", b"{}")));
     let entry = |value: &[u8]| match read_server_record("i-1", value) {
         StoreRecord::Server(change) => change,
         other => panic!("{other:?}"),
@@ -88,6 +91,22 @@
     assert!(matches!(entry(b""), ServerChange::Removed(_)));
 }
 
+#[test]
+fn orders_to_evacuate_are_parsed() {
+    let read = |value: &[u8]| match read_operator_record("evacuate/eu-west-a", value) {
+        Some(StoreRecord::Evacuation(order)) => order,
+        other => panic!("{other:?}"),
+    };
+    let zone = || "eu-west-a".parse().unwrap();
+    assert_eq!(read(b"{}"), EvacuationOrder::Evacuate(zone()));
+    assert_eq!(read(b"{\"by\":[1]}"), EvacuationOrder::Evacuate(zone()));
+    assert_eq!(read(b""), EvacuationOrder::TakeBack(zone()));
+    for malformed in [&b"{"[..], b"3", b"null", b"\xff", b"\"{}\"", b"{} {}"] {
+        let order = read(malformed);
+        assert!(matches!(order, EvacuationOrder::Unreadable { .. }), "{malformed:?} {order:?}");
+    }
+}
+
 #[test]
 fn arrival_read() {
     let head = head(&[
--- a/tests/support/gateway_crowd.rs
+++ b/tests/support/gateway_crowd.rs
@@ -178,8 +178,14 @@
     pub fn publish(&mut self) {
         let revision = self.operators.len() as u64 + 1;
         let record = StoreRecord::Configuration(Arc::new(document(revision)));
-        self.operators.push(StreamRecord { offset: Offset(revision - 1), record });
         self.published.push((Revision(revision), self.now));
+        self.order(record);
+    }
+
+    /// Appends a record to the operators' stream.
+    pub fn order(&mut self, record: StoreRecord) {
+        let offset = Offset(self.operators.len() as u64);
+        self.operators.push(StreamRecord { offset, record });
         let (due, waiting) = std::mem::take(&mut self.reads)
             .into_iter()
             .partition::<Vec<_>, _>(|poll| poll.stream == StoreStream::Operators);
@@ -189,6 +195,17 @@
         }
     }
 
+    /// Replaces the entry of a server.
+    pub fn register(&mut self, entry: ServerEntry) {
+        let offset = Offset(self.servers.len() as u64);
+        self.servers.push(StreamRecord { offset, record: said(entry) });
+    }
+
+    /// Returns the core of an entry VM.
+    pub fn gateway(&self, vm: usize) -> &Gateway {
+        &self.vms[vm].gateway
+    }
+
     /// Starts or restarts an entry VM without any state.
     pub fn start(&mut self, vm: usize) {
         let (now, seeds) = (self.now, self.seeds.clone());
@@ -358,8 +375,16 @@
         };
         let Some(from) = from else {
             let all = self.stream(stream);
+            let is_newest = |index: usize| {
+                let record = &all[index].record;
+                let is_dropped =
+                    matches!(record, StoreRecord::Evacuation(EvacuationOrder::TakeBack(_)));
+                let later = &all[index + 1..];
+                !is_dropped && !later.iter().any(|other| other.record.key() == record.key())
+            };
+            let records = (0..all.len()).filter(|index| is_newest(*index));
             let page = NewestPage {
-                records: all.to_vec(),
+                records: records.map(|index| all[index].clone()).collect(),
                 end: Offset(all.len() as u64),
                 more_after: None,
             };
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -48,6 +48,7 @@
         session_s: 5.0,
         exposure_share: Share::new(0.15).unwrap(),
         longest_backoff_ms: Millis(30_000),
+        ..GatewayBounds::default()
     }
 }
 
