Bound the requests of all VMs together at a cold server

Cause: a cold server bears cold_per_s requests a second; nothing read that figure. When a server comes back, each VM that could not reach it tries it, and it is the cheapest of its pool at all of them.

Change: a cold server is a second reason for a permit; the rate follows from cold_per_s, cold_over and cold_slack, so that the permits of 1.5 s and those of other issuers fit. Cold is a server by its entry, by what it states in answers (passed on with the polls), for cold_start_s after its data centre was taken back, and as long after its first answer to a VM that could not reach it. Pools without cold_per_s draw no random number more and are not affected.

First tried: permits from the failure on until an answer; the server was no home meanwhile and got no request that would have ended it (0 in 3 s).

--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -82,6 +82,7 @@
             self.metrics.gauge("open_requests", self.mailboxes.len() as u64);
             self.metrics.gauge("limited_servers", self.gateway.limited_servers() as u64);
             let gateway = &self.gateway;
+            self.metrics.gauge("cold_servers", gateway.cold_servers() as u64);
             self.metrics.gauge("evacuated_centres", gateway.evacuated_centres() as u64);
             self.metrics.gauge("evacuation_age_ms", gateway.evacuation_age(now).0);
             self.metrics.gauge("evacuating_requests", gateway.evacuating_requests().into());
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -140,7 +140,7 @@
     store_record::{NewestPage, StorePage, StoreRecord, StoreStream},
     team_keys::{KeyHolder, TeamKeys},
     version_latencies::{LatencyComparison, VersionLatencies},
-    zones::{EvacuatedCentres, EvacuationOrder},
+    zones::{ColdReport, ColdStart, EvacuatedCentres, EvacuationOrder, ServerWarmth},
 };
 
 use {
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -32,7 +32,9 @@
     circuit: Circuit,
     /// The limit on requests from all VMs together that it has named.
     pub limit: ServerLimit,
-    /// This VM's permits to send requests to it while it has a limit.
+    /// Whether it is cold and bears only a few requests from all VMs together.
+    pub warmth: ServerWarmth,
+    /// This VM's permits to send requests to it while it has a limit or is cold.
     pub permits: PermitStock,
     /// Whether it sent a hint that could not be parsed.
     pub has_unreadable_hint: bool,
@@ -90,6 +92,7 @@
             backoff_until: Millis(0),
             circuit: Circuit::Closed,
             limit: ServerLimit::default(),
+            warmth: ServerWarmth::default(),
             permits: PermitStock::default(),
             has_unreadable_hint: false,
             parts: FxHashMap::default(),
@@ -135,10 +138,21 @@
         }
     }
 
-    /// Returns whether the server has a limit and this VM holds no permit to send to it.
+    /// Returns the requests per second that all VMs together may send: the lower one of the limit
+    /// that the server has named and what it bears while it is cold. None if neither applies.
+    #[must_use]
+    pub fn permit_rate(&self) -> Option<RequestsPerSecond> {
+        match (self.limit.rate(), self.warmth.rate()) {
+            (Some(limit), Some(cold)) if limit < cold => Some(limit),
+            (Some(limit), None) => Some(limit),
+            (_, cold) => cold,
+        }
+    }
+
+    /// Returns whether the server has a limit or is cold and this VM holds no permit to send to it.
     #[must_use]
     pub fn is_at_limit(&self, now: Millis) -> bool {
-        self.limit.rate().is_some() && self.permits.count(now) == 0
+        self.permit_rate().is_some() && self.permits.count(now) == 0
     }
 
     /// Returns whether this VM may send to the server now, as far as the server itself restricts
@@ -155,6 +169,14 @@
         LimitReport { start, rate: self.limit.rate(), age: self.limit.age(now) }
     }
 
+    /// Returns the server's warm-up as it is reported to other VMs.
+    #[must_use]
+    pub fn cold_report(&self, now: Millis) -> ColdReport {
+        let start = ServerStart { server: self.entry.id.clone(), born: self.entry.born };
+        let (left, answered) = (self.warmth.left(now), self.warmth.answered_age(now));
+        ColdReport { start, left, answered }
+    }
+
     /// Returns whether requests may be sent to the server: it is not being avoided, and after
     /// failures it gets one request at a time until it answers.
     #[must_use]
@@ -169,7 +191,7 @@
         if is_half_open {
             self.circuit = Circuit::Probing;
         }
-        if self.limit.rate().is_some() {
+        if self.permit_rate().is_some() {
             self.permits.take(now);
         }
         self.in_flight += 1;
@@ -227,6 +249,12 @@
         self.failure_rate += (1.0 - self.failure_rate) * Self::SAMPLE_WEIGHT;
     }
 
+    /// Records that another VM has reached the server after this one could not.
+    pub const fn mark_reached(&mut self) {
+        self.consecutive_failures = 0;
+        self.avoid_until = Millis(0);
+    }
+
     /// Records that the server refused a connection because it has too many, and avoids it briefly.
     pub fn mark_crowded(&mut self, now: Millis) {
         self.avoid_until = self.avoid_until.max(now + Millis(Self::SATURATED_AVOID_MS));
--- a/src/gateway/gateway_bounds.rs
+++ b/src/gateway/gateway_bounds.rs
@@ -26,6 +26,10 @@
     /// The time after an order to evacuate a data centre from which on its servers must get no
     /// requests.
     pub evacuate_ms: Millis,
+    /// The requests that a cold server may get in any one second, as a multiple of the pool's rate.
+    pub cold_over: f64,
+    /// The requests in such a second that are permitted in addition, over all entry VMs.
+    pub cold_slack: f64,
 }
 
 impl Default for GatewayBounds {
@@ -42,6 +46,8 @@
             exposure_share: Share::new(0.1).unwrap_or(Share::ZERO),
             longest_backoff_ms: Millis(30_000),
             evacuate_ms: Millis(5_000),
+            cold_over: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -115,6 +115,7 @@
             self.crashes.observe_time(now);
         }
         self.advance_evacuations(now);
+        self.advance_warmth(now);
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
--- a/src/gateway/gateway_document.rs
+++ b/src/gateway/gateway_document.rs
@@ -13,4 +13,8 @@
     pub body_limit: ByteSize,
     /// The maximum size of a request's head.
     pub head_limit: ByteSize,
+    /// The pools whose servers bear only a few requests for a while after their start. Left out if
+    /// there is none, so that VMs of an earlier build understand the rest.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub cold_starts: BTreeMap<PoolId, ColdStart>,
 }
--- a/src/gateway/limit_message.rs
+++ b/src/gateway/limit_message.rs
@@ -8,6 +8,9 @@
     pub reports: Vec<LimitReport>,
     /// The permits that the sender asks for.
     pub demands: Vec<PermitDemand>,
+    /// Servers that have become cold, and those of the servers in `demands` that are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cold: Vec<ColdReport>,
 }
 
 impl LimitQuery {
@@ -15,7 +18,7 @@
     /// build understand the rest.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.reports.is_empty() && self.demands.is_empty()
+        self.reports.is_empty() && self.demands.is_empty() && self.cold.is_empty()
     }
 }
 
@@ -28,13 +31,16 @@
     pub grants: Vec<PermitGrant>,
     /// The number of VMs that ask the sender for permits.
     pub askers: u32,
+    /// Servers that have become cold, and those that permits were asked for that are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cold: Vec<ColdReport>,
 }
 
 impl LimitReply {
     /// Returns whether the message contains nothing; see [`LimitQuery::is_empty`].
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.reports.is_empty() && self.grants.is_empty()
+        self.reports.is_empty() && self.grants.is_empty() && self.cold.is_empty()
     }
 }
 
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -118,7 +118,7 @@
         limits.servers.retain(|_, id| {
             servers
                 .get(id)
-                .is_some_and(|server| server.limit.rate().is_some() || server.limit.is_news(now))
+                .is_some_and(|server| server.permit_rate().is_some() || server.limit.is_news(now))
         });
         if limits.servers.is_empty() {
             limits.askers.clear();
--- a/src/gateway/permit_issuing.rs
+++ b/src/gateway/permit_issuing.rs
@@ -10,7 +10,7 @@
 
 impl Gateway {
     /// The fraction of a limit that VMs may issue in place of an issuer that they cannot reach.
-    const DEPUTY_SHARE: f64 = 0.25;
+    pub(super) const DEPUTY_SHARE: f64 = 0.25;
     /// The time for which a VM counts as asking for permits, as a multiple of its interval.
     const ASKER_INTERVALS: u64 = 3;
     /// The least such time.
@@ -25,7 +25,8 @@
     ) -> LimitReply {
         let grants = self.issue_permits(now, from, &query.demands);
         let reports = self.reports_of(now, query.demands.iter().map(|demand| demand.server));
-        LimitReply { reports, grants, askers: self.count_askers(now) }
+        let cold = self.cold_reports_of(now, query.demands.iter().map(|demand| demand.server));
+        LimitReply { reports, grants, askers: self.count_askers(now), cold }
     }
 
     pub(super) fn issue_permits(
@@ -38,14 +39,13 @@
         let mut grants = Vec::new();
         for demand in demands {
             let Some(server) = self.server_of_tag(demand.server) else { continue };
-            let Some(rate) = server.limit.rate() else {
+            let Some(rate) = server.permit_rate() else {
                 // As far as this VM knows, the limit has been lifted.
                 let (permits, wait) = (demand.permits(true), Millis(0));
                 grants.push(PermitGrant { server: demand.server, permits, wait });
                 continue;
             };
-            let rate =
-                RequestsPerSecond(rate.0 * self.issued_share(now, &server.entry.data_centre));
+            let rate = RequestsPerSecond(rate.0 * self.issued_share_of(now, server));
             let issuer = self.limits.issuers.entry(demand.server);
             let issuer = issuer.or_insert_with(|| PermitIssuer::new(now));
             let permits = issuer.issue(now, rate, vm, demand);
@@ -65,7 +65,7 @@
         grants
     }
 
-    fn server_of_tag(&self, tag: ServerTag) -> Option<&BackendServer> {
+    pub(super) fn server_of_tag(&self, tag: ServerTag) -> Option<&BackendServer> {
         if let Some(id) = self.limits.servers.get(&tag) {
             return self.servers.get(id);
         }
--- a/src/gateway/permit_waits.rs
+++ b/src/gateway/permit_waits.rs
@@ -30,7 +30,7 @@
             others.filter_map(|request| self.requests.get(request)).collect();
         let is_before = |other: &&&RoutedRequest| self.permit_order(now, other, state).is_lt();
         let ahead = others.iter().filter(is_before).count() as f64;
-        let rates = self.servers.open(&state.pool).filter_map(|server| server.limit.rate());
+        let rates = self.servers.open(&state.pool).filter_map(BackendServer::permit_rate);
         let rate: f64 = rates.map(|rate| rate.0).sum();
         let share = (ahead + 1.0) / (others.len() + 1) as f64;
         let ms = (wait.0 as f64 * share).max(ahead / rate.max(f64::MIN_POSITIVE) * 1_000.0);
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -89,7 +89,7 @@
             let Some(server) = server else {
                 continue;
             };
-            let Some(rate) = server.limit.rate() else { continue };
+            let Some(rate) = server.permit_rate() else { continue };
             let pool = &server.entry.pool;
             let demand = *pools.entry(pool).or_insert_with(|| self.demand_per_server(now, pool));
             let held = server.permits.count(now);
@@ -114,7 +114,7 @@
     /// Returns the permits that this VM needs for each server of a pool that has a limit: an equal
     /// part of what it needs for the pool.
     fn demand_per_server(&self, now: Millis, pool: &PoolId) -> PermitDemand {
-        let is_limited = |server: &&BackendServer| server.limit.rate().is_some();
+        let is_limited = |server: &&BackendServer| server.permit_rate().is_some();
         let limited = self.servers.open(pool).filter(is_limited).count().max(1) as u32;
         let open = self.servers.open(pool).count().max(1) as u32;
         let waiting = self.limits.waiting.get(pool).map_or(0, BTreeSet::len) as u32;
@@ -141,7 +141,8 @@
         demands.truncate(Self::MAX_DEMANDS);
         self.limits.asked.entry(card.vm.clone()).or_default().start(now);
         let reports = self.reports_of(now, demands.iter().map(|demand| demand.server));
-        let limits = LimitQuery { reports, demands };
+        let cold = self.cold_reports_of(now, demands.iter().map(|demand| demand.server));
+        let limits = LimitQuery { reports, demands, cold };
         let poll = RelayPoll { limits, ..RelayPoll::new(from, PollPurpose::Permits) };
         let (peer, address) = (Some(card.vm.clone()), card.address);
         self.emit(GatewayCommand::AskPeer { peer, address, poll: Box::new(poll) });
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -103,7 +103,7 @@
                 continue;
             }
             match &kept.record {
-                StoreRecord::Configuration(document) => self.apply_document(document),
+                StoreRecord::Configuration(document) => self.apply_document(now, document),
                 StoreRecord::Order(order) => self.apply_order(now, order),
                 StoreRecord::Server(change) => self.apply_server(now, change),
                 StoreRecord::Rollout(record) => self.apply_rollout(now, record),
@@ -139,7 +139,7 @@
         }
     }
 
-    fn apply_document(&mut self, document: &Arc<GatewayDocument>) {
+    fn apply_document(&mut self, now: Millis, document: &Arc<GatewayDocument>) {
         let known = self.document.as_ref().map(|known| known.revision);
         if known >= Some(document.revision) {
             return;
@@ -151,7 +151,11 @@
             keys = document.keys.count(),
             "configuration in force"
         );
+        let has_cold_starts = known.is_some() || !document.cold_starts.is_empty();
         self.document = Some(Arc::clone(document));
+        if has_cold_starts {
+            self.update_cold_starts(now);
+        }
     }
 
     fn apply_server(&mut self, now: Millis, change: &ServerChange) {
@@ -162,6 +166,7 @@
                 if let Some(known) = self.servers.get_mut(&entry.id) {
                     known.cold_until = now + entry.cold;
                 }
+                self.apply_cold_entry(now, entry);
                 let software = &entry.software;
                 match news {
                     ServerUpdate::Joined => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -218,7 +218,11 @@
             crashes: self.crash_news_for(now, &name),
             crashes_known: Some((name.clone(), self.crashes_received_from(&name))),
             leaving: self.leaving_servers(),
-            limits: LimitQuery { reports: self.limit_news(now), ..LimitQuery::default() },
+            limits: LimitQuery {
+                reports: self.limit_news(now),
+                cold: self.cold_news(now),
+                ..LimitQuery::default()
+            },
             ..RelayPoll::new(from, purpose)
         }
     }
@@ -270,6 +274,7 @@
         }
         if let Some(answer) = &result {
             self.apply_limit_reports(now, &answer.from.vm, &answer.limits.reports);
+            self.apply_cold_reports(now, &answer.limits.cold);
         }
         if let Some(answer) = result.as_ref().filter(|_| purpose.carries_news()) {
             self.apply_held_sessions(answer.from.name(), &answer.held_sessions);
--- a/src/gateway/relay_answers.rs
+++ b/src/gateway/relay_answers.rs
@@ -34,6 +34,7 @@
             PollPurpose::Greeting | PollPurpose::Permits => {}
         }
         self.apply_limit_reports(now, &poll.from.vm, &poll.limits.reports);
+        self.apply_cold_reports(now, &poll.limits.cold);
         if poll.purpose.carries_news() {
             self.apply_held_sessions(poll.from.name(), &poll.held_sessions);
             self.apply_crashes(now, poll.from.name(), &poll.crashes);
@@ -118,7 +119,11 @@
             lacks_store: self.lacks_store(now),
             origin: self.origin(now),
             cards: Vec::new(),
-            limits: LimitReply { reports: self.limit_news(now), ..LimitReply::default() },
+            limits: LimitReply {
+                reports: self.limit_news(now),
+                cold: self.cold_news(now),
+                ..LimitReply::default()
+            },
         };
         if poll.purpose == PollPurpose::Permits {
             let limits = self.permit_reply(now, &poll.from.vm, &poll.limits);
--- a/src/gateway/run_order.rs
+++ b/src/gateway/run_order.rs
@@ -32,7 +32,7 @@
     pub after_event: Option<u64>,
     /// When the order was given, by the core's clock.
     pub sent: Millis,
-    /// Whether the server has a request limit as far as this VM knows, so that an answer without
-    /// one matters.
+    /// Whether the server has a request limit, or could not be reached before, as far as this VM
+    /// knows, so that an answer that states nothing matters too.
     pub is_limited: bool,
 }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -152,6 +152,7 @@
                 RunOutcome::Broken { .. } => server.record_answer(true),
             }
         }
+        self.record_contact(now, run, outcome);
         if let RunOutcome::Whole { head } = outcome
             && !is_stream
             && let Some(load) = head.load
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -100,7 +100,7 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         let token_ms = self.pace(state).token_ms;
-        let limit = self.servers.get(&place.server).and_then(|server| server.limit.rate());
+        let limit = self.servers.get(&place.server).and_then(BackendServer::permit_rate);
         let pool = state.pool.clone();
         let at_limit = self.servers.open(&pool).filter(|server| server.is_at_limit(now)).count();
         self.end_permit_wait(&pool, request);
@@ -128,10 +128,12 @@
         );
         let work_ms = place.unread * token_ms;
         let (mut is_cold, mut is_half_open, mut born) = (false, false, None);
+        let mut is_awaited = limit.is_some();
         if let Some(server) = self.servers.get_mut(&place.server) {
             is_half_open = server.start_request(now, work_ms, &state.cached_parts());
             is_cold = now < server.cold_until;
             born = server.entry.born;
+            is_awaited |= server.warmth.is_unreached();
         }
         let is_engine = !state.arrival.parts.is_empty();
         let repeat = match state.route.kind {
@@ -153,7 +155,7 @@
             team: state.team.clone(),
             after_event: state.last_event,
             sent: now,
-            is_limited: limit.is_some(),
+            is_limited: is_awaited,
         };
         state.runs.push(RunRecord {
             attempt,
--- a/src/gateway/server_hint.rs
+++ b/src/gateway/server_hint.rs
@@ -9,6 +9,8 @@
     pub backoff: Option<Millis>,
     /// What the answer says about the server's request limit.
     pub limit: LimitStatement,
+    /// How much longer the server is cold. `None` if the answer does not say.
+    pub cold: Option<Millis>,
     /// Names of the headers whose values could not be parsed and are ignored.
     pub unreadable: Vec<&'static str>,
 }
@@ -20,6 +22,7 @@
         !self.leaves
             && self.backoff.is_none()
             && self.limit == LimitStatement::Absent
+            && self.cold.is_none()
             && self.unreadable.is_empty()
     }
 }
--- a/src/gateway/server_hints.rs
+++ b/src/gateway/server_hints.rs
@@ -49,6 +49,7 @@
             tracing::info!(server = %id, backoff_ms = backoff.0, "server asked for a backoff");
         }
         self.apply_limit_statement(now, id, sent, hint.limit);
+        self.apply_cold_statement(now, id, sent, hint.cold);
     }
 
     /// Returns the servers that have reported that they leave and that the server list does not
--- a/src/gateway/server_selection.rs
+++ b/src/gateway/server_selection.rs
@@ -82,7 +82,7 @@
     let fit: Vec<&BackendServer> = book
         .open(wish.pool)
         .filter(|server| {
-            let is_permitted = wish.may_use_limited || server.limit.rate().is_none();
+            let is_permitted = wish.may_use_limited || server.permit_rate().is_none();
             wish.software.allows(&server.entry.software) && server.accepts(now) && is_permitted
         })
         .collect();
@@ -107,7 +107,7 @@
 /// Returns the servers that may be the home of prompt parts: those without a request limit, unless
 /// all have one. A home gets all requests for its parts, which is what a limit forbids.
 fn home_candidates<'a>(fit: &[&'a BackendServer]) -> Vec<&'a BackendServer> {
-    let unlimited = fit.iter().copied().filter(|server| server.limit.rate().is_none());
+    let unlimited = fit.iter().copied().filter(|server| server.permit_rate().is_none());
     let unlimited: Vec<&BackendServer> = unlimited.collect();
     if unlimited.is_empty() { fit.to_vec() } else { unlimited }
 }
--- a/src/gateway/zones/evacuations.rs
+++ b/src/gateway/zones/evacuations.rs
@@ -43,6 +43,7 @@
                         source,
                         "data centre is taken back: its servers may get requests again"
                     );
+                    self.cool_servers_of(now, centre);
                 }
             }
             EvacuationOrder::Unreadable { cause, .. } => {
--- a/src/platform/answer_headers.rs
+++ b/src/platform/answer_headers.rs
@@ -13,6 +13,8 @@
 const LEAVING: &str = "server-leaving";
 /// The requests per second that a server in need accepts from all VMs together.
 const LIMIT: &str = "server-limit";
+/// How many milliseconds longer a server is cold.
+const COLD: &str = "x-cold-ms";
 /// In a 503: the number of seconds for which the server wants no requests.
 const RETRY_AFTER: &str = "retry-after";
 
@@ -80,6 +82,13 @@
             hint.unreadable.push(LIMIT);
         }
     }
+    if let Some(value) = single_value(headers, COLD) {
+        match parse_decimal(value) {
+            Some(left) if left > 0.0 => hint.cold = Some(Millis(left as u64)),
+            Some(_) => {}
+            None => hint.unreadable.push(COLD),
+        }
+    }
     // In other responses, Retry-After is addressed to the caller.
     if status == 503 {
         hint.backoff = single_value(headers, RETRY_AFTER).and_then(parse_seconds);
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -12,6 +12,8 @@
     version: u64,
     routes: Vec<WireRoute>,
     #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
     limits: WireLimits,
     /// None only if the member is missing; null is an error.
     #[serde(default, deserialize_with = "read_tenants")]
@@ -50,6 +52,16 @@
     weight: f64,
 }
 
+#[derive(Debug, Deserialize)]
+struct WireService {
+    name: PoolId,
+    #[serde(default)]
+    cold_start_s: f64,
+    /// Zero if a cold server of the service bears as much as any.
+    #[serde(default)]
+    cold_per_s: f64,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct WireLimits {
@@ -101,10 +113,21 @@
         keys: wire.tenants.map_or(TeamKeys::Open, |tenants| TeamKeys::Named(read_keys(tenants))),
         body_limit: ByteSize(wire.limits.max_body_bytes.unwrap_or(u64::MAX)),
         head_limit: ByteSize(wire.limits.max_header_bytes.unwrap_or(u64::MAX)),
+        cold_starts: wire.services.into_iter().filter_map(read_cold_start).collect(),
     };
     Ok(StoreRecord::Configuration(Arc::new(document)))
 }
 
+/// Returns the bound on cold servers of a service; none if it has none.
+fn read_cold_start(service: WireService) -> Option<(PoolId, ColdStart)> {
+    if service.cold_per_s <= 0.0 {
+        return None;
+    }
+    let duration = Millis((service.cold_start_s * 1_000.0) as u64);
+    let rate = RequestsPerSecond(service.cold_per_s);
+    Some((service.name, ColdStart { duration, rate }))
+}
+
 fn read_tenants<'de, D: Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Option<Vec<WireTenant>>, D::Error> {
--- a/tests/gateway_permits.rs
+++ b/tests/gateway_permits.rs
@@ -293,7 +293,7 @@
             PermitDemand { server: tag, waiting: u32::MAX, backlog: f32::NAN, ahead: u32::MAX };
         // A server without a limit as well, for which there are permits at once.
         let other = PermitDemand { server: ServerTag::from(&server_id("e1")), ..demand };
-        let limits = LimitQuery { reports, demands: vec![demand, other] };
+        let limits = LimitQuery { reports, demands: vec![demand, other], ..LimitQuery::default() };
         let poll = RelayPoll::new(card("front-2", "norte"), PollPurpose::Permits);
         let poll = Box::new(RelayPoll { limits, ..poll });
         world.tick(400);
--- a/tests/gateway_zones.rs
+++ b/tests/gateway_zones.rs
@@ -1,4 +1,5 @@
-//! Evacuated data centres: orders by each way, and what no longer is sent.
+//! Evacuated data centres: orders by each way, and what no longer is sent. Cold servers: the sum of
+//! the requests of all VMs.
 
 #[path = "support/gateway_crowd.rs"]
 #[allow(dead_code)]
@@ -7,9 +8,19 @@
 #[allow(dead_code)]
 mod gateway_world;
 
+#[path = "support/limited_pool.rs"]
+#[allow(dead_code)]
+mod limited_pool;
+
 use gateway_crowd::{GatewaySimulation, StoreMode};
 use gateway_world::*;
-use guavapass::{gateway::*, ids::Offset, units::Millis};
+use guavapass::{
+    gateway::*,
+    ids::Offset,
+    units::{Millis, RequestsPerSecond},
+};
+use limited_pool::LimitedPool;
+use std::sync::Arc;
 
 /// Engines `e1` and `e2`, in data centres of their own.
 fn world() -> GatewayFixture {
@@ -100,7 +111,7 @@
     let mut started = GatewayFixture::new();
     started.gateway = Gateway::new(identity("front-2"), bounds());
     started.tick(0);
-    let document = StoreRecord::Configuration(std::sync::Arc::new(document(1)));
+    let document = StoreRecord::Configuration(Arc::new(document(1)));
     started.newest(StoreStream::Operators, vec![document, evacuate("sur")]);
     started.newest(
         StoreStream::Servers,
@@ -217,3 +228,136 @@
     assert_eq!(knowing(&crowd), 0);
     assert!(crowd.gateway(4).evacuation_age(Millis(0)) == Millis(0));
 }
+
+const COLD_RATE: f64 = 5.6;
+/// `cold_over` times the rate and `cold_slack`.
+const MOST_IN_A_SECOND: usize = 13;
+
+/// Returns VMs of three data centres before ten engines, of which those from the fifth on are in
+/// `valle`. Cold engines bear only a few requests if `is_bounded` is true.
+fn cold_pool(per_centre: usize, is_bounded: bool) -> LimitedPool {
+    let mut crowd = GatewaySimulation::with_engines(&["norte", "sur", "valle"], per_centre, 10);
+    for number in 5..=10 {
+        crowd.register(entry(&format!("e{number}"), "valle", "v1"));
+    }
+    let mut bounded = document(2);
+    if is_bounded {
+        let rate = RequestsPerSecond(COLD_RATE);
+        let start = ColdStart { duration: Millis(3_000), rate };
+        bounded.cold_starts.insert(pool(ENGINES), start);
+    }
+    crowd.order(StoreRecord::Configuration(Arc::new(bounded)));
+    crowd.start_all();
+    crowd.run(4_000);
+    assert_eq!(crowd.ready(), crowd.len());
+    let mut pool = LimitedPool::new(crowd, 7);
+    pool.watched = (1..=10).map(|number| server_id(&format!("e{number}"))).collect();
+    pool.work_ms = 300;
+    pool
+}
+
+/// Lets engines be down, with a third of the VMs cut off from the others, under a load that the
+/// others can hardly bear. Returns the most requests in a second of one of them after its return,
+/// and how many each got on average once it was warm.
+fn most_after_return(per_centre: usize, engines: &[&str], is_bounded: bool) -> (usize, usize) {
+    const CALLS_PER_SECOND: f64 = 400.0;
+    let mut pool = cold_pool(per_centre, is_bounded);
+    let vms: Vec<usize> = (0..pool.crowd.len()).collect();
+    let per_vm = CALLS_PER_SECOND / vms.len() as f64;
+    pool.load(&vms, "/plan/1", per_vm, 500);
+    pool.crowd.cut.extend((0..vms.len()).filter(|vm| vm % 3 == 2));
+    pool.down.extend(engines.iter().map(|id| server_id(id)));
+    pool.load(&vms, "/plan/1", per_vm, 3_000);
+    let from = pool.crowd.now;
+    pool.down.clear();
+    pool.load(&vms, "/plan/1", per_vm, 2_500);
+    let most = engines.iter().map(|id| pool.most_in_a_second(id, from)).max();
+    pool.crowd.cut.clear();
+    pool.load(&vms, "/plan/1", per_vm, 1_000);
+    let warm = pool.crowd.now;
+    pool.load(&vms, "/plan/1", per_vm, 2_000);
+    println!(
+        "DBG {per_centre} {engines:?} {is_bounded} {most:?} {}",
+        pool.seen_since(engines, warm)
+    );
+    (most.unwrap_or(0), pool.seen_since(engines, warm) / engines.len())
+}
+
+#[test]
+fn server_that_returns_gets_few_requests() {
+    for (per_centre, engines) in
+        [(3, &["e1"][..]), (3, &["e5", "e6", "e7", "e8", "e9"]), (33, &["e1"])]
+    {
+        let (most, later) = most_after_return(per_centre, engines, true);
+        assert!(most <= MOST_IN_A_SECOND, "{per_centre} {engines:?}: {most}");
+        assert!(later >= 3, "{per_centre} {engines:?}: {later} once they were warm");
+    }
+}
+
+#[test]
+fn without_a_bound_a_server_that_returns_gets_a_crowd() {
+    let (most, _) = most_after_return(33, &["e1"], false);
+    assert!(most > MOST_IN_A_SECOND, "{most}");
+}
+
+#[test]
+fn server_that_is_listed_as_cold_gets_few_requests() {
+    for is_bounded in [true, false] {
+        let mut pool = cold_pool(3, is_bounded);
+        let vms: Vec<usize> = (0..pool.crowd.len()).collect();
+        pool.load(&vms, "/plan/1", 10.0, 1_000);
+        let (from, id) = (pool.crowd.now, "e11");
+        pool.watched.insert(server_id(id));
+        let born = Some(Millis(9_000));
+        pool.crowd.register(ServerEntry { cold: Millis(3_000), born, ..entry(id, "sur", "v1") });
+        pool.load(&vms, "/plan/1", 10.0, 3_000);
+        let most = pool.most_in_a_second(id, from);
+        assert_eq!(most <= MOST_IN_A_SECOND, is_bounded, "{most}");
+    }
+}
+
+#[test]
+fn data_centre_that_is_taken_back_gets_few_requests() {
+    for is_bounded in [true, false] {
+        let mut pool = cold_pool(3, is_bounded);
+        let vms: Vec<usize> = (0..pool.crowd.len()).collect();
+        pool.load(&vms, "/plan/1", 20.0, 500);
+        pool.crowd.order(evacuate("valle"));
+        pool.load(&vms, "/plan/1", 20.0, 1_500);
+        let from = pool.crowd.now;
+        pool.load(&vms, "/plan/1", 20.0, 1_000);
+        let engines = ["e5", "e6", "e7", "e8", "e9", "e10"];
+        assert_eq!(pool.seen_since(&engines, from), 0);
+        pool.crowd.order(take_back("valle"));
+        pool.load(&vms, "/plan/1", 20.0, 3_000);
+        let most = engines.iter().map(|id| pool.most_in_a_second(id, from)).max();
+        let most = most.unwrap_or(0);
+        assert_eq!(most <= MOST_IN_A_SECOND, is_bounded, "{most}");
+        assert!(pool.seen_since(&engines, from) > 20);
+        let from = pool.crowd.now + Millis(1_000);
+        pool.load(&vms, "/plan/1", 20.0, 2_000);
+        assert!(pool.seen_since(&engines, from) > 60, "{}", pool.seen_since(&engines, from));
+    }
+}
+
+#[test]
+fn statement_of_an_answer_makes_a_server_cold_until_it_ends() {
+    let mut world = world();
+    let mut bounded = document(2);
+    let start = ColdStart { duration: Millis(3_000), rate: RequestsPerSecond(COLD_RATE) };
+    bounded.cold_starts.insert(pool(ENGINES), start);
+    world.page(StoreStream::Operators, vec![StoreRecord::Configuration(Arc::new(bounded))]);
+    for (id, born, cold) in [("e1", None, 2_000), ("e2", Some(Millis(3)), 2_000)] {
+        let start = ServerStart { server: server_id(id), born };
+        let hint = ServerHint { cold: Some(Millis(cold)), ..ServerHint::default() };
+        let sent = world.now;
+        world.handle(GatewayEvent::ServerHinted { start, sent, hint });
+    }
+    assert_eq!(world.gateway.cold_servers(), 1, "the other answer is of an earlier start");
+    assert_eq!(sent_to(&mut world, "e2"), 40);
+    world.tick(1_990);
+    assert_eq!(world.gateway.cold_servers(), 1);
+    world.tick(20);
+    assert_eq!(world.gateway.cold_servers(), 0);
+    assert!(sent_to(&mut world, "e1") > 5);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -59,7 +59,8 @@
         "kind":"streaming","timeout_ms":6000,"target_latency_ms":3000,"priority":0,
         "sizes":["s","l"],"traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],
         "max_attempts":3,"public":false,"resumable":true,"new_field":1}],
-        "services":[{"name":"x","max_connections":360,"engine":{"slots":64}}],
+        "services":[{"name":"x","max_connections":360,"cold_start_s":3.0,"cold_per_s":5.6,
+            "engine":{"slots":64}},{"name":"y","cold_start_s":0.0,"cold_per_s":0.0}],
         "limits":{"max_body_bytes":10},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]}"#;
     let Some(StoreRecord::Configuration(document)) = read_operator_record("config", text) else {
         panic!("the record must parse as a configuration");
@@ -70,6 +71,13 @@
     assert_eq!((document.revision.0, document.body_limit.0), (7, 10));
     let TeamKeys::Named(keys) = &document.keys else { panic!("teams are named") };
     assert_eq!(keys["k"].rank, Some(1));
+    let start = ColdStart { duration: Millis(3_000), rate: RequestsPerSecond(5.6) };
+    assert_eq!(document.cold_starts, [("x".parse().unwrap(), start)].into());
+    // A VM of an earlier build sends a configuration without the last member.
+    for document in [GatewayDocument::default(), document.as_ref().clone()] {
+        let bytes = rmp_serde::to_vec(&document).unwrap();
+        assert_eq!(rmp_serde::from_slice::<GatewayDocument>(&bytes).unwrap(), document);
+    }
 }
 
 #[test]
@@ -264,6 +272,9 @@
     assert_eq!(backoff("0"), Some(Millis(0)));
     assert!(hint(200, &[("retry-after", "2")]).is_empty(), "retry-after counts only in a 503");
     assert!(hint(200, &[("x-attempt-id", "a")]).is_empty());
+    assert_eq!(hint(200, &[("x-cold-ms", "1500.5")]).cold, Some(Millis(1_500)));
+    assert!(hint(200, &[("x-cold-ms", "0")]).is_empty());
+    assert_eq!(hint(200, &[("x-cold-ms", "-1")]).unreadable, ["x-cold-ms"]);
 }
 
 #[test]
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -90,6 +90,7 @@
         keys: TeamKeys::Named([(SmolStr::new(KEY), holder)].into()),
         body_limit: ByteSize(1_000_000),
         head_limit: ByteSize(16_384),
+        ..GatewayDocument::default()
     }
 }
 
--- a/tests/support/limited_pool.rs
+++ b/tests/support/limited_pool.rs
@@ -54,6 +54,10 @@
     pub work_ms: u64,
     /// The share of the runs that end with a broken connection instead.
     pub broken_share: f64,
+    /// Servers that refuse connections.
+    pub down: BTreeSet<ServerId>,
+    /// Servers whose requests are recorded though they name no limit.
+    pub watched: BTreeSet<ServerId>,
     pub seen: Vec<SeenRun>,
     pub answered: u64,
     /// Refusals, and how long after the arrival they came.
@@ -81,6 +85,8 @@
             head_ms: 40,
             work_ms: 60,
             broken_share: 0.0,
+            down: BTreeSet::new(),
+            watched: BTreeSet::new(),
             seen: Vec::new(),
             answered: 0,
             refused: Vec::new(),
@@ -183,6 +189,17 @@
         servers.iter().map(|server| self.seen_in(server, from, Millis::MAX)).sum()
     }
 
+    /// Returns the most requests that a server got in any one second since a time.
+    pub fn most_in_a_second(&self, server: &str, from: Millis) -> usize {
+        let server = server_id(server);
+        let seen = self.seen.iter().filter(|run| run.server == server && run.at >= from);
+        let times: Vec<Millis> = seen.map(|run| run.at).collect();
+        let within = |end: &Millis| {
+            times.iter().filter(|at| **at <= *end && end.since(**at).0 < 1_000).count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+
     /// Fails if a server got more requests than the rule permits.
     pub fn assert_limits_hold(&self) {
         for (server, named) in &self.limits {
@@ -238,7 +255,14 @@
     fn start_run(&mut self, vm: usize, order: RunOrder) {
         let now = self.crowd.now;
         let server = order.server.clone();
-        if self.limits.contains_key(&server) {
+        if self.down.contains(&server) {
+            let (request, attempt) = (order.request, order.attempt);
+            let cause = NotRunCause::Unreachable;
+            let report = RunReport::Ended(RunOutcome::NotRun { cause, load: None });
+            self.crowd.tell(vm, 1, GatewayEvent::Run { request, attempt, report });
+            return;
+        }
+        if self.limits.contains_key(&server) || self.watched.contains(&server) {
             let told = self.told.get(&(vm, server.clone()));
             let is_counted = told.is_some_and(|told| now.since(*told).0 >= Self::TOLD_MS);
             self.seen.push(SeenRun { at: now, vm, server, is_counted });
