--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -15,21 +15,31 @@
     pub(super) fn on_read(&mut self, now: Millis, stream: StoreStream, answer: &FeedAnswer) {
         let jitter = self.draw();
         let Some(feed) = self.feeds.get_mut(&stream) else { return };
-        let before = feed.failures();
+        let (before, starts_list) = (feed.failures(), feed.starts_list());
         let step = feed.answered(now, jitter, answer);
         Self::log_read(stream, before, answer);
         let is_newest = matches!(answer, FeedAnswer::Newest(Ok(_)));
         if is_newest && stream == StoreStream::Servers && self.listed.is_none() {
             self.listed = Some(BTreeSet::new());
         }
+        if is_newest && stream == StoreStream::Operators && starts_list {
+            self.start_evacuation_list();
+        }
         match answer {
-            FeedAnswer::Newest(Ok(page)) => self.apply_records(now, &page.records),
+            FeedAnswer::Newest(Ok(page)) => {
+                self.collect_evacuations(&page.records);
+                self.apply_records(now, &page.records);
+            }
             FeedAnswer::From(Ok(page)) => self.apply_records(now, &page.records),
             FeedAnswer::Newest(Err(_)) | FeedAnswer::From(Err(_)) => {}
         }
         let FeedProgress::CaughtUp { sent } = step else { return };
         match stream {
             StoreStream::Operators => {
+                if is_newest {
+                    let end = self.feeds.get(&stream).and_then(StoreFeed::end);
+                    self.end_evacuation_list(now, end.unwrap_or_default());
+                }
                 self.lease.renew(sent);
                 self.end_probe(now);
             }
@@ -93,11 +103,12 @@
                 continue;
             }
             match &kept.record {
-                StoreRecord::Configuration(document) => self.apply_document(document),
+                StoreRecord::Configuration(document) => self.apply_document(now, document),
                 StoreRecord::Order(order) => self.apply_order(now, order),
                 StoreRecord::Server(change) => self.apply_server(now, change),
                 StoreRecord::Rollout(record) => self.apply_rollout(now, record),
                 StoreRecord::Evidence(evidence) => self.apply_evidence(evidence),
+                StoreRecord::Evacuation(order) => self.apply_evacuation(now, order),
                 StoreRecord::Unreadable { key, cause } => {
                     tracing::warn!(%key, %cause, "ignoring unreadable record");
                 }
@@ -128,7 +139,7 @@
         }
     }
 
-    fn apply_document(&mut self, document: &Arc<GatewayDocument>) {
+    fn apply_document(&mut self, now: Millis, document: &Arc<GatewayDocument>) {
         let known = self.document.as_ref().map(|known| known.revision);
         if known >= Some(document.revision) {
             return;
@@ -140,7 +151,11 @@
             keys = document.keys.count(),
             "configuration in force"
         );
+        let has_cold_starts = known.is_some() || !document.cold_starts.is_empty();
         self.document = Some(Arc::clone(document));
+        if has_cold_starts {
+            self.update_cold_starts(now);
+        }
     }
 
     fn apply_server(&mut self, now: Millis, change: &ServerChange) {
@@ -151,6 +166,7 @@
                 if let Some(known) = self.servers.get_mut(&entry.id) {
                     known.cold_until = now + entry.cold;
                 }
+                self.apply_cold_entry(now, entry);
                 let software = &entry.software;
                 match news {
                     ServerUpdate::Joined => {
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -4,12 +4,16 @@
 use serde::Deserializer;
 
 const CONFIGURATION_KEY: &str = "config";
+/// The prefix of the keys of orders to evacuate a zone; the zone follows.
+const EVACUATION_PREFIX: &str = "evacuate/";
 
 #[derive(Debug, Deserialize)]
 struct WireConfiguration {
     version: u64,
     routes: Vec<WireRoute>,
     #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
     limits: WireLimits,
     /// None only if the member is missing; null is an error.
     #[serde(default, deserialize_with = "read_tenants")]
@@ -48,6 +52,16 @@
     weight: f64,
 }
 
+#[derive(Debug, Deserialize)]
+struct WireService {
+    name: PoolId,
+    #[serde(default)]
+    cold_start_s: f64,
+    /// Zero if a cold server of the service bears as much as any.
+    #[serde(default)]
+    cold_per_s: f64,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 struct WireLimits {
@@ -69,10 +83,17 @@
     duration_s: f64,
 }
 
-/// Parses a record written by an operator; none if the router does not use its key.
+#[derive(Debug, Deserialize)]
+struct WireEvacuation {}
+
+/// Parses a record written by an operator; none if the router does not use its key or its removal.
 #[must_use]
 pub fn read_operator_record(key: &str, value: &[u8]) -> Option<StoreRecord> {
-    let record = if key == CONFIGURATION_KEY {
+    let record = if let Some(zone) = key.strip_prefix(EVACUATION_PREFIX) {
+        read_evacuation(zone, value)
+    } else if value.is_empty() {
+        return None;
+    } else if key == CONFIGURATION_KEY {
         read_configuration(value)
     } else if key.starts_with(rollout_records::KEY_PREFIX) {
         read_rollout(value)
@@ -92,10 +113,21 @@
         keys: wire.tenants.map_or(TeamKeys::Open, |tenants| TeamKeys::Named(read_keys(tenants))),
         body_limit: ByteSize(wire.limits.max_body_bytes.unwrap_or(u64::MAX)),
         head_limit: ByteSize(wire.limits.max_header_bytes.unwrap_or(u64::MAX)),
+        cold_starts: wire.services.into_iter().filter_map(read_cold_start).collect(),
     };
     Ok(StoreRecord::Configuration(Arc::new(document)))
 }
 
+/// Returns the bound on cold servers of a service; none if it has none.
+fn read_cold_start(service: WireService) -> Option<(PoolId, ColdStart)> {
+    if service.cold_per_s <= 0.0 {
+        return None;
+    }
+    let duration = Millis((service.cold_start_s * 1_000.0) as u64);
+    let rate = RequestsPerSecond(service.cold_per_s);
+    Some((service.name, ColdStart { duration, rate }))
+}
+
 fn read_tenants<'de, D: Deserializer<'de>>(
     deserializer: D,
 ) -> Result<Option<Vec<WireTenant>>, D::Error> {
@@ -158,6 +190,18 @@
     }))
 }
 
+/// Parses an order to evacuate a zone; an empty value means that the zone is taken back.
+fn read_evacuation(zone: &str, value: &[u8]) -> Result<StoreRecord, SmolStr> {
+    let zone = zone.parse::<DataCentreId>().map_err(|error| SmolStr::new(error.to_string()))?;
+    if value.is_empty() {
+        return Ok(StoreRecord::Evacuation(EvacuationOrder::TakeBack(zone)));
+    }
+    Ok(StoreRecord::Evacuation(match parse::<WireEvacuation>(value) {
+        Ok(WireEvacuation {}) => EvacuationOrder::Evacuate(zone),
+        Err(cause) => EvacuationOrder::Unreadable { data_centre: zone, cause },
+    }))
+}
+
 pub(super) fn parse<T: serde::de::DeserializeOwned>(value: &[u8]) -> Result<T, SmolStr> {
     /// The length of the longest cause: an error may quote a value of any length.
     const MAX_CAUSE_CHARS: usize = 200;
--- a/tests/support/gateway_world.rs
+++ b/tests/support/gateway_world.rs
@@ -48,6 +48,7 @@
         session_s: 5.0,
         exposure_share: Share::new(0.15).unwrap(),
         longest_backoff_ms: Millis(30_000),
+        ..GatewayBounds::default()
     }
 }
 
@@ -89,6 +90,7 @@
         keys: TeamKeys::Named([(SmolStr::new(KEY), holder)].into()),
         body_limit: ByteSize(1_000_000),
         head_limit: ByteSize(16_384),
+        ..GatewayDocument::default()
     }
 }
 
