Bound what slow callers hold, and let them lose only their own answers

Cause: a run stopped reading once 16 events (`serve`: 8 chunks of up to 400 KB) waited for its caller. The server's answer stayed unread until the server cut it off, which counted against the server. Whole answers of `serve` did not count towards the memory for bodies, those of `gateway` counted for as long as their callers liked, and the system's send buffers grew to megabytes for each caller.

Change: both doors pass answers through one queue for each run (traffic::readers). 32 KB are read ahead; a server waits 1.5 s at most for a caller, then the caller loses its stream with a log line and a metric, and the core learns that it has gone before the run ends. While over half of the memory for bodies is in use, callers that have taken nothing for 1.5 s give way, the largest first. The listener bounds send buffers and the time without an acknowledgement; write buffers are 16 KB. Whole, replayed and forwarded answers of `serve` are counted. The decision (ReaderBounds) does no I/O.

Conclusion: a slow caller costs itself.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -36,7 +36,7 @@
 use {
     command_executor::CommandExecutor,
     control_thread::ControlThread,
-    entry_vm::{KEEP_ALIVE_SECONDS, listen},
+    entry_vm::{CALLER_WRITE_BYTES, KEEP_ALIVE_SECONDS, listen},
     gateway_thread::GatewayThread,
     peer_client::PeerClient,
     relay_client::RelayClient,
--- a/src/driver/control_thread.rs
+++ b/src/driver/control_thread.rs
@@ -7,6 +7,7 @@
     pub(super) clock: Clock,
     pub(super) inbox: ControlInbox,
     pub(super) executor: CommandExecutor,
+    pub(super) readers: Arc<ReaderTable>,
     pub(super) metrics: MetricClient,
     pub(super) ready: Arc<AtomicBool>,
     pub(super) mailboxes: FxHashMap<RequestNumber, RequestMailbox>,
@@ -187,6 +188,9 @@
     /// gauges.
     fn sweep(&mut self) {
         self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
+        for cause in self.readers.sweep() {
+            self.metrics.count_by("unread_answers_lost", cause.as_str());
+        }
         self.control.set_wall_clock(self.clock.now(), self.clock.unix());
         let status = self.control.status(self.clock.now());
         self.metrics.gauge("requests", status.requests as u64);
--- a/src/driver/entry_vm.rs
+++ b/src/driver/entry_vm.rs
@@ -82,11 +82,22 @@
             session_keys: keys.clone(),
         });
         control.set_balancer_lag(settings.shutdown.balancer_lag_ms);
+        let connections = Arc::new(ConnectionTable::default());
+        let caller_handler = CallerHandler::new(
+            settings.callers.clone(),
+            identity,
+            &handle,
+            rating_texts,
+            &ready,
+            &connections,
+            &keys,
+        );
         let thread = ControlThread {
             control,
             clock,
             inbox,
             executor,
+            readers: caller_handler.readers(),
             metrics: MetricClient::new(settings.metrics.as_ref())?,
             ready: Arc::clone(&ready),
             mailboxes: FxHashMap::default(),
@@ -96,16 +107,6 @@
         };
         let control =
             std::thread::Builder::new().name("control".into()).spawn(move || thread.run())?;
-        let connections = Arc::new(ConnectionTable::default());
-        let caller_handler = CallerHandler::new(
-            settings.callers.clone(),
-            identity,
-            &handle,
-            rating_texts,
-            &ready,
-            &connections,
-            &keys,
-        );
         let exchanges = caller_handler.exchanges();
         let operator_handler =
             OperatorHandler::new(operator_secrets, handle.clone(), Arc::clone(&ready));
@@ -231,6 +232,7 @@
                 .worker_threads(threads)
                 .disable_signal()
                 .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
+                .max_write_buf_size::<CALLER_WRITE_BYTES>()
                 .listen(listener)?
                 .run();
             ServerThread::start(stringify!($name), server)
@@ -239,6 +241,9 @@
 }
 
 pub(super) const KEEP_ALIVE_SECONDS: u64 = 60;
+/// What a connection may buffer of an answer that its caller doesn't read. It isn't a part of the
+/// budget of bodies.
+pub(super) const CALLER_WRITE_BYTES: usize = 16 * 1_024;
 
 serve_with!(serve_callers, CallerListener, CallerHandler);
 serve_with!(serve_operators, TcpListener, OperatorHandler);
--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -10,6 +10,7 @@
     pub(super) store: Arc<dyn RecordStore>,
     pub(super) flags: Arc<GatewayFlags>,
     pub(super) connections: Arc<ConnectionTable>,
+    pub(super) readers: Arc<ReaderTable>,
     pub(super) metrics: MetricClient,
     pub(super) mailboxes: FxHashMap<RequestNumber, GatewayMailbox>,
     pub(super) last_sweep: Millis,
@@ -80,6 +81,9 @@
             self.last_sweep = now;
             self.mailboxes.retain(|_, mailbox| !mailbox.is_closed());
             self.metrics.gauge("open_requests", self.mailboxes.len() as u64);
+            for cause in self.readers.sweep() {
+                self.metrics.count_by("unread_answers_lost", cause.as_str());
+            }
             self.metrics.gauge("limited_servers", self.gateway.limited_servers() as u64);
             let subjects = self.gateway.quarantined_subjects();
             self.metrics.gauge("quarantined_subjects", subjects as u64);
--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -20,8 +20,8 @@
     /// The longest wait for answers that are still being written after the core has ended.
     const EXCHANGE_WAIT: Duration = Duration::from_millis(300);
     const TRAFFIC_THREADS: usize = 1;
-    /// What a caller's connection may buffer in each direction: the head of a request, and what is
-    /// read and written of a body at a time.
+    /// What a caller's connection may buffer of a request: its head, and what is read of a body at
+    /// a time.
     const CALLER_BUFFER_BYTES: usize = 64 * 1_024;
 
     /// Starts an entry VM that reads its configuration and servers from a store. `store` is called
@@ -57,9 +57,18 @@
         let page = MetricPage::default();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let connections = Arc::new(ConnectionTable::default());
+        let metrics = page.client();
+        let handler = GatewayHandler::new(
+            handle.clone(),
+            Arc::clone(&flags),
+            &settings.body_limits(),
+            Arc::clone(&connections),
+            page,
+        );
+        let (exchanges, readers) = (handler.exchanges(), handler.readers());
         let control = {
             let connections = Arc::clone(&connections);
-            let (handle, flags, metrics) = (handle.clone(), Arc::clone(&flags), page.client());
+            let handle = handle.clone();
             std::thread::Builder::new().name("control".into()).spawn(move || {
                 runtime.block_on(async move {
                     let store = store();
@@ -73,6 +82,7 @@
                         store,
                         flags,
                         connections,
+                        readers,
                         metrics,
                         mailboxes,
                         last_sweep,
@@ -84,10 +94,6 @@
                 });
             })?
         };
-        let limits = settings.body_limits();
-        let handler =
-            GatewayHandler::new(handle.clone(), flags, &limits, Arc::clone(&connections), page);
-        let exchanges = handler.exchanges();
         let listener = CallerListener { listener: callers, connections: Arc::clone(&connections) };
         let server = serve(listener, [Some(status), peers], handler)?;
         Ok(Self {
@@ -153,7 +159,7 @@
         .disable_signal()
         .keep_alive_timeout(Duration::from_secs(KEEP_ALIVE_SECONDS))
         .max_read_buf_size::<{ GatewayVm::CALLER_BUFFER_BYTES }>()
-        .max_write_buf_size::<{ GatewayVm::CALLER_BUFFER_BYTES }>()
+        .max_write_buf_size::<{ CALLER_WRITE_BYTES }>()
         .listen(callers)?;
     for listener in others.into_iter().flatten() {
         server = server.listen(listener)?;
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -26,6 +26,7 @@
 mod peer_handler;
 mod progress_limit;
 mod rating_text_cache;
+mod readers;
 pub(crate) mod reply;
 mod server_connections;
 mod server_probe;
@@ -49,6 +50,7 @@
     operator_handler::{OPERATOR_PATH, OperatorHandler},
     peer_handler::{PEER_PATH, PeerHandler},
     rating_text_cache::RatingTextCache,
+    readers::{LossCause, PassVerdict, ReaderBounds, ReaderTable, ReaderView},
     server_probe::probe_server,
     sse_scanner::SseScanner,
 };
@@ -63,6 +65,7 @@
     gateway_exchange::GatewayExchange,
     held_bytes::HeldBody,
     progress_limit::{ProgressAllowance, ProgressLimited},
+    readers::{OpenReader, PassFault, QueueReceiver, QueueSender, QueuedPart, queue},
     server_connections::ServerConnection,
     server_run::{AnswerPart, ServerRun},
 };
--- a/src/traffic/attempt_event.rs
+++ b/src/traffic/attempt_event.rs
@@ -8,7 +8,7 @@
         /// The status and headers.
         head: Box<http::response::Parts>,
         /// The complete body.
-        body: Bytes,
+        body: HeldBytes,
     },
     /// The status and headers of a streamed answer.
     Head(Box<http::response::Parts>),
@@ -17,3 +17,13 @@
     /// The end of a streamed answer that was received completely.
     End,
 }
+
+impl QueuedPart for AttemptEvent {
+    /// A complete body has a reservation of its own.
+    fn held_bytes(&self) -> u64 {
+        match self {
+            Self::Chunk(chunk) => chunk.len() as u64,
+            Self::Whole { .. } | Self::Head(_) | Self::End => 0,
+        }
+    }
+}
--- a/src/traffic/byte_budget.rs
+++ b/src/traffic/byte_budget.rs
@@ -41,6 +41,12 @@
         ByteSize(self.held.load(Ordering::Relaxed))
     }
 
+    /// Returns the limit.
+    #[must_use]
+    pub const fn limit(&self) -> ByteSize {
+        self.limit
+    }
+
     /// Returns a reservation of no bytes.
     #[must_use]
     pub fn reserve(&self) -> ByteReservation {
@@ -61,6 +67,12 @@
         total.saturating_add(bytes) <= limit.0 - limit.0 / Self::SMALL_PART
     }
 
+    /// Returns the number of reserved bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> ByteSize {
+        ByteSize(self.bytes)
+    }
+
     /// Changes the number of reserved bytes.
     ///
     /// # Errors
--- a/src/traffic/caller_handler.rs
+++ b/src/traffic/caller_handler.rs
@@ -18,6 +18,8 @@
     pub(super) exchanges: ExchangeCount,
     /// The memory for the bodies of all requests, and of all answers that are being collected.
     pub(super) bodies: ByteBudget,
+    /// The callers whose answers are under way.
+    pub(super) readers: Arc<ReaderTable>,
     ready: Arc<AtomicBool>,
     connections: Arc<ConnectionTable>,
     numbers: AtomicU64,
@@ -63,6 +65,7 @@
         connections: &Arc<ConnectionTable>,
         peer_keys: &KeyRing,
     ) -> Self {
+        let bodies = ByteBudget::new(Self::BODY_MEMORY);
         let shared = CallerShared {
             settings,
             identity,
@@ -71,7 +74,8 @@
             store: AnswerStore::default(),
             peer_keys: peer_keys.clone(),
             exchanges: ExchangeCount::default(),
-            bodies: ByteBudget::new(Self::BODY_MEMORY),
+            readers: Arc::new(ReaderTable::new(ReaderBounds::default(), bodies.clone())),
+            bodies,
             ready: Arc::clone(ready),
             connections: Arc::clone(connections),
             numbers: AtomicU64::new(1),
@@ -95,6 +99,12 @@
         &self.shared.bodies
     }
 
+    /// Returns the callers whose answers are under way.
+    #[must_use]
+    pub fn readers(&self) -> Arc<ReaderTable> {
+        Arc::clone(&self.shared.readers)
+    }
+
     /// Answers a request forwarded by another entry VM; only service calls are forwarded.
     pub(super) async fn serve_forwarded(&self, request: WebRequest) -> WebResponse {
         let service = match Self::route(&request) {
--- a/src/traffic/caller_listener.rs
+++ b/src/traffic/caller_listener.rs
@@ -32,11 +32,29 @@
 
     fn into_listener(self) -> io::Result<WatchedListener> {
         self.listener.set_nonblocking(true)?;
+        bound_unread(&self.listener);
         let listener = tokio::net::TcpListener::from_std(self.listener)?;
         Ok(WatchedListener { listener, connections: self.connections })
     }
 }
 
+/// Bounds what the system holds of an answer that a caller doesn't read, and for how long. Accepted
+/// sockets inherit both bounds.
+fn bound_unread(listener: &TcpListener) {
+    /// The system grows send buffers to megabytes, beyond the memory that this process counts.
+    const SEND_BUFFER_BYTES: usize = 64 * 1_024;
+    /// The time for which a caller may acknowledge nothing that was sent. It exceeds the deadlines
+    /// of requests.
+    const UNREAD_LIMIT: Duration = Duration::from_secs(30);
+    let socket = socket2::SockRef::from(listener);
+    let set = socket
+        .set_send_buffer_size(SEND_BUFFER_BYTES)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNREAD_LIMIT)));
+    if let Err(error) = set {
+        tracing::debug!(%error, "cannot bound what callers leave unread");
+    }
+}
+
 impl Listen for WatchedListener {
     async fn accept(&self) -> io::Result<Stream> {
         let (stream, address) = self.listener.accept().await?;
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -1,5 +1,5 @@
 use super::{upstream::UpstreamAttempt, *};
-use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+use tokio::sync::mpsc::UnboundedReceiver;
 
 /// The exchange with one caller: carries out the directives of the control thread and sends the
 /// released answer to the caller.
@@ -9,6 +9,7 @@
     number: RequestNumber,
     directives: UnboundedReceiver<Directive>,
     connection: Option<OpenRequest>,
+    reader: Arc<OpenReader>,
     attempts: Vec<ExchangeAttempt>,
     released: Option<AttemptId>,
     answered: bool,
@@ -19,7 +20,7 @@
     target: WorkTarget,
     session: Option<SmolStr>,
     session_moved: Option<SessionEnd>,
-    events: Option<Receiver<AttemptEvent>>,
+    events: Option<QueueReceiver<AttemptEvent>>,
 }
 
 /// The next input that an exchange handles.
@@ -30,9 +31,6 @@
 }
 
 impl CallerExchange {
-    /// The number of stream chunks buffered for a slow caller.
-    const CHUNK_LIMIT: usize = 8;
-
     pub(super) fn new(
         shared: Arc<CallerShared>,
         request: Arc<CallerRequest>,
@@ -40,12 +38,14 @@
         directives: UnboundedReceiver<Directive>,
         connection: Option<OpenRequest>,
     ) -> Self {
+        let reader = shared.readers.open(number, connection.as_ref().map(OpenRequest::connection));
         Self {
             shared,
             request,
             number,
             directives,
             connection,
+            reader,
             attempts: Vec::new(),
             released: None,
             answered: false,
@@ -83,7 +83,7 @@
                 ExchangeInput::Directive(Some(directive)) => self.apply(directive),
                 ExchangeInput::Event(AttemptEvent::Whole { head, body }) => {
                     self.answered = true;
-                    return self.head(*head, ResponseBody::bytes(body));
+                    return self.head(*head, HeldBody::wrap(body, &self.reader));
                 }
                 ExchangeInput::Event(AttemptEvent::Head(head)) => return self.stream(*head),
                 ExchangeInput::Event(AttemptEvent::Chunk(_) | AttemptEvent::End) => {}
@@ -157,7 +157,7 @@
     }
 
     fn start(&mut self, start: AttemptStart) {
-        let (sender, receiver) = tokio::sync::mpsc::channel(Self::CHUNK_LIMIT);
+        let (sender, receiver) = queue(&self.reader);
         if start.release == ReleaseMode::Immediate {
             self.released = Some(start.attempt);
         }
@@ -196,7 +196,9 @@
     fn replay(&mut self, first: RequestNumber, otherwise: &Refusal) -> WebResponse {
         let Some(answer) = self.shared.store.get(first) else { return self.refuse(otherwise) };
         self.answered = true;
-        let mut response = reply::plain(answer.status.as_u16(), answer.body);
+        let body = HeldBytes::shared(&self.shared.bodies, answer.body);
+        let mut response = http::Response::new(HeldBody::wrap(body, &self.reader));
+        *response.status_mut() = answer.status;
         *response.headers_mut() = answer.headers;
         let headers = response.headers_mut();
         reply::strip_hop_headers(headers);
@@ -209,7 +211,8 @@
     async fn forward(&mut self, address: SocketAddr, otherwise: &Refusal) -> WebResponse {
         let (client, limit) = (CallerShared::client(), self.shared.settings.answer_limit_bytes);
         let keys = &self.shared.peer_keys;
-        let answer = forward::forward(&client, keys, address, &self.request, limit).await;
+        let answer =
+            forward::forward(&client, keys, address, &self.request, limit, &self.reader).await;
         self.shared.handle.send(Event::Forwarded { request: self.number });
         self.answered = true;
         answer.unwrap_or_else(|| self.refuse(otherwise))
--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards a request to the entry VM that owns its idempotency key.
 
 use super::{caller_request::CallerOrigin, *};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 /// The path prefix under which an entry VM accepts forwarded requests; the original path follows.
 pub const FORWARD_PATH: &str = "/guavapass/v1/forward";
@@ -16,13 +16,15 @@
     address: SocketAddr,
     request: &CallerRequest,
     limit: ByteSize,
+    reader: &Arc<OpenReader>,
 ) -> Option<WebResponse> {
     let exchange = async {
         let response = client.request(outgoing(keys, address, request)?).await.ok()?;
         let (head, body) = response.into_parts();
         head.headers.get("guavapass-request")?;
-        let body = Limited::new(body, limit.0 as usize).collect().await.ok()?.to_bytes();
-        let mut answer = reply::plain(head.status.as_u16(), body);
+        let body = HeldBuffer::collect(body, limit, reader.budget()).await.ok()?;
+        let mut answer = http::Response::new(HeldBody::wrap(body, reader));
+        *answer.status_mut() = head.status;
         *answer.headers_mut() = head.headers;
         reply::strip_hop_headers(answer.headers_mut());
         Some(answer)
--- a/src/traffic/gateway_exchange.rs
+++ b/src/traffic/gateway_exchange.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use std::io;
-use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
+use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Carries out the directives of the control thread and sends the answer to the caller.
 pub(super) struct GatewayExchange {
@@ -11,6 +11,7 @@
     number: RequestNumber,
     directives: UnboundedReceiver<GatewayDirective>,
     connection: OpenRequest,
+    reader: Arc<OpenReader>,
     runs: Vec<RunHandle>,
     delivering: Option<RunHandle>,
     is_answered: bool,
@@ -19,7 +20,7 @@
 /// The exchange's handle to a run.
 struct RunHandle {
     attempt: AttemptId,
-    parts: Receiver<AnswerPart>,
+    parts: QueueReceiver<AnswerPart>,
     resume: Arc<tokio::sync::Notify>,
 }
 
@@ -31,9 +32,6 @@
 }
 
 impl GatewayExchange {
-    /// The number of stream events buffered for a slow caller.
-    const PART_LIMIT: usize = 16;
-
     pub(super) fn new(
         shared: Arc<GatewayShared>,
         call: Arc<RoutedCall>,
@@ -41,12 +39,14 @@
         directives: UnboundedReceiver<GatewayDirective>,
         connection: OpenRequest,
     ) -> Self {
+        let reader = shared.readers.open(number, Some(connection.connection()));
         Self {
             shared,
             call,
             number,
             directives,
             connection,
+            reader,
             runs: Vec::new(),
             delivering: None,
             is_answered: false,
@@ -74,7 +74,7 @@
                 ExchangeInput::Part(AnswerPart::Head(parts)) => head = Some(parts),
                 ExchangeInput::Part(AnswerPart::Body(body)) => {
                     self.is_answered = true;
-                    return Self::response(head, HeldBody::wrap(body));
+                    return Self::response(head, HeldBody::wrap(body, &self.reader));
                 }
                 ExchangeInput::Part(AnswerPart::Event(event)) => {
                     return self.stream(head, Some(event));
@@ -146,7 +146,7 @@
     }
 
     fn start(&mut self, order: RunOrder) {
-        let (sender, receiver) = tokio::sync::mpsc::channel(Self::PART_LIMIT);
+        let (sender, receiver) = queue(&self.reader);
         let resume = Arc::<tokio::sync::Notify>::default();
         let attempt = order.attempt;
         self.runs.push(RunHandle { attempt, parts: receiver, resume: Arc::clone(&resume) });
@@ -167,12 +167,8 @@
     }
 
     /// Returns the response of a stream, whose body continues the exchange.
-    fn stream(
-        self,
-        head: Option<Box<http::response::Parts>>,
-        first: Option<HeldBytes>,
-    ) -> WebResponse {
-        let start = first.map(|first| (first.bytes, self));
+    fn stream(self, head: Option<Box<http::response::Parts>>, first: Option<Bytes>) -> WebResponse {
+        let start = first.map(|first| (first, self));
         let parts = futures_util::stream::unfold(StreamState::from(start), |state| async move {
             match state {
                 StreamState::First(event, exchange) => {
@@ -198,7 +194,7 @@
         };
         loop {
             match self.next_input().await {
-                ExchangeInput::Part(AnswerPart::Event(event)) => return Ok(Some(event.bytes)),
+                ExchangeInput::Part(AnswerPart::Event(event)) => return Ok(Some(event)),
                 ExchangeInput::Part(AnswerPart::End) => {
                     self.is_answered = true;
                     return Ok(None);
--- a/src/traffic/gateway_handler.rs
+++ b/src/traffic/gateway_handler.rs
@@ -22,6 +22,8 @@
     pub answer_limit: ByteSize,
     /// The memory for the bodies of all requests and answers.
     pub bodies: ByteBudget,
+    /// The callers whose answers are under way.
+    pub readers: Arc<ReaderTable>,
     /// The connections of callers, which detect disconnects.
     pub connections: Arc<ConnectionTable>,
     /// The metrics that are shown at [`GatewayHandler::METRICS_PATH`].
@@ -97,11 +99,13 @@
         connections: Arc<ConnectionTable>,
         metrics: MetricPage,
     ) -> Self {
+        let bodies = ByteBudget::new(limits.all);
         let shared = GatewayShared {
             handle,
             state,
             answer_limit: limits.answer,
-            bodies: ByteBudget::new(limits.all),
+            readers: Arc::new(ReaderTable::new(ReaderBounds::default(), bodies.clone())),
+            bodies,
             connections,
             metrics,
             numbers: AtomicU64::new(1),
@@ -115,6 +119,12 @@
         self.shared.state.exchanges.clone()
     }
 
+    /// Returns the callers whose answers are under way.
+    #[must_use]
+    pub fn readers(&self) -> Arc<ReaderTable> {
+        Arc::clone(&self.shared.readers)
+    }
+
     /// Answers one request. Connections missing from the table came through the status or peer
     /// listener.
     pub async fn serve(&self, request: WebRequest) -> WebResponse {
--- a/src/traffic/held_bytes.rs
+++ b/src/traffic/held_bytes.rs
@@ -39,6 +39,9 @@
 /// A response body of bytes that count towards their budget until they have been sent.
 pub(super) struct HeldBody {
     held: Option<HeldBytes>,
+    reader: Arc<OpenReader>,
+    /// The size of the last frame, which counts until the next one is asked for.
+    last: u64,
 }
 
 impl HeldBuffer {
@@ -110,33 +113,43 @@
 }
 
 impl HeldBytes {
-    /// Reserves the memory of bytes that have been received.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`BudgetExceeded`] if they are more than their part of the budget.
-    pub fn new(budget: &ByteBudget, bytes: Bytes) -> Result<Self, BudgetExceeded> {
-        let mut reservation = budget.reserve();
-        reservation.resize(bytes.len() as u64)?;
-        Ok(Self { bytes, _reservation: reservation })
+    /// Returns bytes that another owner holds within a limit of its own.
+    #[must_use]
+    pub fn shared(budget: &ByteBudget, bytes: Bytes) -> Self {
+        Self { bytes, _reservation: budget.reserve() }
     }
 }
 
 impl HeldBody {
     /// The size of a frame: a caller that reads slowly holds up the rest.
-    const FRAME_BYTES: usize = 32 * 1_024;
+    const FRAME_BYTES: usize = 16 * 1_024;
 
-    /// Returns a body of the bytes.
-    pub(super) fn wrap(held: HeldBytes) -> ResponseBody {
+    /// Returns a body of the bytes for a caller.
+    pub(super) fn wrap(held: HeldBytes, reader: &Arc<OpenReader>) -> ResponseBody {
         if held.bytes.len() <= Self::FRAME_BYTES {
             return ResponseBody::bytes(held.bytes);
         }
-        ResponseBody::boxed(Self { held: Some(held) })
+        let reader = Arc::clone(reader);
+        reader.hold(held.bytes.len() as u64);
+        ResponseBody::boxed(Self { held: Some(held), reader, last: 0 })
     }
 
     fn left(&self) -> usize {
         self.held.as_ref().map_or(0, |held| held.bytes.len())
     }
+
+    fn release_last(&mut self) {
+        if self.last > 0 {
+            self.reader.take(std::mem::take(&mut self.last));
+        }
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        let left = self.last + self.left() as u64;
+        self.reader.take(left);
+    }
 }
 
 impl Body for HeldBody {
@@ -147,11 +160,14 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.release_last();
         let Some(held) = &mut self.held else { return Poll::Ready(None) };
         let size = held.bytes.len().min(Self::FRAME_BYTES);
         // A copy, as a slice would keep all of the body in memory until it has been sent.
         let frame = Bytes::copy_from_slice(&held.bytes.split_to(size));
-        if held.bytes.is_empty() {
+        let is_over = held.bytes.is_empty();
+        self.last = size as u64;
+        if is_over {
             self.held = None;
         }
         Poll::Ready(Some(Ok(Frame::Data(frame))))
--- a/src/traffic/server_run.rs
+++ b/src/traffic/server_run.rs
@@ -3,7 +3,6 @@
 use super::*;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::sync::mpsc::Sender;
 
 /// A part of an answer, sent from a run to the exchange with the caller.
 #[derive(Debug)]
@@ -13,17 +12,27 @@
     /// The complete body of an answer that is not streamed.
     Body(HeldBytes),
     /// A complete event of a stream.
-    Event(HeldBytes),
+    Event(Bytes),
     /// The end of a stream that was received completely.
     End,
 }
 
+impl QueuedPart for AnswerPart {
+    /// A complete body has a reservation of its own.
+    fn held_bytes(&self) -> u64 {
+        match self {
+            Self::Event(event) => event.len() as u64,
+            Self::Head(_) | Self::Body(_) | Self::End => 0,
+        }
+    }
+}
+
 /// One run of a request, executed as a separate task.
 pub(super) struct ServerRun {
     pub(super) order: RunOrder,
     pub(super) call: Arc<RoutedCall>,
     pub(super) shared: Arc<GatewayShared>,
-    pub(super) parts: Sender<AnswerPart>,
+    pub(super) parts: QueueSender<AnswerPart>,
     /// Notified when a stalled run may continue.
     pub(super) resume: Arc<tokio::sync::Notify>,
 }
@@ -58,7 +67,7 @@
             () = parts.closed(), if self.order.repeat == RepeatRule::Repeatable => {
                 Err(AttemptFault::Cancelled.into())
             }
-            () = tokio::time::sleep(limit.duration()) => Err(AttemptFault::Silent.into()),
+            () = tokio::time::sleep(limit.duration()) => Err(self.limit_fault().into()),
         };
         let outcome = ended.unwrap_or_else(|RunFailure { fault, last_event }| RunOutcome::Broken {
             fault,
@@ -67,6 +76,12 @@
         self.report(RunReport::Ended(outcome));
     }
 
+    /// Returns the fault of a run that has reached its time limit. A server that waits for a slow
+    /// caller isn't silent.
+    fn limit_fault(&self) -> AttemptFault {
+        if self.parts.is_waiting() { AttemptFault::Cancelled } else { AttemptFault::Silent }
+    }
+
     fn report(&self, report: RunReport) {
         let (request, attempt) = (self.order.request, self.order.attempt);
         self.shared.handle.send(GatewayEvent::Run { request, attempt, report });
@@ -273,9 +288,9 @@
             };
             let Some(data) = chunk else { break };
             // The buffer may grow to twice its contents.
-            reservation
-                .resize(2 * (framer.held_bytes() + data.len()) as u64)
-                .map_err(|error| self.out_of_memory(error))?;
+            let needed = 2 * (framer.held_bytes() + data.len()) as u64;
+            let reserved = self.parts.reserve(&mut reservation, needed).await;
+            reserved.map_err(|fault| self.pass_fault(fault))?;
             framer.feed(&data);
             tracing::debug!(request = self.order.request.0, data = ?data, "stream bytes");
             while let Some(event) = framer.next_event() {
@@ -289,9 +304,7 @@
                     EventPosition::AfterGap => return Err(AttemptFault::Truncated),
                 }
                 self.begin(&mut head, facts).await?;
-                let bytes = HeldBytes::new(&self.shared.bodies, event.bytes)
-                    .map_err(|error| self.out_of_memory(error))?;
-                self.pass(AnswerPart::Event(bytes)).await?;
+                self.pass(AnswerPart::Event(event.bytes)).await?;
                 sequence.record_forwarded(event.id);
                 // Comments and repeated events do not count as progress.
                 if event.has_content {
@@ -301,6 +314,8 @@
             if framer.held_bytes() > EVENT_LIMIT_BYTES {
                 return Err(AttemptFault::Malformed);
             }
+            // It shrinks, which never fails.
+            let _ = reservation.resize(2 * framer.held_bytes() as u64);
         }
         let is_empty = sequence.last().is_none() && head.is_some();
         if !framer.is_at_boundary()
@@ -337,8 +352,21 @@
         self.pass(AnswerPart::Head(Box::new(head))).await
     }
 
-    /// Sends a part to the exchange; waits while its channel is full because the caller is slow.
+    /// Sends a part to the exchange; waits for a bounded time while its caller is slow. The core
+    /// learns that the caller is lost before the run ends, so that it doesn't start another.
     async fn pass(&self, part: AnswerPart) -> Result<(), AttemptFault> {
-        self.parts.send(part).await.map_err(|_| AttemptFault::Cancelled)
+        self.parts.pass(part).await.map_err(|fault| self.pass_fault(fault))
+    }
+
+    fn pass_fault(&self, fault: PassFault) -> AttemptFault {
+        match fault {
+            PassFault::OutOfMemory(error) => return self.out_of_memory(error),
+            PassFault::Gone => {}
+            PassFault::Lost => {
+                let request = self.order.request;
+                self.shared.handle.send(GatewayEvent::CallerGone { request });
+            }
+        }
+        AttemptFault::Cancelled
     }
 }
--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -7,12 +7,13 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioIo,
 };
-use tokio::sync::mpsc::Sender;
 
 /// The HTTP client of one traffic thread, which pools connections to backend servers.
 pub(super) type UpstreamClient = Client<HttpConnector, Full<Bytes>>;
 
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// The head of an answer, and what is read of its body at a time.
+const READ_BUFFER_BYTES: usize = 32 * 1_024;
 /// The number of output tokens between two progress reports.
 const PROGRESS_TOKENS: u64 = 32;
 
@@ -22,6 +23,7 @@
     let connector = http_connector(Millis(CONNECT_TIMEOUT_MS));
     Client::builder(hyper_util::rt::TokioExecutor::new())
         .retry_canceled_requests(false)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .build(connector)
 }
 
@@ -32,7 +34,7 @@
     pub(super) client: UpstreamClient,
     pub(super) shared: Arc<CallerShared>,
     pub(super) answer_limit: ByteSize,
-    pub(super) events: Sender<AttemptEvent>,
+    pub(super) events: QueueSender<AttemptEvent>,
 }
 
 /// The reason why an attempt failed, and the output tokens received until then.
@@ -134,10 +136,11 @@
             return Err(AttemptFault::Unreachable);
         };
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream))
-                .await
-                .map_err(|_| AttemptFault::Unreachable)?;
+        let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+            .await
+            .map_err(|_| AttemptFault::Unreachable)?;
         tokio::spawn(connection);
         self.report(AttemptReport::Writing);
         sender.send_request(request).await.map_err(|_| AttemptFault::Closed)
@@ -175,16 +178,15 @@
             buffer.push(&data).map_err(|_| AttemptFault::OutOfMemory)?;
         }
         let whole = buffer.freeze();
-        let body = whole.bytes.clone();
-        let usage = self.check_whole(&head, &body)?;
+        let usage = self.check_whole(&head, &whole.bytes)?;
         let status = head.status.as_u16();
         let once = self.start.repeat == RepeatRule::AtMostOnce;
         if once {
             let (status, headers) = (head.status, head.headers.clone());
-            let answer = StoredAnswer { status, headers, body: body.clone() };
+            let answer = StoredAnswer { status, headers, body: whole.bytes.clone() };
             self.shared.store.put(self.start.request, answer);
         }
-        let passed = self.pass(AttemptEvent::Whole { head: Box::new(head), body }).await;
+        let passed = self.pass(AttemptEvent::Whole { head: Box::new(head), body: whole }).await;
         if !once {
             passed?;
         }
@@ -263,9 +265,14 @@
         Failure { fault, output_tokens: scanner.usage().output }
     }
 
-    /// Sends an event to the exchange; waits while its channel is full because the caller is slow.
+    /// Sends an event to the exchange; waits for a bounded time while its caller is slow. The core
+    /// learns that the caller is lost before the attempt ends, so that it doesn't start another.
     async fn pass(&self, event: AttemptEvent) -> Result<(), AttemptFault> {
-        self.events.send(event).await.map_err(|_| AttemptFault::Cancelled)
+        let passed = self.events.pass(event).await;
+        if passed == Err(PassFault::Lost) {
+            self.shared.handle.send(Event::CallerGone { request: self.start.request });
+        }
+        Ok(passed?)
     }
 }
 
--- a/tests/gateway_memory.rs
+++ b/tests/gateway_memory.rs
@@ -3,6 +3,9 @@
 #[path = "support/gateway_stage.rs"]
 #[allow(dead_code)]
 mod gateway_stage;
+#[path = "support/memory_bench.rs"]
+#[allow(dead_code)]
+mod memory_bench;
 #[path = "support/route_server.rs"]
 #[allow(dead_code)]
 mod route_server;
@@ -10,113 +13,17 @@
 #[allow(dead_code)]
 mod vm_process;
 
-use gateway_stage::{configuration, eventually, free_address, send};
+use gateway_stage::{eventually, send};
 use guavapass::{
-    platform::write_keyed,
-    stand_in::PlatformStandIn,
     traffic::{ByteBudget, HeldBuffer},
     units::ByteSize,
 };
-use route_server::{FloodedPart, RouteServer, ServerAction};
-use serde_json::json;
+use memory_bench::{CALLERS, MB, MemoryBench};
+use route_server::{FloodedPart, ServerAction};
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
-    path::PathBuf,
-    time::Duration,
+    net::TcpStream,
 };
-use vm_process::{VmProcess, scratch_folder};
-
-/// The memory of the smallest entry VM.
-const MEMORY_MB: u64 = 110;
-const CALLERS: usize = 200;
-const MB: usize = 1_024 * 1_024;
-
-/// A VM before a faulty pool and a sound one.
-struct MemoryBench {
-    _platform: PlatformStandIn,
-    faulty: Vec<RouteServer>,
-    sound: RouteServer,
-    callers: SocketAddr,
-    process: VmProcess,
-    folder: PathBuf,
-}
-
-impl MemoryBench {
-    fn start(name: &str) -> Self {
-        let folder = scratch_folder(name);
-        let platform = PlatformStandIn::start();
-        let faulty: Vec<RouteServer> = ["f1", "f2", "f3"].map(RouteServer::start).into();
-        let sound = RouteServer::start("sound");
-        let [callers, status, peers] = [(); 3].map(|()| free_address());
-        let settings = json!({
-            "vm": "front-1", "data_centre": "norte", "memory_mb": MEMORY_MB,
-            "callers": {"listen": callers}, "status": {"listen": status},
-            "peers": {"listen": peers, "seeds": []},
-            "store": {"address": platform.address()},
-            "bounds": {"shutdown_ms": 8000},
-            "log": {"format": "json", "level": "warn"},
-        });
-        let file = folder.join("front-1.jsonc");
-        std::fs::write(&file, settings.to_string()).unwrap();
-        let mut document = configuration(1, &["key-1"]);
-        document["routes"][0]["service"] = json!("sound");
-        document["limits"]["max_body_bytes"] = json!(4 * MB);
-        let publish = |stream: &str, key: &str, value: String| {
-            platform.log().append(stream, [write_keyed(key, value.as_bytes()).into()]);
-        };
-        publish("keyed.op", "config", document.to_string());
-        for (server, service) in
-            faulty.iter().map(|server| (server, "booking")).chain([(&sound, "sound")])
-        {
-            let entry = json!({
-                "service": service, "address": server.address, "zone": "norte", "version": "v1",
-                "slots": 64, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
-            });
-            publish("keyed.servers", &server.id, entry.to_string());
-        }
-        let process = VmProcess::start(env!("CARGO_BIN_EXE_guavapass"), "gateway", &file);
-        let bench = Self { _platform: platform, faulty, sound, callers, process, folder };
-        eventually("readiness", || {
-            let request = "GET /-/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-            TcpStream::connect(status).is_ok() && send(status, request).status == 200
-        });
-        bench
-    }
-
-    fn script(&self, action: ServerAction) {
-        self.faulty.iter().for_each(|server| server.script(&vec![action; 2 * CALLERS]));
-    }
-
-    fn head(path: &str, id: usize, length: usize) -> String {
-        format!(
-            "POST {path} HTTP/1.1\r\nHost: plaza.example\r\nX-Attempt-Id: call-{id}\r\n\
-             Api-Key: key-1\r\nX-Deadline-Ms: 3000\r\nContent-Length: {length}\r\n\
-             Connection: close\r\n\r\n"
-        )
-    }
-
-    /// Returns the statuses of small sound requests that are sent one after the other meanwhile.
-    fn sound_statuses(&self) -> Vec<u16> {
-        let statuses = (0..20).map(|number| {
-            std::thread::sleep(Duration::from_millis(50));
-            send(self.callers, &Self::head("/slot/a", 10_000 + number, 0)).status
-        });
-        statuses.collect()
-    }
-
-    fn assert_memory(&mut self, context: &str) {
-        let peak = self.process.peak_kb().expect("the process has not ended");
-        assert!(peak < MEMORY_MB * 1_024, "{context}: {peak} kB");
-        eprintln!("{context}: peak of {peak} kB");
-    }
-}
-
-impl Drop for MemoryBench {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
 
 /// Sends floods to many callers at once, and small sound requests beside them.
 fn flood(name: &str, path: &str, parts: &[FloodedPart]) {
--- a/tests/support/route_server.rs
+++ b/tests/support/route_server.rs
@@ -59,6 +59,9 @@
     End,
     /// Sends an endless answer until the peer closes the connection.
     Flood(FloodedPart),
+    /// Sends a stream of this many events of this many bytes, and cuts it off once it has been
+    /// unread for [`RouteServer::UNREAD_LIMIT`].
+    Long(usize, usize),
 }
 
 /// How a connection ends.
@@ -135,6 +138,8 @@
     resets: usize,
     seen: Vec<SeenRequest>,
     closed_by_peer: usize,
+    /// How many answers it has cut off because they were not read.
+    unread: usize,
     open: usize,
     /// Its open connections, which a crash closes.
     streams: Vec<Weak<TcpStream>>,
@@ -154,6 +159,8 @@
     pub const EVENTS: u64 = 6;
     /// The number of events in a complete slow stream.
     pub const SLOW_EVENTS: u64 = 20;
+    /// The time after which it cuts off an answer that is not read.
+    pub const UNREAD_LIMIT: Duration = Duration::from_secs(3);
 
     pub fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -225,6 +232,11 @@
         self.script.lock().unwrap().closed_by_peer
     }
 
+    /// Returns how many answers the server has cut off because they were not read.
+    pub fn unread(&self) -> usize {
+        self.script.lock().unwrap().unread
+    }
+
     /// Counts a connection that the peer closed. Returns false, which ends the serving of it.
     fn count_closed_by_peer(&self) -> bool {
         self.script.lock().unwrap().closed_by_peer += 1;
@@ -360,6 +372,7 @@
                 let text = format!("{}{chunks}0\r\n\r\n", self.stream_head(id));
                 stream.write_all(text.as_bytes()).is_ok()
             }
+            ServerAction::Long(events, bytes) => self.long(stream, id, events, bytes),
             ServerAction::Flood(place) => self.flood(stream, id, place),
             ServerAction::Hang => {
                 let mut rest = [0_u8; 16];
@@ -466,6 +479,20 @@
         self.count_closed_by_peer()
     }
 
+    fn long(&self, mut stream: &TcpStream, id: &str, events: usize, bytes: usize) -> bool {
+        stream.set_write_timeout(Some(Self::UNREAD_LIMIT)).unwrap();
+        let event = |event| Self::chunk(&format!("id: {event}\ndata: {}\n\n", "x".repeat(bytes)));
+        let texts = std::iter::once(self.stream_head(id)).chain((1..=events).map(event));
+        for text in texts.chain(["0\r\n\r\n".to_owned()]) {
+            if let Err(error) = stream.write_all(text.as_bytes()) {
+                let is_unread = error.kind() == std::io::ErrorKind::WouldBlock;
+                self.script.lock().unwrap().unread += usize::from(is_unread);
+                return false;
+            }
+        }
+        true
+    }
+
     fn flood(&self, mut stream: &TcpStream, id: &str, place: FloodedPart) -> bool {
         let signed = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig-{}\r\n",
--- a/tests/whole_path/main.rs
+++ b/tests/whole_path/main.rs
@@ -21,5 +21,6 @@
 mod calls;
 mod once;
 mod shutdown;
+mod slow_readers;
 mod test_cluster;
 mod upstream_faults;
