Give the slow callers of the tests small receive buffers

Cause: on a test machine the system swallowed 20 MB of each stream before the server noticed.

Change: SO_RCVBUF of 16 KB at the callers.

--- a/tests/gateway_slow_readers.rs
+++ b/tests/gateway_slow_readers.rs
@@ -21,6 +21,7 @@
 };
 use memory_bench::{CALLERS, MB, MemoryBench};
 use route_server::{RouteServer, ServerAction};
+use socket2::{Domain, Socket, Type};
 use std::{
     io::{Read, Write},
     net::TcpStream,
@@ -31,9 +32,13 @@
 /// A bench takes several cores in a debug build.
 static ONE_BENCH: Mutex<()> = Mutex::new(());
 
-/// Sends a request with a deadline and reads nothing of its answer.
+/// Sends a request with a deadline and reads nothing of its answer. The caller's system takes
+/// little of it, as on the deployments.
 fn ask(bench: &MemoryBench, path: &str, id: usize) -> TcpStream {
-    let mut stream = TcpStream::connect(bench.callers).unwrap();
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 * 1_024).unwrap();
+    socket.connect(&bench.callers.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
     let head = MemoryBench::head(path, id, 0).replace("3000", "15000");
     stream.write_all(head.as_bytes()).unwrap();
     stream
