Check a configuration before it is sent

Cause: `guavapass check` told only the first error of a document of teams, without its line, and did not read documents of routes. What is accepted but cannot work was found under traffic.

Change: errors come from the code that the entry VMs run (check_document, read_operator_record), with their line. Added: warnings about entries that can never match and limits that contradict each other (configuration::advise, platform::advise_operator_document), `--against FILE` for what differs from the document in force, `--json`, exit codes 0, 1 (warnings, differences), 2 (errors).

Conclusion: whole, but for `--against` the operators' address: no call returns the document in force.

--- a/src/command.rs
+++ b/src/command.rs
@@ -21,7 +21,11 @@
 mod signals;
 mod status;
 
-pub use {check::read_configuration, command_error::CommandError, explain::explain_line};
+pub use {
+    check::{CheckedFile, differences, read_configuration},
+    command_error::CommandError,
+    explain::explain_line,
+};
 
 /// Parses the arguments, runs the chosen subcommand and returns the exit code of the process.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -5,6 +5,8 @@
 
 use super::*;
 
+mod advice;
+mod advise;
 mod check;
 mod document;
 mod error;
@@ -19,6 +21,8 @@
 mod team;
 
 pub use {
+    advice::{Advice, AdviceLevel},
+    advise::advise,
     check::check_document,
     document::ConfigurationDocument,
     error::ConfigurationError,
--- a/src/configuration/error.rs
+++ b/src/configuration/error.rs
@@ -40,3 +40,15 @@
         second: SmolStr,
     },
 }
+
+impl ConfigurationError {
+    /// Returns the path of the field that is wrong.
+    #[must_use]
+    pub fn field(&self) -> SmolStr {
+        match self {
+            Self::Schema { .. } => "schema".into(),
+            Self::Unknown { field, .. } | Self::Range { field, .. } => field.clone(),
+            Self::SharedKey { second, .. } => second.clone(),
+        }
+    }
+}
--- a/src/document.rs
+++ b/src/document.rs
@@ -54,6 +54,13 @@
     parse_document(&file, &text)
 }
 
+/// Returns the line, starting at 1, of the field with a path such as `teams.plaza.keys.0`, or of the
+/// nearest field around it.
+#[must_use]
+pub fn line_of_field(text: &str, field: &str) -> usize {
+    position::line_of_field(text, &strict_options(), field)
+}
+
 fn strict_options() -> jsonc_parser::ParseOptions {
     jsonc_parser::ParseOptions {
         allow_comments: true,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,6 +8,7 @@
 
 mod answer_headers;
 mod http_store;
+mod operator_advice;
 mod operator_records;
 mod raw_page;
 mod refusals;
@@ -20,6 +21,7 @@
 pub use {
     answer_headers::{AnswerFacts, read_answer},
     http_store::HttpStore,
+    operator_advice::advise_operator_document,
     operator_records::read_operator_record,
     raw_page::RawPage,
     refusals::refusal_response,
--- a/src/platform/operator_records.rs
+++ b/src/platform/operator_records.rs
@@ -3,63 +3,63 @@
 use super::*;
 use serde::Deserializer;
 
-const CONFIGURATION_KEY: &str = "config";
+pub(super) const CONFIGURATION_KEY: &str = "config";
 
 #[derive(Debug, Deserialize)]
-struct WireConfiguration {
-    version: u64,
-    routes: Vec<WireRoute>,
+pub(super) struct WireConfiguration {
+    pub(super) version: u64,
+    pub(super) routes: Vec<WireRoute>,
     #[serde(default)]
-    limits: WireLimits,
+    pub(super) limits: WireLimits,
     /// None only if the member is missing; null is an error.
     #[serde(default, deserialize_with = "read_tenants")]
-    tenants: Option<Vec<WireTenant>>,
+    pub(super) tenants: Option<Vec<WireTenant>>,
 }
 
 #[derive(Debug, Deserialize)]
-struct WireRoute {
-    name: SmolStr,
-    host: SmolStr,
-    path_prefix: SmolStr,
-    kind: SmolStr,
-    timeout_ms: f64,
+pub(super) struct WireRoute {
+    pub(super) name: SmolStr,
+    pub(super) host: SmolStr,
+    pub(super) path_prefix: SmolStr,
+    pub(super) kind: SmolStr,
+    pub(super) timeout_ms: f64,
     /// Despite its name not a target: an answer within this time gets its full credit.
-    target_latency_ms: Option<f64>,
+    pub(super) target_latency_ms: Option<f64>,
     #[serde(default)]
-    priority: u8,
+    pub(super) priority: u8,
     #[serde(default)]
-    sizes: Vec<ModelId>,
-    service: Option<PoolId>,
+    pub(super) sizes: Vec<ModelId>,
+    pub(super) service: Option<PoolId>,
     #[serde(default)]
-    traffic_split: Vec<WireSplit>,
-    max_attempts: Option<u32>,
+    pub(super) traffic_split: Vec<WireSplit>,
+    pub(super) max_attempts: Option<u32>,
     /// Despite its name: true if the route needs no API key, wherever it is reachable
     /// from.
     #[serde(default)]
-    public: bool,
+    pub(super) public: bool,
     #[serde(default)]
-    resumable: bool,
-    gap_aim_ms: Option<f64>,
+    pub(super) resumable: bool,
+    pub(super) gap_aim_ms: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
-struct WireSplit {
-    service: PoolId,
-    weight: f64,
+pub(super) struct WireSplit {
+    pub(super) service: PoolId,
+    pub(super) weight: f64,
 }
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
-struct WireLimits {
-    max_header_bytes: Option<u64>,
-    max_body_bytes: Option<u64>,
+pub(super) struct WireLimits {
+    pub(super) max_header_bytes: Option<u64>,
+    pub(super) max_body_bytes: Option<u64>,
 }
 
 #[derive(Debug, Deserialize)]
-struct WireTenant {
-    name: TeamId,
-    api_keys: Vec<SmolStr>,
-    priority: Option<u8>,
+pub(super) struct WireTenant {
+    pub(super) name: TeamId,
+    pub(super) api_keys: Vec<SmolStr>,
+    pub(super) priority: Option<u8>,
 }
 
 #[derive(Debug, Deserialize)]
