Count the crash of a server once for each subject

Cause: a VM's clock starts at zero and times travel as ages, so that a VM that had started a moment ago moved crashes of 25 to 35 s before to its own start.

Change: the clock of a VM that serves routes starts at the age that crashes are kept for; this also keeps leases from looking younger than they are. One run is one crash, with the earliest times. Until three servers have crashed, one server counts once in 10 s (servers that go down and up). A server that crashes while it warms up and holds more than its slots is not counted against requests.

--- a/src/driver/gateway_vm.rs
+++ b/src/driver/gateway_vm.rs
@@ -39,7 +39,7 @@
         let peers = settings.peers.as_ref().map(|peers| listen(peers.listen)).transpose()?;
         let peer_address = peers.as_ref().map(TcpListener::local_addr).transpose()?;
         let addresses = (callers.local_addr()?, status.local_addr()?);
-        let clock = Clock::start();
+        let clock = Clock::start_at(Gateway::KNOWN_PAST);
         let identity = VmIdentity {
             vm: settings.vm.clone(),
             incarnation: Incarnation(clock.unix().0),
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -252,6 +252,12 @@
         f64::from(self.in_flight) + others * (-age / Self::LOAD_DECAY_MS).exp()
     }
 
+    /// Returns whether it has more requests than it runs at a time.
+    #[must_use]
+    pub fn is_full(&self, now: Millis) -> bool {
+        self.expected_requests(now) > f64::from(self.entry.slots.max(1))
+    }
+
     /// Returns the estimated time to process the prompts of all VMs that the server has not
     /// processed yet, in milliseconds.
     #[must_use]
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -40,6 +40,9 @@
     suspects: RunSuspects,
     crash: ServerCrash,
     side: Option<VersionSide>,
+    /// Whether the server was still warming up and had more requests than it runs at a time, which
+    /// explains the crash.
+    is_overloaded: bool,
 }
 
 /// What may have caused the crash of a server during a run.
@@ -142,9 +145,8 @@
         run: &RunRecord,
     ) -> bool {
         let Some(state) = self.requests.get(&request) else { return false };
-        let Some(address) = self.servers.get(&run.server).map(|server| server.entry.address) else {
-            return false;
-        };
+        let Some(server) = self.servers.get(&run.server) else { return false };
+        let (address, is_overloaded) = (server.entry.address, run.is_cold && server.is_full(now));
         let VmIdentity { vm, incarnation, .. } = &self.identity;
         let name = format!("{vm} {incarnation} {request} {}", run.attempt);
         let crash = ServerCrash {
@@ -159,7 +161,7 @@
             self.crashes.held.insert((now + Millis(Self::PROBE_WAIT_MS), request));
         }
         let runs = self.crashes.awaiting_probe.entry(run.server.clone()).or_default();
-        runs.push(BrokenRun { request, pool, suspects, crash, side });
+        runs.push(BrokenRun { request, pool, suspects, crash, side, is_overloaded });
         if runs.len() == 1 {
             self.emit(GatewayCommand::Probe { server: run.server.clone(), address });
         }
@@ -205,6 +207,12 @@
 
     fn record_crash(&mut self, now: Millis, run: &BrokenRun) {
         let BrokenRun { request, suspects, crash, .. } = run;
+        if run.is_overloaded {
+            let server = &crash.server;
+            tracing::info!(%server, "server crashed cold and full; not counted against requests");
+            self.count_broken(&run.pool, run.side);
+            return;
+        }
         let is_open = self.requests.contains_key(request);
         self.crashes.tracker.crashed(now, suspects.request, crash.clone(), is_open);
         for part in &suspects.parts {
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -41,6 +41,9 @@
     const BALANCER_LAG_MS: u64 = 2_500;
     /// How long before it would be killed the process ends by itself.
     const END_MARGIN_MS: u64 = 1_000;
+    /// How long before its own start a VM can place what others report: times travel as ages, and
+    /// a shorter past would make older events look as recent as the start.
+    pub const KNOWN_PAST: Millis = CrashTracker::RETENTION;
 
     /// Returns a core without configuration and servers; it reads both from the store.
     #[must_use]
--- a/src/health.rs
+++ b/src/health.rs
@@ -23,6 +23,7 @@
 mod server_crash;
 mod server_state;
 mod server_table;
+mod shared_crashes;
 mod suspect_table;
 
 pub use {
@@ -45,4 +46,5 @@
     crash_verdict::CrashVerdict,
     peer_in_flight::PeerInFlight,
     pool_servers::PoolServers,
+    shared_crashes::SharedCrashes,
 };
--- a/src/health/crash_entry.rs
+++ b/src/health/crash_entry.rs
@@ -51,6 +51,11 @@
 impl CrashEntry {
     /// The number of crashes kept; the oldest are dropped.
     const CRASH_LIMIT: usize = 64;
+    /// The number of servers from which on it is unlikely that they go down and up by themselves.
+    const SERVERS: usize = 3;
+    /// The time in which further crashes of one server count no more: longer than a server usually
+    /// goes down and up by turns, and shorter than the wait before the first trial.
+    const SAME_SERVER_MS: u64 = 10_000;
     /// The time after which a trial counts as ended without a result: longer than any request.
     const TRIAL_TIMEOUT_MS: u64 = 60_000;
 
@@ -73,11 +78,20 @@
         crashes.filter(|crash| ruled_out.is_none_or(|at| crash.ended > at)).collect()
     }
 
-    /// Returns the crashes whose run started after the previous one of them.
+    /// Returns the crashes whose run started after the previous one of them. Until several servers
+    /// have crashed, those of a server that crashed shortly before are left out.
     pub(super) fn successive<'a>(crashes: &[&'a ServerCrash]) -> Vec<&'a ServerCrash> {
         let mut successive: Vec<&ServerCrash> = Vec::new();
+        let mut servers = BTreeSet::new();
         for crash in crashes {
-            if successive.last().is_none_or(|last| crash.started >= last.ended) {
+            let is_repeated = servers.len() < Self::SERVERS
+                && successive.iter().any(|known| {
+                    let pause = crash.ended.since(known.ended).0;
+                    known.server == crash.server && pause < Self::SAME_SERVER_MS
+                });
+            let is_next = successive.last().is_none_or(|last| crash.started >= last.ended);
+            if is_next && !is_repeated {
+                servers.insert(&crash.server);
                 successive.push(crash);
             }
         }
@@ -85,12 +99,19 @@
     }
 
     /// Records a crash; returns whether it is new or the run started later than the recorded one.
+    /// The earliest report of a run has the most accurate times, as messages may be delayed.
     pub(super) fn record_crash(&mut self, crash: ServerCrash) -> bool {
         let known = self.crashes.iter_mut().find(|known| known.crash.is_same_crash(&crash));
         if let Some(RecordedCrash { crash: known, is_published }) = known {
-            let is_later = crash.run != known.run && crash.started > known.started;
+            let ended = known.ended.min(crash.ended);
+            if crash.run == known.run {
+                known.started = known.started.min(crash.started);
+                known.ended = ended;
+                return false;
+            }
+            let is_later = crash.started > known.started && crash.started <= ended;
             if is_later {
-                *known = ServerCrash { ended: known.ended.min(crash.ended), ..crash };
+                *known = ServerCrash { ended, ..crash };
                 *is_published = false;
             }
             return is_later;
--- a/src/health/crash_tracker.rs
+++ b/src/health/crash_tracker.rs
@@ -4,10 +4,14 @@
 /// crashes that all entry VMs have observed.
 ///
 /// A crash breaks all runs on the server, so that each of their requests and parts is a suspect.
-/// Four rules find the cause:
+/// Six rules find the cause:
 ///
 /// - Only successive crashes count: a run that had started before the previous counted crash is no
 ///   further evidence. Servers of a rack that crash together thus count once.
+/// - Until three servers have crashed, the crashes of one in a short time count once: a server that goes down and up by turns
+///   crashes under whatever has its home there.
+/// - Crashes of several servers at the same moment ([`SharedCrashes`]) count only against subjects
+///   that were present at most of them.
 /// - A run that was completely answered rules its request and parts out for all crashes before it
 ///   started, and for a while after. The latter does not hold for parts that were present at
 ///   [`Self::CRASHES_AFTER_ANSWER`] crashes: a part that was sound until now may become harmful.
@@ -62,7 +66,7 @@
     /// shows that its subjects are not the cause.
     pub(super) const ANSWER_WINDOW_MS: u64 = 10_000;
     /// The age at which a crash is too old to be recorded, and an entry may be evicted.
-    const RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
+    pub const RETENTION: Millis = Millis(24 * 60 * 60 * 1_000);
     /// The rest of a quarantine that is reported while a trial is overdue at another VM, or if
     /// there is no further trial.
     const OVERDUE_REST_MS: u64 = 60_000;
@@ -250,7 +254,7 @@
 
     /// Records a crash; returns whether it is new.
     fn record_crash(&mut self, now: Millis, subject: CrashSubject, crash: ServerCrash) -> bool {
-        if now.since(crash.ended).0 >= Self::RETENTION_MS {
+        if now.since(crash.ended) >= Self::RETENTION {
             return false;
         }
         self.evict_if_full(now);
@@ -323,11 +327,13 @@
     fn compute_verdicts(&self) -> BTreeMap<CrashSubject, CrashVerdict> {
         let mut verdicts = BTreeMap::new();
         let mut attributed: Vec<Vec<&ServerCrash>> = Vec::new();
+        let shared = SharedCrashes::of(self.entries.values());
         for weight in [AnswerWeight::Usual, AnswerWeight::None] {
             let entries = self.entries.iter();
             let entries = entries.filter(|(_, entry)| entry.crashes.len() >= weight.limit());
             let mut candidates: Vec<(CrashSubject, Vec<&ServerCrash>)> =
                 entries.map(|(subject, entry)| (*subject, entry.open_crashes(weight))).collect();
+            candidates.iter_mut().for_each(|(_, crashes)| shared.remove_explained(crashes));
             loop {
                 for (_, crashes) in &mut candidates {
                     crashes.retain(|crash| {
@@ -368,7 +374,7 @@
         if self.entries.len() < Self::ENTRY_LIMIT {
             return;
         }
-        self.entries.retain(|_, entry| now.since(entry.updated_at).0 < Self::RETENTION_MS);
+        self.entries.retain(|_, entry| now.since(entry.updated_at) < Self::RETENTION);
         let key = |entry: &CrashEntry| (entry.crashes.len().min(Self::CRASHES), entry.updated_at);
         let evicted = self.entries.iter().min_by_key(|(_, entry)| key(entry));
         if self.entries.len() >= Self::ENTRY_LIMIT
--- a/src/health/server_crash.rs
+++ b/src/health/server_crash.rs
@@ -18,13 +18,14 @@
     const TIME_ERROR_MS: u64 = 250;
 
     /// Returns whether another run was broken by the same crash. A crash ends an incarnation of a
-    /// server and all of its runs, so that two runs at a server which overlap in time were broken
-    /// by the same crash, whenever the VMs noticed it.
+    /// server and all of its runs, so that two runs at a server which overlap in time were
+    /// broken by the same crash, whenever the VMs noticed it. A run is broken once; its times differ
+    /// if the messages about it were delayed.
     #[must_use]
     pub fn is_same_crash(&self, other: &Self) -> bool {
         let error = Millis(Self::TIME_ERROR_MS);
-        self.server == other.server
-            && self.started <= other.ended + error
-            && other.started <= self.ended + error
+        let is_overlapping =
+            self.started <= other.ended + error && other.started <= self.ended + error;
+        self.server == other.server && (self.run == other.run || is_overlapping)
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -187,24 +187,33 @@
 
 /// The only source of time in the program.
 ///
-/// `now` is monotonic, starts near zero and includes the time for which the VM was suspended, so
+/// `now` is monotonic, starts near zero or at the past given and includes the time for which the VM was suspended, so
 /// that leases expire during a suspension; `unix` is the wall clock, which may jump.
 #[derive(Clone, Debug)]
 pub struct Clock {
     start: Duration,
+    past: Millis,
 }
 
 impl Clock {
     /// Starts a clock at zero.
     #[must_use]
     pub fn start() -> Self {
-        Self { start: Self::since_boot() }
+        Self::start_at(Millis(0))
     }
 
-    /// Returns the time since [`Self::start`], including suspensions of the VM.
+    /// Starts a clock at a given time, so that points up to that long before its start can be
+    /// represented.
+    #[must_use]
+    pub fn start_at(past: Millis) -> Self {
+        Self { start: Self::since_boot(), past }
+    }
+
+    /// Returns the time since the start, including suspensions of the VM, after the initial time.
     #[must_use]
     pub fn now(&self) -> Millis {
-        Millis(Self::since_boot().saturating_sub(self.start).as_millis() as u64)
+        let passed = Self::since_boot().saturating_sub(self.start);
+        self.past + Millis(passed.as_millis() as u64)
     }
 
     /// Returns the time since the boot of the machine, including suspensions.
