Requests wait at a VM that starts; silent data centres and servers are left

All VMs are ready 0.34 s after their start, and refused 1,221 requests until then. Besides, VMs of the zone that was cut off tried one silent server of the other zones after the other, 250 ms each, or 1.5 s on an open connection.

Change: a request at a VM that has started less than 0.6 s ago waits for its configuration, at most 64 of them. Three silent servers of a data centre without an answer from any of it in between count for all of its servers for 1 s, and repeatable requests that wait there for their first event go elsewhere. A resumable stream without a first event leaves its server at its objective, or four times the expected time, unless the server began other answers since.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 mod answer_counts;
 mod asked_issuer;
 mod backend_server;
+mod breaks;
 mod crashes;
 mod crowded;
 mod engine_pressure;
@@ -142,6 +143,7 @@
 
 use {
     asked_issuer::AskedIssuer,
+    breaks::{CentreReach, ServerProgress, StartWait},
     crashes::CrashWatch,
     crowded::FullPoolQueue,
     limits::LimitState,
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -20,6 +20,12 @@
     const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
     pub(super) fn on_arrival(&mut self, now: Millis, arrival: RoutedArrival) {
+        if let Some(arrival) = self.hold_at_start(now, arrival) {
+            self.admit_or_refuse(now, arrival);
+        }
+    }
+
+    pub(super) fn admit_or_refuse(&mut self, now: Millis, arrival: RoutedArrival) {
         let request = arrival.request;
         match self.admit(now, &arrival) {
             Ok(admission) => self.accept(now, arrival, admission),
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -7,6 +7,7 @@
     pub(super) const NO_SERVER_RETRY_MS: u64 = 300;
 
     pub(super) fn on_caller_gone(&mut self, now: Millis, request: RequestNumber) {
+        self.start_wait.remove(request);
         let Some(state) = self.requests.get(&request) else { return };
         tracing::info!(
             request = request.0,
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -26,10 +26,13 @@
     pub(super) evidence_next: Millis,
     pub(super) requests: FxHashMap<RequestNumber, RoutedRequest>,
     pub(super) ends: BTreeSet<(Millis, RequestNumber)>,
-    /// When the server of each idempotent request counts as unresponsive if it has not answered.
+    /// When the server of each repeatable request counts as unresponsive if it has not answered.
     pub(super) response_deadlines: BTreeSet<(Millis, RequestNumber)>,
     pub(super) crowded: FullPoolQueue,
     pub(super) budgets: BTreeMap<PoolId, RetryBudget>,
+    pub(super) start_wait: StartWait,
+    pub(super) reach: CentreReach,
+    pub(super) progress: ServerProgress,
     pub(super) ending: Option<Millis>,
     pub(super) random: rand_chacha::ChaCha8Rng,
     commands: Vec<GatewayCommand>,
@@ -83,6 +86,9 @@
             response_deadlines: BTreeSet::new(),
             crowded: FullPoolQueue::default(),
             budgets: BTreeMap::new(),
+            start_wait: StartWait::default(),
+            reach: CentreReach::default(),
+            progress: ServerProgress::default(),
             ending: None,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             commands: Vec::new(),
@@ -115,6 +121,7 @@
         if !self.relay.peers.is_empty() {
             self.crashes.observe_time(now);
         }
+        self.start_wait.begin(now);
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
@@ -134,6 +141,7 @@
             GatewayEvent::Probed { server, result } => self.on_probed(now, &server, result),
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
+        self.admit_held(now);
         self.end_crash_waits(now);
         self.end_expired(now);
         self.retry_unresponsive(now);
@@ -162,7 +170,8 @@
         let response_deadline = self.response_deadlines.first().map(|(at, _)| *at);
         let (access, crowded) = (self.access.next(), self.crowded.next());
         let (permits, crashes) = (self.permits_next(), self.crashes.next());
-        [end, response_deadline, read, advance, relay, access, crowded, permits, crashes]
+        let start = self.start_wait.next();
+        [end, response_deadline, read, advance, relay, access, crowded, permits, crashes, start]
             .into_iter()
             .flatten()
             .min()
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -49,14 +49,23 @@
         self.budgets.entry(pool.clone()).or_default().try_spend(now, window, share, reserve)
     }
 
-    /// Moves idempotent requests whose server has not answered in time to another server. They are
-    /// late already; a server that is cut off or hangs would hold them until the caller's deadline.
+    /// Moves requests whose server has not answered in time to another server. They are late
+    /// already; a server that is cut off or hangs would hold them until the caller's deadline.
     pub(super) fn retry_unresponsive(&mut self, now: Millis) {
         while let Some((at, request)) = self.response_deadlines.first().copied() {
             if at > now {
                 return;
             }
             self.response_deadlines.pop_first();
+            let Some(state) = self.requests.get(&request) else { continue };
+            if !Self::is_overdue(now, state) {
+                continue;
+            }
+            if self.is_stream_queued(state) {
+                let again = now + state.route.objective;
+                self.response_deadlines.insert((again, request));
+                continue;
+            }
             self.move_run(now, request, "the server does not respond");
         }
     }
@@ -90,7 +99,12 @@
 
     /// Cancels a run whose server does not respond and sends the request to another server. Returns
     /// false, and leaves the run alone, if there is no other server or no retry is permitted.
-    fn move_run(&mut self, now: Millis, request: RequestNumber, reason: &'static str) -> bool {
+    pub(super) fn move_run(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        reason: &'static str,
+    ) -> bool {
         let Some(state) = self.requests.get(&request) else { return false };
         let Some(run) = state.open_run().cloned() else { return false };
         let mut moved = state.clone();
@@ -103,7 +117,9 @@
             return false;
         }
         self.release_open_run(request);
-        if let Some(server) = self.servers.get_mut(&run.server) {
+        // Several runs that are moved from a server at once show one failure of it.
+        let server = self.servers.get_mut(&run.server);
+        if let Some(server) = server.filter(|server| now >= server.avoid_until) {
             server.mark_down(now);
         }
         self.requests.insert(request, moved);
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -35,6 +35,7 @@
         let run = run.clone();
         let pool = state.pool.clone();
         let took = now.since(run.started);
+        self.record_reached(now, &run.server);
         tracing::info!(
             request = request.0,
             attempt = attempt.0,
@@ -122,6 +123,9 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         let (pool, is_stream) = (state.pool.clone(), state.route.kind.is_stream());
+        if matches!(outcome, RunOutcome::Whole { .. }) {
+            self.record_reached(now, &run.server);
+        }
         if let Some(server) = self.servers.get_mut(&run.server) {
             server.release(run);
             match outcome {
@@ -152,6 +156,11 @@
                 RunOutcome::Broken { .. } => server.record_answer(true),
             }
         }
+        if let RunOutcome::NotRun { cause: NotRunCause::Unreachable, .. }
+        | RunOutcome::Broken { fault: AttemptFault::Silent, .. } = outcome
+        {
+            self.record_silent_run(now, run);
+        }
         if let RunOutcome::Whole { head } = outcome
             && !is_stream
             && let Some(load) = head.load
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -5,9 +5,6 @@
 impl Gateway {
     /// A request with less time left than this is not sent, as no server could answer it in time.
     const MIN_TIME_LEFT_MS: u64 = 20;
-    /// The multiple of the estimated time to the answer after which a server counts as
-    /// unresponsive.
-    const UNRESPONSIVE_FACTOR: u64 = 4;
 
     /// Sends a request to the server with the lowest estimated cost, or lets it wait if all servers
     /// are in backoff or at their limits. Returns the refusal if neither is possible.
@@ -165,10 +162,8 @@
             model: state.model.clone(),
             is_discarded: false,
         });
-        if state.route.kind == RouteKind::Idempotent {
-            let response_time =
-                state.route.objective.max(Millis(place.expected.0 * Self::UNRESPONSIVE_FACTOR));
-            self.response_deadlines.insert((now + response_time, request));
+        if let Some(at) = Self::response_deadline(now, state, place.expected) {
+            self.response_deadlines.insert((at, request));
         }
         self.record_session_start(now, request, &place.software);
         self.emit(GatewayCommand::Start(Box::new(order)));
--- a/src/gateway/server_registry.rs
+++ b/src/gateway/server_registry.rs
@@ -34,6 +34,11 @@
         self.servers.values()
     }
 
+    /// Returns mutable references to all servers.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackendServer> {
+        self.servers.values_mut()
+    }
+
     /// Returns the servers of a pool that may get new requests.
     pub fn open<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a BackendServer> {
         self.servers.values().filter(move |server| server.is_open() && server.entry.pool == *pool)
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -46,6 +46,8 @@
 fn admit_without_configuration() {
     let mut world = GatewayFixture::empty();
     world.tick(0);
+    // The time for which requests wait at a VM that has just started.
+    world.tick(600);
     let request = world.arrive("/slot/1");
     let refusal = world.refusal(request).unwrap();
     assert_eq!((refusal.code, refusal.run), (RefusalCode::Unavailable, RunState::NotRun));
