--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -27,10 +27,13 @@
     pub(super) evidence_next: Millis,
     pub(super) requests: FxHashMap<RequestNumber, RoutedRequest>,
     pub(super) ends: BTreeSet<(Millis, RequestNumber)>,
-    /// When the server of each idempotent request counts as unresponsive if it has not answered.
+    /// When the server of each repeatable request counts as unresponsive if it has not answered.
     pub(super) response_deadlines: BTreeSet<(Millis, RequestNumber)>,
     pub(super) crowded: FullPoolQueue,
     pub(super) budgets: BTreeMap<PoolId, RetryBudget>,
+    pub(super) start_wait: StartWait,
+    pub(super) reach: CentreReach,
+    pub(super) progress: ServerProgress,
     pub(super) ending: Option<Millis>,
     pub(super) random: rand_chacha::ChaCha8Rng,
     commands: Vec<GatewayCommand>,
@@ -42,6 +45,9 @@
     const BALANCER_LAG_MS: u64 = 2_500;
     /// How long before it would be killed the process ends by itself.
     const END_MARGIN_MS: u64 = 1_000;
+    /// How long before its own start a VM can place what others report: times travel as ages, and
+    /// a shorter past would make older events look as recent as the start.
+    pub const KNOWN_PAST: Millis = CrashTracker::RETENTION;
 
     /// Returns a core without configuration and servers; it reads both from the store.
     #[must_use]
@@ -82,6 +88,9 @@
             response_deadlines: BTreeSet::new(),
             crowded: FullPoolQueue::default(),
             budgets: BTreeMap::new(),
+            start_wait: StartWait::default(),
+            reach: CentreReach::default(),
+            progress: ServerProgress::default(),
             ending: None,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             commands: Vec::new(),
@@ -116,6 +125,7 @@
         }
         self.advance_evacuations(now);
         self.advance_warmth(now);
+        self.start_wait.begin(now);
         match event {
             GatewayEvent::Tick => {}
             GatewayEvent::Arrived(arrival) => self.on_arrival(now, *arrival),
@@ -135,6 +145,7 @@
             GatewayEvent::Probed { server, result } => self.on_probed(now, &server, result),
             GatewayEvent::Shutdown => self.on_shutdown(now),
         }
+        self.admit_held(now);
         self.end_crash_waits(now);
         self.end_expired(now);
         self.retry_unresponsive(now);
@@ -163,7 +174,7 @@
         let response_deadline = self.response_deadlines.first().map(|(at, _)| *at);
         let (access, crowded) = (self.access.next(), self.crowded.next());
         let (permits, crashes) = (self.permits_next(), self.crashes.next());
-        let evacuation = self.servers.evacuated.next();
+        let (evacuation, start) = (self.servers.evacuated.next(), self.start_wait.next());
         [
             end,
             response_deadline,
@@ -175,6 +186,7 @@
             permits,
             crashes,
             evacuation,
+            start,
         ]
         .into_iter()
         .flatten()
--- a/src/gateway/server_registry.rs
+++ b/src/gateway/server_registry.rs
@@ -36,6 +36,11 @@
         self.servers.values()
     }
 
+    /// Returns mutable references to all servers.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackendServer> {
+        self.servers.values_mut()
+    }
+
     /// Returns the servers of a pool that may get new requests.
     pub fn open<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a BackendServer> {
         self.servers
