--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -30,6 +30,8 @@
     /// When the server of each repeatable request counts as unresponsive if it has not answered.
     pub(super) response_deadlines: BTreeSet<(Millis, RequestNumber)>,
     pub(super) crowded: FullPoolQueue,
+    /// The ranks of the routes of each pool.
+    pub(super) pool_ranks: BTreeMap<PoolId, BTreeSet<u8>>,
     pub(super) budgets: BTreeMap<PoolId, RetryBudget>,
     pub(super) start_wait: StartWait,
     pub(super) reach: CentreReach,
@@ -87,6 +89,7 @@
             ends: BTreeSet::new(),
             response_deadlines: BTreeSet::new(),
             crowded: FullPoolQueue::default(),
+            pool_ranks: BTreeMap::new(),
             budgets: BTreeMap::new(),
             start_wait: StartWait::default(),
             reach: CentreReach::default(),
