--- a/src/gateway/zones/cold_start.rs
+++ b/src/gateway/zones/cold_start.rs
@@ -22,6 +22,9 @@
     /// The least part of the permitted rate that is used.
     const MIN_PART: f64 = 0.25;
 
+    /// The lowest rate at which permits are issued.
+    const MIN_RATE: f64 = 0.1;
+
     /// Returns the rate at which permits are issued, such that no second has more requests than the
     /// operators allow.
     #[must_use]
@@ -30,6 +33,6 @@
         let per_second = Self::WINDOW_S * Self::ALL_ISSUERS;
         let with_reserve = (allowed - Self::RESERVE) / per_second;
         let least = allowed * Self::MIN_PART / per_second;
-        RequestsPerSecond(with_reserve.max(least).min(self.rate.0))
+        RequestsPerSecond(with_reserve.max(least).min(self.rate.0).max(Self::MIN_RATE))
     }
 }
