--- a/src/traffic/readers/open_reader.rs
+++ b/src/traffic/readers/open_reader.rs
@@ -46,8 +46,9 @@
 
     /// Records that the caller has taken bytes.
     pub(in super::super) fn take(&self, bytes: u64) {
-        self.record_progress();
-        self.held.fetch_sub(bytes, Ordering::Relaxed);
+        if self.held.fetch_sub(bytes, Ordering::Relaxed) > bytes {
+            self.record_progress();
+        }
     }
 
     /// Records that the caller is ready for more.
--- a/src/traffic/readers/queue_receiver.rs
+++ b/src/traffic/readers/queue_receiver.rs
@@ -18,7 +18,7 @@
 
     /// Returns the next part, or `None` if the run has ended. Cancel-safe.
     pub(in super::super) async fn recv(&mut self) -> Option<P> {
-        let _ = self.state.delivered.set(Instant::now());
+        self.state.delivered.get_or_init(Instant::now);
         self.release_last();
         let part = self.parts.recv().await?;
         self.last = part.held_bytes();
--- a/src/traffic/readers/queue_sender.rs
+++ b/src/traffic/readers/queue_sender.rs
@@ -60,7 +60,8 @@
     /// Returns a [`PassFault`] if the part cannot be passed on. After [`PassFault::Lost`], the
     /// caller's connection has been closed.
     pub(in super::super) async fn pass(&self, part: P) -> Result<(), PassFault> {
-        let begun = Instant::now();
+        // Most parts are held at once, without a look at the clock.
+        let mut begun = None;
         loop {
             match self.state.offer(part.held_bytes(), begun) {
                 PassVerdict::Hold => {
@@ -72,7 +73,10 @@
                     let limit = self.state.reader.table().budget().limit();
                     return Err(PassFault::OutOfMemory(BudgetExceeded { limit }));
                 }
-                PassVerdict::Wait => self.state.is_waiting.store(true, Ordering::Relaxed),
+                PassVerdict::Wait => {
+                    begun.get_or_insert_with(Instant::now);
+                    self.state.is_waiting.store(true, Ordering::Relaxed);
+                }
             }
             tokio::select! {
                 () = self.state.room.notified() => {}
--- a/src/traffic/readers/queue_state.rs
+++ b/src/traffic/readers/queue_state.rs
@@ -36,9 +36,11 @@
 }
 
 impl QueueState {
-    /// Holds a part if the bounds and the budget admit it.
-    pub(super) fn offer(&self, part: u64, begun: Instant) -> PassVerdict {
-        let waited = self.delivered.get().map_or(Millis(0), |delivered| {
+    /// Holds a part if the bounds and the budget admit it. Its server has waited for it since
+    /// `begun`, if at all.
+    pub(super) fn offer(&self, part: u64, begun: Option<Instant>) -> PassVerdict {
+        let waits = self.delivered.get().zip(begun);
+        let waited = waits.map_or(Millis(0), |(delivered, begun)| {
             Millis(begun.max(*delivered).elapsed().as_millis() as u64)
         });
         let bounds = self.reader.table().bounds();
