Forecast the end of answers, and share by how much runs are late

Cause: escalation looked at the first event alone, so that small answers that were there were discarded for a largest model that could not finish. A trace showed one server that stalled all its streams for 12 s; each VM sent to it less than once a second, so none noticed.

Change: the time per token is learned for each pool and model beside the requests there, with the error of the forecasts of first event and end. The larger model's answer is valued by the probability of each in time. The speed of a server's streams corrects its pool's. Runs that are late count as part of the load that VMs report, in the field that is there. `./recipes.sh calibration LOG` prints measured / expected.

--- a/recipes.sh
+++ b/recipes.sh
@@ -28,7 +28,53 @@
   return "$status"
 }
 
+# Prints measured / expected times from a log of a day, with simulated time and the VM's name before
+# each line: calibration LOG
+calibration() {
+  awk '
+    function field(name,  rest) {
+      if (!match($0, "\"" name "\":")) return ""
+      rest = substr($0, RSTART + RLENGTH)
+      sub(/^"/, "", rest)
+      sub(/[",}].*/, "", rest)
+      return rest
+    }
+    function print_ratio(what, took, expected) {
+      if (expected != "" && took != "") {
+        print what, kind[id], model[id], phase[id], took / (expected > 1 ? expected : 1)
+      }
+    }
+    /"message":"(sent|first event|run ended)"/ {
+      id = $2 "/" field("request") "/" field("attempt")
+      message = field("message")
+    }
+    /"message":"sent"/ && field("model") != "" {
+      reason = field("reason")
+      kind[id] = reason == "first" ? "first" : reason ~ /low confidence/ ? "larger" : "other"
+      model[id] = field("model")
+      phase[id] = $1 < 4 ? "0-4s" : $1 < 10 ? "4-10s" : "10s+"
+      first[id] = field("expected_ms")
+      end[id] = field("expected_end_ms")
+    }
+    /"message":"first event"/ && id in kind { print_ratio("begin", field("took_ms"), first[id]) }
+    /"message":"run ended"/ && /Whole/ && id in kind { print_ratio("end", field("took_ms"), end[id]) }
+  ' "$1" | sort -k1,4 -k5,5g | awk '
+    function quantile(share) { return ratio[int(share * (count - 1)) + 1] }
+    function flush() {
+      if (count) printf "%-30s %6d %6.2f %6.2f %6.2f %6.2f\n", group, count,
+        quantile(0.1), quantile(0.5), quantile(0.9), quantile(0.99)
+      count = 0
+    }
+    BEGIN { printf "%-30s %6s %6s %6s %6s %6s\n", "measured / expected", "runs", "10%", "50%", "90%", "99%" }
+    { key = $1 " " $2 " " $3 " " $4 }
+    key != group { flush(); group = key }
+    { ratio[++count] = $5 }
+    END { flush() }
+  '
+}
+
 case "${1:-help}" in
+  calibration) calibration "${2:?name the log of a day}" ;;
   check) .ci/run ;;
   days) days "${2:-3}" ;;
   demo) cargo run --release -- demo ;;
@@ -36,5 +82,5 @@
   lint) cargo clippy --all-targets -- -D warnings ;;
   test) cargo test ;;
   bench) cargo bench --bench "${2:?name a bench, see benches/}" ;;
-  *) echo "recipes: check, days [JOBS], demo, format, lint, test, bench NAME" ;;
+  *) echo "recipes: calibration LOG, check, days [JOBS], demo, format, lint, test, bench NAME" ;;
 esac
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,7 +15,7 @@
 //! their answers that they are leaving or need a backoff ([`server_hints`]), or name a limit on the
 //! requests of all VMs together ([`limits`], [`permits`]). [`store_access`]
 //! decides whether this VM reads the store itself ([`reads`]) or through another VM ([`relay`]).
-//! [`rollouts`] advances roll-outs.
+//! [`rollouts`] advances roll-outs. [`forecasts`] learns when answers begin and end.
 
 use super::*;
 
@@ -28,6 +28,7 @@
 mod engine_pressure;
 mod escalate;
 mod finish;
+mod forecasts;
 mod freshness_lease;
 mod gateway_bounds;
 mod gateway_command;
@@ -96,6 +97,7 @@
     answer_counts::AnswerCounts,
     backend_server::BackendServer,
     engine_pressure::EnginePressure,
+    forecasts::{AnswerForecast, ForecastError, ModelForecast, ServerSpeed, StreamPace},
     freshness_lease::FreshnessLease,
     gateway_bounds::GatewayBounds,
     gateway_command::GatewayCommand,
--- a/src/gateway/backend_server.rs
+++ b/src/gateway/backend_server.rs
@@ -12,10 +12,15 @@
     /// The estimated time to process the prompts from this VM that the server has not processed
     /// yet, in milliseconds.
     pub backlog_ms: f64,
+    /// By how much this VM's runs at the server are later than expected, in milliseconds, divided
+    /// by the number of requests of all VMs there.
+    pub late_ms: f64,
     /// The outstanding load of other VMs at the server; none if they have not reported any.
     pub others: Option<OutstandingLoad>,
     /// The newest load that the server reported in an answer.
     pub load: Option<DatedLoad>,
+    /// Its speed compared with its pool.
+    pub speed: ServerSpeed,
     /// The end of its warm-up, during which it is slow.
     pub cold_until: Millis,
     /// The moving average of the share of its runs that failed, from 0 to 1.
@@ -80,8 +85,10 @@
             removed: None,
             in_flight: 0,
             backlog_ms: 0.0,
+            late_ms: 0.0,
             others: None,
             load: None,
+            speed: ServerSpeed::default(),
             cold_until: Millis(0),
             failure_rate: 0.0,
             avoid_until: Millis(0),
@@ -253,17 +260,18 @@
     }
 
     /// Returns the estimated time to process the prompts of all VMs that the server has not
-    /// processed yet, in milliseconds.
+    /// processed yet, in milliseconds. It includes the mean time by which runs there are late.
     #[must_use]
     pub fn expected_backlog(&self) -> f64 {
         let others = self.others.unwrap_or_default();
-        self.backlog_ms + f64::from(others.backlog_ms)
+        self.backlog_ms + self.late_ms + f64::from(others.backlog_ms)
     }
 
     /// Returns this VM's outstanding load at the server.
     #[must_use]
     pub fn own_load(&self) -> OutstandingLoad {
-        OutstandingLoad { backlog_ms: self.backlog_ms as u32, requests: self.in_flight }
+        let backlog_ms = (self.backlog_ms + self.late_ms) as u32;
+        OutstandingLoad { backlog_ms, requests: self.in_flight }
     }
 
     /// Returns the estimated length of its queue. Zero while the load of other VMs is known, as
--- a/src/gateway/escalate.rs
+++ b/src/gateway/escalate.rs
@@ -29,13 +29,24 @@
         let found = self.find_server_among(now, &larger, false);
         let Some((place, side)) = found else { return false };
         let due = state.received + state.route.objective;
-        let is_on_time = now + place.expected < due;
+        let forecast = self.answer_forecast(now, &larger, &place);
+        // Without a number of tokens, the end is not forecast.
+        let complete = forecast.map_or(1.0, |forecast| forecast.ends_within(state.ends.since(now)));
+        let on_time = forecast.map_or_else(
+            || if now + place.expected < due { 1.0 } else { 0.0 },
+            |forecast| forecast.begins_within(due.since(now)),
+        );
         let prompt: u64 = state.arrival.parts.iter().map(|part| part.tokens.0).sum();
         let unread_share = place.unread / prompt.max(1) as f64;
         let pressure = self.pressure(now, &state.pool);
-        let prognosis = EscalationInputs { confidence, is_on_time, pressure, unread_share };
-        if !prognosis.should_escalate()
-            || self.crashes.quarantine(now, &larger, false).is_some()
+        let prognosis = EscalationInputs { confidence, on_time, complete, pressure, unread_share };
+        if !prognosis.should_escalate() {
+            if prognosis.should_escalate_if_certain() {
+                self.relax_forecasts(&larger);
+            }
+            return false;
+        }
+        if self.crashes.quarantine(now, &larger, false).is_some()
             || !self.spend_retry(now, &larger.pool)
         {
             return false;
--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -14,6 +14,7 @@
             "caller closed the connection"
         );
         self.record_disconnect_latency(now, request);
+        self.learn_unfinished(now, request);
         self.release_open_run(request);
         self.finish(now, request);
     }
@@ -29,6 +30,7 @@
                 continue;
             };
             let refusal = Self::timeout_refusal(state);
+            self.learn_unfinished(now, request);
             self.give_up(now, request, refusal, "the request reached its deadline");
         }
     }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -14,6 +14,9 @@
     pub(super) access: StoreAccess,
     pub(super) servers: ServerRegistry,
     pub(super) latency_models: BTreeMap<(PoolId, Option<ModelId>), PoolLatencyModel>,
+    pub(super) forecasts: BTreeMap<(PoolId, Option<ModelId>), ModelForecast>,
+    /// When the lateness of runs is measured next.
+    pub(super) lateness_next: Millis,
     pub(super) pressures: BTreeMap<PoolId, EnginePressure>,
     pub(super) rollouts: BTreeMap<PoolId, RolloutTrack>,
     pub(super) sessions: SessionVersions,
@@ -65,6 +68,8 @@
             access: StoreAccess::default(),
             servers: ServerRegistry::default(),
             latency_models: BTreeMap::new(),
+            forecasts: BTreeMap::new(),
+            lateness_next: Millis(0),
             pressures: BTreeMap::new(),
             rollouts: BTreeMap::new(),
             sessions: SessionVersions::default(),
@@ -137,6 +142,7 @@
         self.send_waiting(now);
         self.ask_permits(now);
         self.advance_rollouts(now);
+        self.measure_lateness(now);
         self.run_relay(now);
         self.update_store_use(now);
         self.read_feeds(now);
--- a/src/gateway/model_choice.rs
+++ b/src/gateway/model_choice.rs
@@ -12,8 +12,10 @@
 pub struct EscalationInputs {
     /// The confidence that the small model reported, from 0 to 100.
     pub confidence: u8,
-    /// Whether the larger model's first event is expected within the objective.
-    pub is_on_time: bool,
+    /// The probability that the larger model's first event comes within the objective.
+    pub on_time: f64,
+    /// The probability that the larger model's answer is complete before the deadline.
+    pub complete: f64,
     /// The pressure on larger models; see [`super::EnginePressure`].
     pub pressure: f64,
     /// The fraction of the prompt that the larger model has not cached and must process.
@@ -25,6 +27,9 @@
     const EVEN_CONFIDENCE: f64 = 50.0;
     /// The standard deviation of the error of the reported confidence.
     const CONFIDENCE_SPREAD: f64 = 20.0;
+    /// The least probability of a complete answer for which the small one, which is there, is
+    /// discarded.
+    const MIN_COMPLETE: f64 = 0.5;
     /// The value of a late answer, as a share of that of one on time.
     const LATE_VALUE: f64 = 0.3;
     /// The cost of generating the larger model's answer, as a share of a good answer's value.
@@ -45,11 +50,21 @@
         1.0 / (1.0 + (-1.702 * deviation).exp())
     }
 
+    /// Returns whether the larger model's answer would be worth more if it certainly came in time.
+    #[must_use]
+    pub fn should_escalate_if_certain(self) -> bool {
+        Self { on_time: 1.0, complete: 1.0, ..self }.should_escalate()
+    }
+
     /// Returns whether the larger model's answer, less its costs, is worth more than the small
     /// one's.
     #[must_use]
     pub fn should_escalate(&self) -> bool {
-        let larger = if self.is_on_time { 1.0 } else { Self::LATE_VALUE };
+        if self.complete < Self::MIN_COMPLETE {
+            return false;
+        }
+        let in_time = self.on_time + (1.0 - self.on_time) * Self::LATE_VALUE;
+        let larger = in_time * self.complete;
         let delay = Self::DELAY_COST * self.pressure;
         let processing = (Self::PROMPT_COST + delay) * self.unread_share;
         larger - Self::ANSWER_COST - processing > self.good_share()
--- a/src/gateway/outstanding_load.rs
+++ b/src/gateway/outstanding_load.rs
@@ -3,8 +3,8 @@
 /// The outstanding load of some entry VMs at one backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutstandingLoad {
-    /// The estimated time to process the prompts that the server has not processed yet, in
-    /// milliseconds.
+    /// The estimated time to process the prompts that the server has not processed yet, and
+    /// by which runs there are later than expected, in milliseconds.
     pub backlog_ms: u32,
     /// The number of requests without a complete answer.
     pub requests: u32,
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -48,6 +48,10 @@
     pub is_cold: bool,
     /// The estimated time to its first event.
     pub expected: Millis,
+    /// The forecast of its answer; none if it is no stream or its tokens are unknown.
+    pub forecast: Option<AnswerForecast>,
+    /// When its first event arrived.
+    pub began: Option<Millis>,
     /// The estimated prompt tokens that the server has to process because they are not cached.
     pub unread: f64,
     /// The estimated time to process those tokens, in milliseconds.
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -32,6 +32,7 @@
             return;
         }
         run.stage = RunStage::Begun;
+        run.began = Some(now);
         let run = run.clone();
         let pool = state.pool.clone();
         let took = now.since(run.started);
@@ -39,7 +40,7 @@
             request = request.0,
             attempt = attempt.0,
             took_ms = took.0,
-            expected_ms = run.expected.0,
+            expected_ms = run.forecast.map_or(run.expected, |known| known.median_first()).0,
             confidence = head.confidence,
             "first event"
         );
@@ -59,6 +60,7 @@
             let pace = self.latency_models.entry(key).or_insert_with(PoolLatencyModel::engine);
             pace.learn_prompt(run.unread, took.0 as f64);
         }
+        self.learn_first(&pool, &run, took);
         self.count_first_event(&pool, &run, took);
         self.record_latency(request, &run, LatencyMeasure::First, took, true);
         if let Some(state) = self.requests.get(&request).filter(|state| state.is_large()) {
@@ -164,6 +166,7 @@
         match outcome {
             RunOutcome::Whole { head } if head.status < 500 => {
                 if head.status < 300 {
+                    self.learn_end(now, &pool, run);
                     self.record_sound_run(now, request, run);
                 }
                 self.record_latency(
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -96,6 +96,7 @@
     ) {
         let Some(state) = self.requests.get(&request) else { return };
         let token_ms = self.pace(state).token_ms;
+        let forecast = self.answer_forecast(now, state, &place);
         let limit = self.servers.get(&place.server).and_then(|server| server.limit.rate());
         let pool = state.pool.clone();
         let at_limit = self.servers.open(&pool).filter(|server| server.is_at_limit(now)).count();
@@ -114,7 +115,8 @@
             software = %place.software,
             model = state.model.as_ref().map(ModelId::as_str),
             unread_tokens = place.unread,
-            expected_ms = place.expected.0,
+            expected_ms = forecast.map_or(place.expected, |known| known.median_first()).0,
+            expected_end_ms = forecast.map(|known| known.median_end().0),
             left_ms = state.ends.since(now).0,
             session = state.arrival.session.as_deref(),
             limit_per_s = limit.map(|limit| limit.0),
@@ -159,6 +161,8 @@
             is_cold,
             is_half_open,
             expected: place.expected,
+            forecast,
+            began: None,
             unread: place.unread,
             work_ms,
             stage: RunStage::Waiting,
--- a/src/gateway/server_estimate.rs
+++ b/src/gateway/server_estimate.rs
@@ -34,7 +34,7 @@
         mean_failure_rate: f64,
     ) -> Self {
         let unread = Self::unread_tokens(now, server, wish.parts, homes);
-        let prompt_ms = unread * wish.pace.token_ms;
+        let prompt_ms = unread * wish.pace.token_ms * server.speed.factor();
         let expected_ms = Self::expected_first_ms(now, server, wish, prompt_ms);
         let is_remote = server.entry.data_centre != *wish.data_centre;
         let remote_penalty = if is_remote { Self::REMOTE_PENALTY_MS } else { 0.0 };
--- a/src/gateway/server_registry.rs
+++ b/src/gateway/server_registry.rs
@@ -45,6 +45,14 @@
         self.servers.values().filter(|server| server.is_open()).count()
     }
 
+    /// Replaces the time by which this VM's runs at each server are late, in milliseconds.
+    pub fn set_lateness(&mut self, now: Millis, late: &BTreeMap<ServerId, f64>) {
+        for (id, server) in &mut self.servers {
+            let sum = late.get(id).copied().unwrap_or_default();
+            server.late_ms = sum / server.expected_requests(now).max(1.0);
+        }
+    }
+
     /// Returns this VM's outstanding load at each server.
     #[must_use]
     pub fn own_loads(&self) -> LoadTotals {
