--- a/src/health/crash_tracker.rs
+++ b/src/health/crash_tracker.rs
@@ -333,7 +333,9 @@
             let entries = entries.filter(|(_, entry)| entry.crashes.len() >= weight.limit());
             let mut candidates: Vec<(CrashSubject, Vec<&ServerCrash>)> =
                 entries.map(|(subject, entry)| (*subject, entry.open_crashes(weight))).collect();
-            candidates.iter_mut().for_each(|(_, crashes)| shared.remove_explained(crashes));
+            for (_, crashes) in &mut candidates {
+                shared.remove_explained(crashes);
+            }
             loop {
                 for (_, crashes) in &mut candidates {
                     crashes.retain(|crash| {
