Wait among lost servers, and keep retries for failures

Change: after ten unsent runs a request waits and tries others, until its objective or half of its time has passed. A run that could not be sent leaves what was spent for it to the next one. Escalations leave a tenth of the budget to failures, and less urgent ranks up to a tenth to more urgent ones.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -66,6 +66,7 @@
 mod rollout_order;
 mod rollout_track;
 mod rollouts;
+mod room;
 mod route_entry;
 mod route_table;
 mod routed_arrival;
@@ -151,6 +152,7 @@
     relay_start::RelayStart,
     rendezvous_servers::RendezvousServers,
     request_rate::RequestRate,
+    room::RetryPurpose,
     server_estimate::ServerEstimate,
     store_access::{StoreAccess, StoreUse},
     sync_positions::SyncPositions,
--- a/src/gateway/escalate.rs
+++ b/src/gateway/escalate.rs
@@ -36,7 +36,7 @@
         let prognosis = EscalationInputs { confidence, is_on_time, pressure, unread_share };
         if !prognosis.should_escalate()
             || self.crashes.quarantine(now, &larger, false).is_some()
-            || !self.spend_retry(now, &larger.pool)
+            || !self.spend_retry(now, &larger, RetryPurpose::Escalation)
         {
             return false;
         }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -29,6 +29,8 @@
     /// When the server of each idempotent request counts as unresponsive if it has not answered.
     pub(super) response_deadlines: BTreeSet<(Millis, RequestNumber)>,
     pub(super) crowded: FullPoolQueue,
+    /// The ranks of the routes of each pool.
+    pub(super) pool_ranks: BTreeMap<PoolId, BTreeSet<u8>>,
     pub(super) budgets: BTreeMap<PoolId, RetryBudget>,
     pub(super) ending: Option<Millis>,
     pub(super) random: rand_chacha::ChaCha8Rng,
@@ -79,6 +81,7 @@
             ends: BTreeSet::new(),
             response_deadlines: BTreeSet::new(),
             crowded: FullPoolQueue::default(),
+            pool_ranks: BTreeMap::new(),
             budgets: BTreeMap::new(),
             ending: None,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -140,6 +140,7 @@
             keys = document.keys.count(),
             "configuration in force"
         );
+        self.pool_ranks = document.routes.pool_ranks();
         self.document = Some(Arc::clone(document));
     }
 
--- a/src/gateway/resend.rs
+++ b/src/gateway/resend.rs
@@ -3,10 +3,6 @@
 use super::*;
 
 impl Gateway {
-    /// The fraction of the permitted share of retries that is used. The rest allows for requests
-    /// that an outside measurement counts in another window than this VM.
-    const USED_SHARE: f64 = 0.85;
-
     pub(super) fn retry_or_end(
         &mut self,
         now: Millis,
@@ -26,14 +22,12 @@
         reason: &'static str,
     ) -> Result<(), Refusal> {
         let Some(state) = self.requests.get(&request) else { return Ok(()) };
+        let refusal = Self::failure_refusal(state);
         if !state.may_retry() {
-            return Err(Self::failure_refusal(state));
+            return if self.wait_for_reachable(now, request) { Ok(()) } else { Err(refusal) };
         }
-        let is_unsent = state.runs.iter().all(|run| run.stage == RunStage::Unsent);
-        let refusal = Self::failure_refusal(state);
         let pool = state.pool.clone();
-        if !is_unsent && !self.spend_retry(now, &pool) {
-            tracing::info!(request = request.0, "not retried: the retry budget is exhausted");
+        if state.owes_retry() && !self.spend_retry(now, &state.clone(), RetryPurpose::Failure) {
             return Err(refusal);
         }
         self.count_request(now, &pool);
@@ -42,13 +36,6 @@
             .map_err(|error| if error.run == RunState::NotRun { error } else { refusal })
     }
 
-    pub(super) fn spend_retry(&mut self, now: Millis, pool: &PoolId) -> bool {
-        let window = self.bounds.resend_window_ms;
-        let share = self.bounds.resend_share.get() * Self::USED_SHARE;
-        let reserve = RetryBudget::reserve(self.bounds.resend_extra, self.known_vms());
-        self.budgets.entry(pool.clone()).or_default().try_spend(now, window, share, reserve)
-    }
-
     /// Moves idempotent requests whose server has not answered in time to another server. They are
     /// late already; a server that is cut off or hangs would hold them until the caller's deadline.
     pub(super) fn retry_unresponsive(&mut self, now: Millis) {
@@ -99,7 +86,7 @@
         }
         let is_only =
             self.find_server(now, &moved).is_none_or(|(place, _)| place.server == run.server);
-        if is_only || !moved.may_retry() || !self.spend_retry(now, &moved.pool) {
+        if is_only || !moved.may_retry() || !self.spend_retry(now, &moved, RetryPurpose::Failure) {
             return false;
         }
         self.release_open_run(request);
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -45,14 +45,21 @@
         self.slice(now, window).requests += 1;
     }
 
-    /// Spends one retry if the share of the window's requests or the reserve permits it; returns
-    /// whether it did.
-    pub fn try_spend(&mut self, now: Millis, window: Millis, share: f64, reserve: f64) -> bool {
+    /// Spends one retry if the share of the window's requests or the reserve permits it, and
+    /// `leaves`, a share of what they permit, is left for others; returns whether it did.
+    pub fn try_spend(
+        &mut self,
+        now: Millis,
+        window: Millis,
+        share: f64,
+        reserve: f64,
+        leaves: f64,
+    ) -> bool {
         self.slice(now, window);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let resends: u32 = self.slices.iter().map(|slice| slice.resends).sum();
         let limit = f64::from(requests) * share + reserve;
-        let is_permitted = f64::from(resends + 1) <= limit;
+        let is_permitted = f64::from(resends + 1) <= limit * (1.0 - leaves);
         if is_permitted {
             self.slice(now, window).resends += 1;
         }
--- a/src/gateway/route_table.rs
+++ b/src/gateway/route_table.rs
@@ -29,6 +29,18 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the ranks of the routes of each pool.
+    #[must_use]
+    pub fn pool_ranks(&self) -> BTreeMap<PoolId, BTreeSet<u8>> {
+        let mut ranks: BTreeMap<PoolId, BTreeSet<u8>> = BTreeMap::new();
+        for route in self.hosts.values().flatten() {
+            for part in &route.pools {
+                ranks.entry(part.pool.clone()).or_default().insert(route.rank);
+            }
+        }
+        ranks
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -148,10 +148,37 @@
     /// Returns whether the route's limits permit a retry.
     #[must_use]
     pub fn may_retry(&self) -> bool {
-        let is_unsent = |run: &&RunRecord| run.stage == RunStage::Unsent;
-        let sent = self.runs.len() - self.runs.iter().filter(is_unsent).count();
-        let unsent = self.runs.iter().skip(self.first_run_since_wait).filter(is_unsent).count();
+        self.may_be_sent() && self.unsent_runs(self.first_run_since_wait) < Self::MAX_UNSENT_RUNS
+    }
+
+    /// Returns whether a retry is permitted but for the runs that could not be sent.
+    #[must_use]
+    pub fn has_searched_in_vain(&self) -> bool {
+        self.may_be_sent() && !self.may_retry()
+    }
+
+    /// Returns how often so many runs in a row could not be sent that the request had to wait.
+    #[must_use]
+    pub fn searches(&self) -> u32 {
+        (self.unsent_runs(0) / Self::MAX_UNSENT_RUNS).saturating_sub(1) as u32
+    }
+
+    /// Returns whether a retry has to be spent from the budget, which counts what reaches servers.
+    /// A run that could not be sent leaves what was spent for it to the next one.
+    #[must_use]
+    pub fn owes_retry(&self) -> bool {
+        self.runs.last().is_some_and(|run| run.stage != RunStage::Unsent)
+    }
+
+    fn may_be_sent(&self) -> bool {
+        let sent = self.runs.len() - self.unsent_runs(0);
         let repeats = self.run_state() == RunState::NotRun || self.route.kind.may_repeat();
-        repeats && sent < self.route.attempt_limit as usize && unsent < Self::MAX_UNSENT_RUNS
+        repeats && sent < self.route.attempt_limit as usize
+    }
+
+    /// Returns the number of runs from `first` on that could not be sent.
+    fn unsent_runs(&self, first: usize) -> usize {
+        let runs = self.runs.iter().skip(first);
+        runs.filter(|run| run.stage == RunStage::Unsent).count()
     }
 }
--- a/tests/gateway_budget.rs
+++ b/tests/gateway_budget.rs
@@ -23,8 +23,8 @@
             let now = Millis(u64::from(request) * 100);
             budget.record_request(now, WINDOW);
             requests += 1;
-            let spent =
-                (0..tries).filter(|_| budget.try_spend(now, WINDOW, SHARE * USED_SHARE, reserve));
+            let spent = (0..tries)
+                .filter(|_| budget.try_spend(now, WINDOW, SHARE * USED_SHARE, reserve, 0.0));
             resends += spent.count() as u32;
         }
     }
@@ -61,7 +61,7 @@
             budget.record_request(Millis(0), WINDOW);
         }
         let now = WINDOW + Millis(1_000);
-        (0..10).filter(|_| budget.try_spend(now, WINDOW, SHARE * USED_SHARE, reserve)).count()
+        (0..10).filter(|_| budget.try_spend(now, WINDOW, SHARE * USED_SHARE, reserve, 0.0)).count()
             as u32
     });
     assert_bounded(0, resends.sum());
