Decide by bids who waits where a pool has too little room

Change: PoolRoom::decide sends, holds at the VM or refuses a request that no server has begun, where half of the places are taken and the first event is expected after the objective at the best server. Bids follow rank, work and the team's share, each by a factor of two at most; a request waits for a quarter of its time at most. Retry-After is spread, and doubled for the least urgent rank.

--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -104,6 +104,9 @@
     pub(super) fn refuse(&mut self, now: Millis, request: RequestNumber, refusal: Refusal) {
         let Some(state) = self.requests.get(&request) else { return };
         let refusal = Self::true_refusal(state, refusal);
+        let after = refusal.retry_after.map(|after| self.spread_return(request, after));
+        let refusal = Refusal { retry_after: after, ..refusal };
+        let Some(state) = self.requests.get(&request) else { return };
         // A retry is pointless before a server of the pool accepts requests again.
         let backoff = self.pool_backoff(now, &state.pool);
         let longer = backoff.filter(|backoff| refusal.retry_after < Some(*backoff));
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -47,7 +47,9 @@
             let Some(backoff) = backoff else { return Err(Self::no_server_refusal(state)) };
             return self.wait_backoff(now, request, backoff);
         };
-        self.start(now, request, place, side, reason);
+        if self.check_room(now, request, &place)? {
+            self.start(now, request, place, side, reason);
+        }
         Ok(())
     }
 
--- a/tests/gateway_room.rs
+++ b/tests/gateway_room.rs
@@ -130,3 +130,69 @@
     assert!(less_urgent < 100, "the budget does not bound retries");
     assert_eq!(retried_of_eight(&mut world, "/now/1"), 8, "after {less_urgent} others");
 }
+
+#[test]
+fn room_is_decided_by_what_a_delay_costs() {
+    let room = PoolRoom {
+        taken: 0.9,
+        expected: Millis(4_000),
+        objective_left: Millis(2_000),
+        time_left: Millis(10_000),
+        waited: Millis(0),
+    };
+    let decide = |room: PoolRoom, more_urgent, work| {
+        room.decide(Bid { more_urgent, work, overuse: 1.0 }, 0.5)
+    };
+    assert_eq!(decide(room, 0.0, 1.0), RoomDecision::Send, "urgent");
+    assert_eq!(decide(room, 0.0, 0.1), RoomDecision::Send, "urgent and short");
+    assert!(matches!(decide(room, 0.7, 3.0), RoomDecision::Wait(_)), "neither urgent nor short");
+    let heavy_team = Bid { more_urgent: 0.0, work: 1.0, overuse: 7.5 };
+    let light_team = Bid { overuse: 1.0, ..heavy_team };
+    assert!(matches!(room.decide(heavy_team, 0.5), RoomDecision::Wait(_)), "a team's burst");
+    assert_eq!(room.decide(light_team, 0.5), RoomDecision::Send, "another team");
+    let free = PoolRoom { taken: 0.4, ..room };
+    assert_eq!(decide(free, 0.7, 3.0), RoomDecision::Send, "half of the places are free");
+    let held = PoolRoom { waited: Millis(2_500), ..room };
+    assert_eq!(decide(held, 0.7, 3.0), RoomDecision::Send, "nothing is held until its deadline");
+    let hopeless = PoolRoom { time_left: Millis(1_900), objective_left: Millis(0), ..room };
+    assert_eq!(decide(hopeless, 0.0, 1.0), RoomDecision::Refuse, "no server answers in time");
+}
+
+/// Sends a burst of one route, several times what all engines can begin within its objective.
+fn burst(world: &mut GatewayFixture, path: &str) {
+    for _ in 0..2_150 {
+        arrive_sized(world, path);
+    }
+}
+
+/// Returns how many of 30 requests of a route are sent at once.
+fn sent_at_once(world: &mut GatewayFixture, path: &str) -> usize {
+    let sent = (0..30).filter(|_| {
+        let request = arrive_sized(world, path);
+        !world.starts(request).is_empty()
+    });
+    sent.count()
+}
+
+#[test]
+fn burst_of_less_urgent_requests_waits_for_urgent_ones() {
+    let mut world = world_of(vec![sized("/now/", 0), sized("/day/", 2), sized("/later/", 3)]);
+    burst(&mut world, "/later/1");
+    let (later, now) = (sent_at_once(&mut world, "/later/1"), sent_at_once(&mut world, "/now/1"));
+    assert!(now == 30 && later <= 15, "{later} of the burst and {now} urgent ones of 30 were sent");
+}
+
+#[test]
+fn waiting_requests_are_sent_before_their_deadline() {
+    let mut world = world_of(vec![sized("/now/", 0), sized("/day/", 2), sized("/later/", 3)]);
+    burst(&mut world, "/later/1");
+    let waiting: Vec<RequestNumber> =
+        (0..30).map(|_| arrive_sized(&mut world, "/later/1")).collect();
+    for _ in 0..20 {
+        world.tick(100);
+    }
+    let is_held = |request: &&RequestNumber| {
+        world.starts(**request).is_empty() && world.refusal(**request).is_none()
+    };
+    assert_eq!(waiting.iter().filter(is_held).count(), 0, "held over a quarter of their time");
+}
