--- a/src/gateway/room/server_search.rs
+++ b/src/gateway/room/server_search.rs
@@ -18,7 +18,7 @@
         if !state.has_searched_in_vain() {
             return false;
         }
-        let pause = Self::SEARCH_WAIT_MS * 2.0_f64.powi(state.searches() as i32);
+        let pause = Self::SEARCH_WAIT_MS * f64::from(state.searches()).exp2();
         let at = now + Millis((pause * (0.5 + draw)) as u64);
         let half = Millis(state.ends.since(state.received).0 / 2);
         if at > state.received + state.route.objective.max(half) || at > state.ends {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -48,7 +48,9 @@
             };
             return self.wait_backoff(now, request, backoff);
         };
-        self.start(now, request, place, side, reason);
+        if self.check_room(now, request, &place)? {
+            self.start(now, request, place, side, reason);
+        }
         Ok(())
     }
 
