Leave a Retry-After alone that follows a server's backoff

Cause: the spread shortened the time until all backoffs end, which two tests of tests/gateway_hints.rs showed (backoff_is_bounded_by_the_setting, request_is_refused_at_once_if_all_backoffs_end_too_late).

Change: it is spread only where the pool has no backoff.

--- a/src/gateway/finish.rs
+++ b/src/gateway/finish.rs
@@ -104,11 +104,13 @@
     pub(super) fn refuse(&mut self, now: Millis, request: RequestNumber, refusal: Refusal) {
         let Some(state) = self.requests.get(&request) else { return };
         let refusal = Self::true_refusal(state, refusal);
-        let after = refusal.retry_after.map(|after| self.spread_return(request, after));
-        let refusal = Refusal { retry_after: after, ..refusal };
-        let Some(state) = self.requests.get(&request) else { return };
         // A retry is pointless before a server of the pool accepts requests again.
         let backoff = self.pool_backoff(now, &state.pool);
+        let after = refusal.retry_after;
+        let spread = after.filter(|_| backoff.is_none());
+        let after = spread.map(|after| self.spread_return(request, after)).or(after);
+        let refusal = Refusal { retry_after: after, ..refusal };
+        let Some(state) = self.requests.get(&request) else { return };
         let longer = backoff.filter(|backoff| refusal.retry_after < Some(*backoff));
         let refusal = match longer.filter(|_| refusal.retry_after.is_some()) {
             Some(backoff) => refusal.with_retry_after(backoff),
