Move only streams whose server has failed others; lateness beyond what few answers take

Cause: a VM sees few of a server's answers, so that a stream without a first event moved from servers that were only busy, and queued anew elsewhere. Half of all runs counted as late, as lateness was measured from the median; their prompts left the homes of their parts. Change: a stream moves at its objective only if another run has failed at its server since; a run is late beyond what 98 in 100 take.

--- a/src/gateway/breaks/server_progress.rs
+++ b/src/gateway/breaks/server_progress.rs
@@ -52,11 +52,16 @@
         due.is_some_and(|due| now >= due)
     }
 
-    /// Returns whether the open run of a stream waits only because its server is busy: the server
-    /// has begun or completed other answers since the run started.
+    /// Returns whether the open run of a stream may only be late because its server is busy: the
+    /// server has begun or completed other answers since the run started, or no other run has
+    /// failed there. Moving it would then add its work to another server's, when all have too much.
     pub(in super::super) fn is_stream_queued(&self, state: &RoutedRequest) -> bool {
         let waiting = state.open_run().filter(|run| run.stage == RunStage::Waiting);
         state.route.kind.is_stream()
-            && waiting.is_some_and(|run| self.progress.is_since(&run.server, run.started))
+            && waiting.is_some_and(|run| {
+                let server = self.servers.get(&run.server);
+                let has_failed = server.is_some_and(|server| server.consecutive_failures > 0);
+                !has_failed || self.progress.is_since(&run.server, run.started)
+            })
     }
 }
--- a/src/gateway/forecasts/answer_forecast.rs
+++ b/src/gateway/forecasts/answer_forecast.rs
@@ -32,15 +32,15 @@
         Millis(self.end.median(self.end_ms) as u64)
     }
 
-    /// Returns by how much a run is later than expected that has taken so long.
+    /// Returns by how much a run that has taken so long is later than few answers are.
     #[must_use]
     pub fn lateness_ms(&self, took: Millis, has_begun: bool) -> f64 {
-        let expected = match has_begun {
-            false => self.first.median(self.first_ms),
-            true if self.knows_end => self.end.median(self.end_ms),
+        let latest = match has_begun {
+            false => self.first.latest(self.first_ms),
+            true if self.knows_end => self.end.latest(self.end_ms),
             true => return 0.0,
         };
-        (took.0 as f64 - expected).max(0.0)
+        (took.0 as f64 - latest).max(0.0)
     }
 
     /// Returns the probability that the first event comes within a time.
--- a/src/gateway/forecasts/forecast_error.rs
+++ b/src/gateway/forecasts/forecast_error.rs
@@ -28,6 +28,8 @@
     const PRIOR_SAMPLES: u32 = 2;
     /// The standard deviation of a normal distribution divided by the mean excess of its larger half.
     const STANDARD_PER_EXCESS: f64 = 1.253;
+    /// The standard deviations beyond the mean that 2 in 100 answers exceed.
+    const LATE_DEVIATIONS: f64 = 2.0;
     /// The logistic function with this factor lies within 0.01 of the normal distribution.
     const LOGISTIC_FACTOR: f64 = 1.702;
     /// Added to all times, as callers do not notice shorter differences.
@@ -67,6 +69,13 @@
         ((expected_ms + Self::OFFSET_MS) * self.mean.exp() - Self::OFFSET_MS).max(0.0)
     }
 
+    /// Returns the time that few answers exceed which are expected after `expected_ms`.
+    #[must_use]
+    pub fn latest(&self, expected_ms: f64) -> f64 {
+        let exponent = self.mean + Self::LATE_DEVIATIONS * self.excess * Self::STANDARD_PER_EXCESS;
+        ((expected_ms + Self::OFFSET_MS) * exponent.exp() - Self::OFFSET_MS).max(0.0)
+    }
+
     /// Returns the probability that an answer that is expected after `expected_ms` comes within
     /// `limit_ms`.
     #[must_use]
