--- a/src/health/crash_tracker.rs
+++ b/src/health/crash_tracker.rs
@@ -8,8 +8,8 @@
 ///
 /// - Only successive crashes count: a run that had started before the previous counted crash is no
 ///   further evidence. Servers of a rack that crash together thus count once.
-/// - Until three servers have crashed, the crashes of one in a short time count once: a server that goes down and up by turns
-///   crashes under whatever has its home there.
+/// - Until three servers have crashed, the crashes of one in a short time count once: a server that
+///   goes down and up by turns crashes under whatever has its home there.
 /// - Crashes of several servers at the same moment ([`SharedCrashes`]) count only against subjects
 ///   that were present at most of them.
 /// - A run that was completely answered rules its request and parts out for all crashes before it
--- a/src/units.rs
+++ b/src/units.rs
@@ -187,8 +187,9 @@
 
 /// The only source of time in the program.
 ///
-/// `now` is monotonic, starts near zero or at the past given and includes the time for which the VM was suspended, so
-/// that leases expire during a suspension; `unix` is the wall clock, which may jump.
+/// `now` is monotonic, starts near zero or at a given time, and includes the time for which the VM
+/// was suspended, so that leases expire during a suspension; `unix` is the wall clock, which may
+/// jump.
 #[derive(Clone, Debug)]
 pub struct Clock {
     start: Duration,
