--- a/recipes.sh
+++ b/recipes.sh
@@ -10,6 +10,9 @@
   large/ruedaparque-fleet-large.toml:8
   grown/kencana-cube-grown.toml:8
   grown/ruedaparque-fleet-grown.toml:8
+  shifted/ruedaparque-fleet-now-grown.toml:8
+  demands/corrib-ptl-grown.toml:8
+  demands/bayar-shopfloor-grown.toml:8
 )
 
 # Scores the deployments in force and hunts on them: days [JOBS]
--- a/src/driver/gateway_thread.rs
+++ b/src/driver/gateway_thread.rs
@@ -91,6 +91,8 @@
             self.metrics.gauge("evacuation_age_ms", gateway.evacuation_age(now).0);
             self.metrics.gauge("evacuating_requests", gateway.evacuating_requests().into());
             self.metrics.gauge("withheld_sends", gateway.withheld_sends());
+            self.metrics.gauge("room_waits", gateway.room_counts().waits);
+            self.metrics.gauge("room_refusals", gateway.room_counts().refusals);
             let subjects = self.gateway.quarantined_subjects();
             self.metrics.gauge("quarantined_subjects", subjects as u64);
         }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -127,7 +127,7 @@
     retry_budget::RetryBudget,
     rollout_order::{EvidenceRecord, RolloutOrder, RolloutRecord, RolloutState},
     rollout_track::{RolloutTrack, VersionSide},
-    room::{Bid, PoolRoom, RoomDecision},
+    room::{Bid, PoolRoom, RoomCounts, RoomDecision},
     route_entry::{PoolWeight, RouteEntry, RouteKind},
     route_table::RouteTable,
     routed_arrival::{PromptPart, RoutedArrival},
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -36,6 +36,7 @@
     /// The ranks of the routes of each pool.
     pub(super) pool_ranks: BTreeMap<PoolId, BTreeSet<u8>>,
     pub(super) budgets: BTreeMap<PoolId, RetryBudget>,
+    pub(super) room_counts: RoomCounts,
     pub(super) start_wait: StartWait,
     pub(super) reach: CentreReach,
     pub(super) progress: ServerProgress,
@@ -96,6 +97,7 @@
             crowded: FullPoolQueue::default(),
             pool_ranks: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            room_counts: RoomCounts::default(),
             start_wait: StartWait::default(),
             reach: CentreReach::default(),
             progress: ServerProgress::default(),
--- a/src/gateway/room/room_check.rs
+++ b/src/gateway/room/room_check.rs
@@ -54,6 +54,7 @@
         match decision {
             RoomDecision::Send => Ok(true),
             RoomDecision::Wait(pause) => {
+                self.room_counts.waits += 1;
                 let reason = "waits: others bid more for the room";
                 self.wait_until(now, request, now + pause, reason);
                 Ok(false)
@@ -61,11 +62,18 @@
             RoomDecision::Refuse => {
                 let message = "The pool has no room for the request before its deadline.";
                 let refusal = Self::final_refusal(state, RefusalCode::Unavailable, message);
+                self.room_counts.refusals += 1;
                 Err(refusal.with_retry_after(room.expected))
             }
         }
     }
 
+    /// Returns how often requests found too little room.
+    #[must_use]
+    pub const fn room_counts(&self) -> RoomCounts {
+        self.room_counts
+    }
+
     /// Returns when a refused caller should come back: at a time spread around the one given, the
     /// more urgent ones first.
     pub(in crate::gateway) fn spread_return(
