--- a/tests/gateway_sockets.rs
+++ b/tests/gateway_sockets.rs
@@ -249,3 +249,31 @@
     }
     eventually("no idle connection", || stage.servers[0].open() == 0);
 }
+
+/// Calls an address from a given local port and returns the start of the answer.
+fn call_from(port: u16, address: std::net::SocketAddr, head: &str) -> String {
+    use std::io::{Read, Write};
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], port)).into()).unwrap();
+    socket.connect(&address.into()).unwrap();
+    let mut stream = std::net::TcpStream::from(socket);
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+// Guards against a readiness probe that is taken for a request of a caller who had its address.
+#[test]
+fn probe_from_the_address_of_a_former_caller() {
+    let stage = Stage::start(1, 1);
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = free.local_addr().unwrap().port();
+    drop(free);
+    let end = "Host: x\r\nConnection: close\r\n\r\n";
+    let call = format!("GET /nothing HTTP/1.1\r\n{end}");
+    call_from(port, stage.vms[0].callers, &call);
+    let probe = format!("GET /-/readyz HTTP/1.1\r\n{end}");
+    eventually("a probe", || call_from(port, stage.vms[0].status, &probe).contains(" 200 "));
+}
