--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,8 +15,10 @@
 //! their answers that they are leaving or need a backoff ([`server_hints`]), or name a limit on the
 //! requests of all VMs together ([`limits`], [`permits`]). [`store_access`]
 //! decides whether this VM reads the store itself ([`reads`]) or through another VM ([`relay`]).
-//! [`rollouts`] advances roll-outs. [`forecasts`] learns when answers begin and end. Operators may
-//! order that the servers of a data centre get no more requests ([`zones`]).
+//! [`rollouts`] advances roll-outs. [`forecasts`] learns when answers begin and end. [`room`] decides
+//! who waits or is turned away where a pool has too little room, and [`breaks`] what is done about
+//! servers and data centres that fall silent. Operators may order that the servers of a data centre
+//! get no more requests ([`zones`]).
 
 use super::*;
 
