Forget the loads of other VMs when the hub falls silent

Cause: a VM that follows a hub kept the last loads that the hub had told it for ever, though they are to expire after 700 ms; a VM that is cut off chose servers by the load before the cut. Change: they are forgotten after 700 ms, and the loads that servers report in answers are used again.

--- a/src/gateway/peer_loads.rs
+++ b/src/gateway/peer_loads.rs
@@ -25,7 +25,7 @@
 
 impl PeerLoads {
     /// The time after which a sum expires: a few intervals between two messages.
-    const EXPIRY_MS: u64 = 700;
+    pub const EXPIRY: Millis = Millis(700);
 
     /// Replaces the load of a VM that polls this one.
     pub fn set_follower(&mut self, now: Millis, vm: &VmId, sum: LoadTotals) {
@@ -42,6 +42,12 @@
         self.reader = DatedSum { sum, received: now };
     }
 
+    /// Returns whether the last answer of this VM's reader has expired.
+    #[must_use]
+    pub fn is_reader_silent(&self, now: Millis) -> bool {
+        now.since(self.reader.received) >= Self::EXPIRY
+    }
+
     /// Returns the sum of the loads of this VM and the VMs that poll it.
     #[must_use]
     pub fn of_centre(&self, now: Millis, own: &LoadTotals) -> LoadTotals {
@@ -73,7 +79,7 @@
         now: Millis,
         sums: impl Iterator<Item = &'a DatedSum>,
     ) -> impl Iterator<Item = &'a LoadTotals> {
-        let fresh = sums.filter(move |dated| now.since(dated.received).0 < Self::EXPIRY_MS);
+        let fresh = sums.filter(move |dated| now.since(dated.received) < Self::EXPIRY);
         fresh.map(|dated| &dated.sum)
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -109,6 +109,14 @@
         self.greet_seed(now);
         self.poll_source(now);
         self.exchange_loads(now);
+        self.expire_loads(now);
+    }
+
+    /// Forgets the loads of other VMs if the hub that told them has fallen silent.
+    fn expire_loads(&mut self, now: Millis) {
+        if !self.relay.is_hub && self.relay.loads.is_reader_silent(now) {
+            self.servers.forget_others();
+        }
     }
 
     /// Exchanges loads with the hubs of other data centres, if this VM is the hub of its own.
--- a/src/gateway/server_registry.rs
+++ b/src/gateway/server_registry.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Forgets the outstanding load of other VMs; the loads that servers report are used instead.
+    pub fn forget_others(&mut self) {
+        self.servers.values_mut().for_each(|server| server.others = None);
+    }
+
     /// Applies an entry that a server registered. An entry of an earlier start than the known one
     /// is ignored; a new address or a later start resets what is known of the server.
     pub fn apply_entry(&mut self, entry: ServerEntry) -> ServerUpdate {
