Do not count slow first events of cold servers against a version

Cause: a first event counted as slow against the expected time also while its server was warming up; gateway_rollouts cold_servers_do_not_count_against_a_version held only because expected times were too long. Change: a slow first event of a cold server is not counted.

--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -121,7 +121,11 @@
         // When the whole pool is overloaded, both sides are slow. Good answers are counted here
         // too, not when the stream ends, as they would otherwise be counted later than the slow
         // ones.
-        track.count(side, RolloutTrack::is_slow(took, run.expected));
+        let is_slow = RolloutTrack::is_slow(took, run.expected);
+        // A server that is still warming up is slow whatever its version.
+        if !(is_slow && run.is_cold) {
+            track.count(side, is_slow);
+        }
     }
 
     /// Records the latency of an answer for the comparison of the versions. `is_whole` is false if
