Escalate by the backlog of all VMs and the work of the prompt

Expected first events of larger models were twice what they took, as fixed times counted as time per token. Change: PromptPace fits a line to first events; PoolPressure is the mean backlog that all VMs report over the shortest objective; MeanWork compares the work with that of all candidates; the rank lowers the value by half at most. Modules in gateway/escalation. The burst of two tests of room is larger, as engines are assumed to be 2.5 times as fast before the first answer; their checks are unchanged.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,7 +9,7 @@
 //!
 //! A request is admitted ([`admit`]) and sent to a server ([`send`]). Each run at a server
 //! ([`runs`]) ends with an answer that is delivered, with an answer that is discarded in favour of
-//! a larger model ([`escalate`]), or with a fault. After a fault the request is retried
+//! a larger model ([`escalation`]), or with a fault. After a fault the request is retried
 //! ([`resend`]), waits for a server with a free slot ([`crowded`]) or is refused ([`finish`]). A
 //! request that repeatedly crashes servers is quarantined ([`crashes`]). Servers may announce in
 //! their answers that they are leaving or need a backoff ([`server_hints`]), or name a limit on the
@@ -29,8 +29,7 @@
 mod breaks;
 mod crashes;
 mod crowded;
-mod engine_pressure;
-mod escalate;
+mod escalation;
 mod finish;
 mod forecasts;
 mod freshness_lease;
@@ -46,7 +45,6 @@
 mod limit_statement;
 mod limits;
 mod load_sample;
-mod model_choice;
 mod outstanding_load;
 mod peer_loads;
 mod permit_issuer;
@@ -102,8 +100,10 @@
 pub use {
     answer_counts::AnswerCounts,
     backend_server::BackendServer,
-    engine_pressure::EnginePressure,
-    forecasts::{AnswerForecast, ForecastError, ModelForecast, ServerSpeed, StreamPace},
+    escalation::{EscalationInputs, MeanWork, PoolPressure},
+    forecasts::{
+        AnswerForecast, ForecastError, ModelForecast, PromptPace, ServerSpeed, StreamPace,
+    },
     freshness_lease::FreshnessLease,
     gateway_bounds::GatewayBounds,
     gateway_command::GatewayCommand,
@@ -116,7 +116,6 @@
     limit_message::{LimitQuery, LimitReply, LimitReport, PermitDemand, PermitGrant},
     limit_statement::LimitStatement,
     load_sample::{DatedLoad, LoadSample},
-    model_choice::EscalationInputs,
     outstanding_load::{LoadTotals, OutstandingLoad, ServerTag},
     peer_loads::PeerLoads,
     permit_stock::PermitStock,
--- a/src/gateway/model_choice.rs
+++ b/src/gateway/escalation/escalation_inputs.rs
@@ -1,11 +1,4 @@
-//! The choice of the model for routes whose operators leave it to the router.
-//!
-//! The smallest model answers first. It is cheap, and the confidence that it reports shows well
-//! enough whether a larger one is needed; a medium-sized model seldom answers what the smallest
-//! cannot. The first event of an answer with low confidence is held back, and the request goes to
-//! the largest model if that answer is expected to be worth more. When the engines cannot process
-//! all prompts with the largest model, its answers would be late and are worth less, so that
-//! escalation stops as the servers fill up.
+use super::*;
 
 /// The inputs of the decision between the small model's answer and one of the larger model.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,10 +9,12 @@
     pub on_time: f64,
     /// The probability that the larger model's answer is complete before the deadline.
     pub complete: f64,
-    /// The pressure on larger models; see [`super::EnginePressure`].
-    pub pressure: f64,
-    /// The fraction of the prompt that the larger model has not cached and must process.
-    pub unread_share: f64,
+    /// The pressure on the pool's engines.
+    pub pressure: PoolPressure,
+    /// The work that the prompt needs, as a multiple of that of the mean prompt; see [`MeanWork`].
+    pub work: f64,
+    /// The share of the ranks of the pool's routes that are more urgent; 0 for the most urgent.
+    pub more_urgent: f64,
 }
 
 impl EscalationInputs {
@@ -34,12 +29,15 @@
     const LATE_VALUE: f64 = 0.3;
     /// The cost of generating the larger model's answer, as a share of a good answer's value.
     const ANSWER_COST: f64 = 0.04;
-    /// The cost of processing a whole prompt with the larger model, as such a share.
-    const PROMPT_COST: f64 = 0.14;
-
-    /// The cost to the requests behind it of processing a whole prompt at a pressure of 1, as such
-    /// a share.
-    const DELAY_COST: f64 = 1.0;
+    /// The cost of processing a mean prompt that delays nobody, as such a share.
+    const PROMPT_COST: f64 = 0.025;
+    /// The largest work that counts, as a multiple of the mean: longer prompts are worth more too.
+    const MAX_WORK: f64 = 2.0;
+    /// The cost of delaying the requests behind a prompt, and the streams beside it, by their whole
+    /// objective, as such a share.
+    const DELAY_COST: f64 = 1.5;
+    /// The most by which the share of more urgent ranks lowers the value of an answer.
+    const LEAST_URGENT_LOSS: f64 = 0.5;
 
     /// Returns the probability that the small model's answer is good.
     #[must_use]
@@ -65,8 +63,16 @@
         }
         let in_time = self.on_time + (1.0 - self.on_time) * Self::LATE_VALUE;
         let larger = in_time * self.complete;
-        let delay = Self::DELAY_COST * self.pressure;
-        let processing = (Self::PROMPT_COST + delay) * self.unread_share;
-        larger - Self::ANSWER_COST - processing > self.good_share()
+        larger - Self::ANSWER_COST - self.processing_cost() > self.good_share()
+    }
+
+    /// Returns the cost of processing the prompt to the requests behind it. Each of them loses the
+    /// part of its objective that the processing takes; how many there are is the backlog divided by
+    /// the mean work, so that the product is the pressure times the work. It counts more the more of
+    /// them are more urgent.
+    fn processing_cost(&self) -> f64 {
+        let delay = Self::DELAY_COST * self.pressure.get();
+        let urgency = 1.0 - Self::LEAST_URGENT_LOSS * self.more_urgent;
+        (Self::PROMPT_COST + delay) * self.work.min(Self::MAX_WORK) / urgency
     }
 }
--- a/src/gateway/forecasts.rs
+++ b/src/gateway/forecasts.rs
@@ -13,14 +13,18 @@
 mod answer_forecast;
 mod forecast_error;
 mod model_forecast;
+mod prompt_pace;
+mod recent_points;
 mod server_speed;
 mod stream_pace;
 
 pub use {
     answer_forecast::AnswerForecast, forecast_error::ForecastError, model_forecast::ModelForecast,
-    server_speed::ServerSpeed, stream_pace::StreamPace,
+    prompt_pace::PromptPace, server_speed::ServerSpeed, stream_pace::StreamPace,
 };
 
+use recent_points::RecentPoints;
+
 impl Gateway {
     /// Returns the forecast of a stream that is sent to a server now. None if the number of tokens
     /// is unknown or the stream is resumed.
--- a/src/gateway/forecasts/stream_pace.rs
+++ b/src/gateway/forecasts/stream_pace.rs
@@ -1,12 +1,10 @@
+use super::*;
+
 /// The time per generated token as a linear function of the requests beside it, fitted to recent
 /// streams.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct StreamPace {
-    weight: f64,
-    requests: f64,
-    token_ms: f64,
-    requests_squared: f64,
-    product: f64,
+    points: RecentPoints,
 }
 
 impl StreamPace {
@@ -15,18 +13,13 @@
 
     /// Adds a stream that took `token_ms` for each token beside so many requests.
     pub fn record(&mut self, requests: f64, token_ms: f64) {
-        let add = |sum: &mut f64, sample: f64| *sum = *sum * Self::DECAY + sample;
-        add(&mut self.weight, 1.0);
-        add(&mut self.requests, requests);
-        add(&mut self.token_ms, token_ms);
-        add(&mut self.requests_squared, requests * requests);
-        add(&mut self.product, requests * token_ms);
+        self.points.record(requests, token_ms, Self::DECAY);
     }
 
     /// Returns whether any stream has been recorded.
     #[must_use]
     pub fn is_known(&self) -> bool {
-        self.weight > 0.0
+        !self.points.is_empty()
     }
 
     /// Returns the expected time per token beside so many requests, in milliseconds; zero before
@@ -36,12 +29,11 @@
         if !self.is_known() {
             return 0.0;
         }
-        let (mean_requests, mean_ms) = (self.requests / self.weight, self.token_ms / self.weight);
-        let variance = self.requests_squared / self.weight - mean_requests * mean_requests;
-        let covariance = self.product / self.weight - mean_requests * mean_ms;
+        let (mean_requests, mean_ms) = (self.points.mean_x(), self.points.mean_y());
+        let variance = self.points.variance_x();
         // More requests make no stream faster, and none at all leave it a positive time.
         let steepest = mean_ms / mean_requests.max(f64::EPSILON);
-        let slope = if variance > f64::EPSILON { covariance / variance } else { 0.0 };
+        let slope = if variance > f64::EPSILON { self.points.covariance() / variance } else { 0.0 };
         mean_ms + slope.clamp(0.0, steepest) * (requests - mean_requests)
     }
 }
--- a/src/gateway/gateway_core.rs
+++ b/src/gateway/gateway_core.rs
@@ -17,7 +17,7 @@
     pub(super) forecasts: BTreeMap<(PoolId, Option<ModelId>), ModelForecast>,
     /// When the lateness of runs is measured next.
     pub(super) lateness_next: Millis,
-    pub(super) pressures: BTreeMap<PoolId, EnginePressure>,
+    pub(super) mean_works: BTreeMap<PoolId, MeanWork>,
     pub(super) rollouts: BTreeMap<PoolId, RolloutTrack>,
     pub(super) sessions: SessionVersions,
     pub(super) held: HeldSessions,
@@ -35,6 +35,8 @@
     pub(super) crowded: FullPoolQueue,
     /// The ranks of the routes of each pool.
     pub(super) pool_ranks: BTreeMap<PoolId, BTreeSet<u8>>,
+    /// The shortest objective of the routes of each pool.
+    pub(super) shortest_objectives: BTreeMap<PoolId, Millis>,
     pub(super) budgets: BTreeMap<PoolId, RetryBudget>,
     pub(super) room_counts: RoomCounts,
     pub(super) start_wait: StartWait,
@@ -80,7 +82,7 @@
             latency_models: BTreeMap::new(),
             forecasts: BTreeMap::new(),
             lateness_next: Millis(0),
-            pressures: BTreeMap::new(),
+            mean_works: BTreeMap::new(),
             rollouts: BTreeMap::new(),
             sessions: SessionVersions::default(),
             held: HeldSessions::default(),
@@ -96,6 +98,7 @@
             response_deadlines: BTreeSet::new(),
             crowded: FullPoolQueue::default(),
             pool_ranks: BTreeMap::new(),
+            shortest_objectives: BTreeMap::new(),
             budgets: BTreeMap::new(),
             room_counts: RoomCounts::default(),
             start_wait: StartWait::default(),
--- a/src/gateway/reads.rs
+++ b/src/gateway/reads.rs
@@ -153,6 +153,7 @@
         );
         let has_cold_starts = known.is_some() || !document.cold_starts.is_empty();
         self.pool_ranks = document.routes.pool_ranks();
+        self.shortest_objectives = document.routes.shortest_objectives();
         self.document = Some(Arc::clone(document));
         if has_cold_starts {
             self.update_cold_starts(now);
--- a/src/gateway/route_table.rs
+++ b/src/gateway/route_table.rs
@@ -41,6 +41,19 @@
         ranks
     }
 
+    /// Returns the shortest objective of the routes of each pool.
+    #[must_use]
+    pub fn shortest_objectives(&self) -> BTreeMap<PoolId, Millis> {
+        let mut objectives: BTreeMap<PoolId, Millis> = BTreeMap::new();
+        for route in self.hosts.values().flatten() {
+            for part in &route.pools {
+                let shortest = objectives.entry(part.pool.clone()).or_insert(route.objective);
+                *shortest = route.objective.min(*shortest);
+            }
+        }
+        objectives
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -59,15 +59,12 @@
         if had_empty_backlog {
             let key = (pool.clone(), run.model.clone());
             let pace = self.latency_models.entry(key).or_insert_with(PoolLatencyModel::engine);
-            pace.learn_prompt(run.unread, took.0 as f64);
+            let beside = run.forecast.map_or(0.0, |known| known.beside);
+            pace.learn_prompt(run.unread, beside, took.0 as f64);
         }
         self.learn_first(&pool, &run, took);
         self.count_first_event(&pool, &run, took);
         self.record_latency(request, &run, LatencyMeasure::First, took, true);
-        if let Some(state) = self.requests.get(&request).filter(|state| state.is_large()) {
-            let objective = state.route.objective;
-            self.pressures.entry(pool).or_default().record(took, objective);
-        }
         if self.escalate(now, request, attempt, head.confidence) {
             return;
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -98,7 +98,7 @@
         reason: &'static str,
     ) {
         let Some(state) = self.requests.get(&request) else { return };
-        let token_ms = self.pace(state).token_ms;
+        let token_ms = self.pace(state).token_ms();
         let forecast = self.answer_forecast(now, state, &place);
         let limit = self.servers.get(&place.server).and_then(BackendServer::permit_rate);
         let pool = state.pool.clone();
--- a/src/gateway/server_estimate.rs
+++ b/src/gateway/server_estimate.rs
@@ -19,10 +19,9 @@
     const FAILURE_PENALTY_MS: f64 = 2_000.0;
     /// How far a server's share of failures may exceed the mean by chance.
     const FAILURE_RATE_SLACK: f64 = 0.12;
-    /// The cost to the requests behind it of processing a prompt, as a multiple of the processing
-    /// time. On busy servers at least one request waits for it; on idle ones, callers accept far
-    /// longer times than one prompt takes.
-    const PROMPT_DELAY_WEIGHT: f64 = 1.0;
+    /// The cost to other requests of processing a prompt, as a multiple of the processing time:
+    /// about so many requests at a busy server wait for their next event meanwhile.
+    const PROMPT_DELAY_WEIGHT: f64 = 5.0;
     /// The range of the tie-breaker, which spreads requests over servers of equal cost.
     const TIE_BREAK_MS: f64 = 1.0;
 
@@ -34,7 +33,7 @@
         mean_failure_rate: f64,
     ) -> Self {
         let unread = Self::unread_tokens(now, server, wish.parts, homes);
-        let prompt_ms = unread * wish.pace.token_ms * server.speed.factor();
+        let prompt_ms = unread * wish.pace.token_ms() * server.speed.factor();
         let expected_ms = Self::expected_first_ms(now, server, wish, prompt_ms);
         let is_remote = server.entry.data_centre != *wish.data_centre;
         let remote_penalty = if is_remote { Self::REMOTE_PENALTY_MS } else { 0.0 };
@@ -96,6 +95,6 @@
         let queued = (requests - slots + 1.0).max(0.0).max(waiting);
         let prompt_ms = server.expected_backlog() + prompt_ms;
         let work_ms = prompt_ms + requests * wish.pace.neighbour_ms;
-        (work_ms + queued * wish.pace.queue_ms) * server.slowdown(now)
+        (wish.pace.fixed_ms() + work_ms + queued * wish.pace.queue_ms) * server.slowdown(now)
     }
 }
--- a/tests/gateway_places.rs
+++ b/tests/gateway_places.rs
@@ -11,7 +11,7 @@
     units::{Millis, Tokens},
 };
 
-/// The size of the shared part. At the initial speed that is assumed of engines, it takes 650 ms to
+/// The size of the shared part. At the initial speed that is assumed of engines, it takes 260 ms to
 /// process.
 const SHARED_TOKENS: u64 = 13_000;
 
@@ -49,7 +49,7 @@
 #[test]
 fn home_kept_until_backlog_exceeds_processing_elsewhere() {
     let home = place(None, 1);
-    // Another server takes 650 ms to process the part, and requests behind it wait as long.
+    // Another server takes 260 ms to process the part, and five requests beside it wait as long.
     assert_eq!(place(Some((&home, 1_000)), 1), home, "the home has the lower cost");
     assert_ne!(place(Some((&home, 1_600)), 1), home, "the home is too busy");
 }
--- a/tests/gateway_relay.rs
+++ b/tests/gateway_relay.rs
@@ -294,6 +294,42 @@
     }
 }
 
+/// Returns a follower of a hub whose last answer reports that other VMs have sent so much prompt
+/// work to each engine.
+fn world_with_backlog(backlog_ms: u32) -> GatewayFixture {
+    let names = names_by_reader_rank();
+    let mut world = world(&names[2]);
+    let mut loads = LoadTotals::default();
+    for id in ["e1", "e2", "e3"] {
+        let load = OutstandingLoad { backlog_ms, requests: 4 };
+        loads.add(ServerTag::from(&server_id(id)), load);
+    }
+    let answer = RelayAnswer { loads, ..answer(&names[0], 1, listed_records()) };
+    world.answered(None, PollPurpose::Records, Some(answer));
+    world
+}
+
+/// Returns whether the larger model is asked after a poor answer of the small one, to a prompt that
+/// no server has cached.
+fn is_large_asked(world: &mut GatewayFixture) -> bool {
+    let request = world.arrive_with("/sized/1", |arrival| arrival.parts[0].id = arrival.request.0);
+    world.began(request, 1, Some(10));
+    world.starts(request).len() == 2
+}
+
+#[test]
+fn escalate_not_while_engines_have_prompts_of_other_vms() {
+    assert!(is_large_asked(&mut world_with_backlog(100)), "the engines have room");
+    assert!(!is_large_asked(&mut world_with_backlog(1_300)), "others wait for more than a second");
+}
+
+#[test]
+fn loads_of_other_vms_expire_without_the_hub() {
+    let mut world = world_with_backlog(1_300);
+    world.tick(PeerLoads::EXPIRY.0 + 1);
+    assert!(is_large_asked(&mut world), "the loads are from before the hub fell silent");
+}
+
 #[test]
 fn load_sum_excludes_the_polling_vm() {
     let tag = ServerTag::from(&server_id("e1"));
