--- a/tests/check_tool.rs
+++ b/tests/check_tool.rs
@@ -113,6 +113,32 @@
     assert_eq!(check(&changed).against(&serde_json::from_str(&changed).unwrap()).advice().len(), 1);
 }
 
+#[test]
+fn differences_of_lists() {
+    let mut next = routes();
+    // A route is added before the others, one is removed, and one changes.
+    let added = json!({"name": "c", "host": "plaza.example", "path_prefix": "/c/", "kind": "safe",
+        "timeout_ms": 900, "service": "booking", "max_attempts": 2});
+    let list = next["routes"].as_array_mut().unwrap();
+    list.remove(0);
+    list.insert(0, added);
+    list[1]["timeout_ms"] = json!(800);
+    next["tenants"][0]["api_keys"] = json!(["two"]);
+    let checked = check(&next.to_string()).against(&routes());
+    let found = checked.advice().iter().map(|advice| (advice.field.as_str(), advice.text.as_str()));
+    let found: Vec<(&str, &str)> = found.collect();
+    assert_eq!(found[0].0, "routes.0", "{found:?}");
+    assert!(found[0].1.starts_with("It is new: {"), "{found:?}");
+    assert_eq!(
+        found[1..],
+        [
+            ("routes.1.timeout_ms", "It is 800; in force it is 900."),
+            ("routes", "The entry \"a\" is missing; it is in force."),
+            ("tenants.0.api_keys", "It is missing; in force it is \"one\"."),
+        ]
+    );
+}
+
 #[test]
 fn exit_codes_of_the_command() {
     let folder = std::env::temp_dir().join(format!("guavapass-check-{}", std::process::id()));
