Let the last servers of a pool leave an evacuated data centre last

Cause: an evacuated data centre is closed after a second, also for a pool that has no other server. Change: such a pool uses them until half of the bound (LATEST_PART, as before the latest moment), and leaves them at once if another server opens. The log line of the closing tells whether it is for all. Measured: gateway_zones last_servers_of_a_pool_are_used_until_half_of_the_bound fails before (0 of 40 sent); 13 passed. no_request_goes_to_an_evacuated_data_centre now removes the other server after half of the bound and asks the same.

--- a/src/gateway/server_registry.rs
+++ b/src/gateway/server_registry.rs
@@ -43,9 +43,17 @@
 
     /// Returns the servers of a pool that may get new requests.
     pub fn open<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a BackendServer> {
-        self.servers
-            .values()
-            .filter(move |server| self.takes_work(server) && server.entry.pool == *pool)
+        let of_pool = || self.servers.values().filter(move |server| server.entry.pool == *pool);
+        let has_none =
+            !self.evacuated.is_empty() && !of_pool().any(|server| self.takes_work(server));
+        of_pool().filter(move |server| {
+            self.takes_work(server) || (has_none && self.is_last_resort(server))
+        })
+    }
+
+    /// Returns whether a server may get the requests of its pool if the pool has no other server.
+    fn is_last_resort(&self, server: &BackendServer) -> bool {
+        server.is_open() && self.evacuated.is_last_resort(&server.entry.data_centre)
     }
 
     /// Returns whether a server may get new requests: it accepts them, and its data centre is not
--- a/src/gateway/zones/evacuated_centres.rs
+++ b/src/gateway/zones/evacuated_centres.rs
@@ -4,7 +4,8 @@
 ///
 /// The servers of such a data centre get no more requests once [`Self::close_due`] has closed it.
 /// Before that, more and more prompt parts leave it, so that the servers of the others do not have
-/// to process all of them at the same moment.
+/// to process all of them at the same moment. The last open servers of a pool get its requests for
+/// longer, as long as the bound allows: another server may be back until then.
 #[derive(Clone, Debug, Default)]
 pub struct EvacuatedCentres {
     centres: BTreeMap<DataCentreId, Departure>,
@@ -13,8 +14,37 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Departure {
     learned: Millis,
+    /// When the data centre is closed.
     closes: Millis,
-    is_closed: bool,
+    /// When it is closed for pools that have no other server, too.
+    ends: Millis,
+    stage: DepartureStage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum DepartureStage {
+    Leaving,
+    Closed,
+    ClosedForAll,
+}
+
+impl Departure {
+    fn stage(&self, now: Millis) -> DepartureStage {
+        match now {
+            _ if now >= self.ends => DepartureStage::ClosedForAll,
+            _ if now >= self.closes => DepartureStage::Closed,
+            _ => DepartureStage::Leaving,
+        }
+    }
+
+    /// Returns when the next stage begins.
+    const fn next(&self) -> Option<Millis> {
+        match self.stage {
+            DepartureStage::Leaving => Some(self.closes),
+            DepartureStage::Closed => Some(self.ends),
+            DepartureStage::ClosedForAll => None,
+        }
+    }
 }
 
 impl EvacuatedCentres {
@@ -42,7 +72,9 @@
         let left = age.map(|age| latest.since(age)).unwrap_or_default();
         let longest = Self::MAX_DEPARTURE_MS.min(bound.0 / Self::DEPARTURE_PART);
         let closes = now + left.min(Millis(longest));
-        let departure = Departure { learned: now, closes, is_closed: closes <= now };
+        let stage = DepartureStage::Leaving;
+        let mut departure = Departure { learned: now, closes, ends: now + left, stage };
+        departure.stage = departure.stage(now);
         self.centres.insert(centre.clone(), departure);
         true
     }
@@ -52,13 +84,15 @@
         self.centres.remove(centre).is_some()
     }
 
-    /// Closes the data centres whose departure is over, and returns them.
-    pub fn close_due(&mut self, now: Millis) -> Vec<DataCentreId> {
+    /// Closes the data centres whose departure is over, and returns those that are closed now, with
+    /// whether they are for pools without another server, too.
+    pub fn close_due(&mut self, now: Millis) -> Vec<(DataCentreId, bool)> {
         let mut closed = Vec::new();
         for (centre, departure) in &mut self.centres {
-            if !departure.is_closed && departure.closes <= now {
-                departure.is_closed = true;
-                closed.push(centre.clone());
+            let stage = departure.stage(now);
+            if stage > departure.stage {
+                departure.stage = stage;
+                closed.push((centre.clone(), stage == DepartureStage::ClosedForAll));
             }
         }
         closed
@@ -67,14 +101,20 @@
     /// Returns when the next data centre is to be closed.
     #[must_use]
     pub fn next(&self) -> Option<Millis> {
-        let open = self.centres.values().filter(|departure| !departure.is_closed);
-        open.map(|departure| departure.closes).min()
+        self.centres.values().filter_map(Departure::next).min()
     }
 
     /// Returns whether the servers of a data centre must get no requests.
     #[must_use]
     pub fn is_closed(&self, centre: &DataCentreId) -> bool {
-        self.centres.get(centre).is_some_and(|departure| departure.is_closed)
+        self.centres.get(centre).is_some_and(|departure| departure.stage > DepartureStage::Leaving)
+    }
+
+    /// Returns whether the servers of a data centre may get the requests of a pool that has no other
+    /// server.
+    #[must_use]
+    pub fn is_last_resort(&self, centre: &DataCentreId) -> bool {
+        self.centres.get(centre).is_some_and(|departure| departure.stage == DepartureStage::Closed)
     }
 
     /// Returns whether a prompt part has left a data centre. Once it has, it stays away.
@@ -84,7 +124,7 @@
         let span = departure.closes.since(departure.learned).0.max(1) as f64;
         let over = now.since(departure.learned).0 as f64 / span;
         let place = xxh3_64(&part.to_le_bytes()) as f64 / u64::MAX as f64;
-        departure.is_closed || place <= over
+        departure.stage > DepartureStage::Leaving || place <= over
     }
 
     /// Returns the data centres with an order in force.
--- a/src/gateway/zones/evacuations.rs
+++ b/src/gateway/zones/evacuations.rs
@@ -61,11 +61,12 @@
     /// Closes the data centres whose departure is over, and logs if this VM may not know all
     /// orders.
     pub(in crate::gateway) fn advance_evacuations(&mut self, now: Millis) {
-        for centre in self.servers.evacuated.close_due(now) {
+        for (centre, is_for_all) in self.servers.evacuated.close_due(now) {
             let in_flight = self.servers.in_flight_in(&centre);
             tracing::info!(
                 data_centre = %centre,
                 in_flight,
+                is_for_all,
                 "evacuated data centre is closed: only requests under way remain"
             );
         }
--- a/tests/gateway_zones.rs
+++ b/tests/gateway_zones.rs
@@ -71,8 +71,9 @@
     world.page(StoreStream::Operators, vec![evacuate("sur")]);
     world.tick(1_250);
     assert_eq!(sent_to(&mut world, "e2"), 0);
-    // A run that is under way ends there; a second send, a resumed stream and a waiting call do not
-    // go there, even if there is no other server.
+    // From half of the bound on, a second send, a resumed stream and a waiting call do not go there
+    // even if there is no other server. A run that is under way ends there.
+    world.tick(1_250);
     let request = world.arrive("/plan/1");
     assert_eq!(world.starts(request)[0].server, server_id("e1"));
     world.began(request, 1, None);
@@ -89,6 +90,23 @@
     assert_eq!(sent_to(&mut world, "e2"), 40);
 }
 
+#[test]
+fn last_servers_of_a_pool_are_used_until_half_of_the_bound() {
+    let mut world = world();
+    world.page(StoreStream::Servers, vec![removed("e1")]);
+    world.page(StoreStream::Operators, vec![evacuate("sur")]);
+    world.tick(1_250);
+    assert_eq!(sent_to(&mut world, "e2"), 40, "there is no other server");
+    place(&mut world, "e4", "norte", "v1");
+    assert_eq!(sent_to(&mut world, "e2"), 0, "another server has come");
+    world.page(StoreStream::Servers, vec![removed("e4")]);
+    assert_eq!(sent_to(&mut world, "e2"), 40, "it has gone again");
+    world.tick(1_249);
+    assert_eq!(sent_to(&mut world, "e2"), 40);
+    world.tick(1);
+    assert_eq!(sent_to(&mut world, "e2"), 0, "half of the bound is over");
+}
+
 #[test]
 fn parts_leave_gradually_and_well_before_the_bound() {
     let mut world = world();
