--- a/src/command/check/differences.rs
+++ b/src/command/check/differences.rs
@@ -5,7 +5,7 @@
 const NAME_FIELDS: [&str; 2] = ["name", "id"];
 
 /// Returns the fields in which a document differs from the one in force. Entries of a list are
-/// compared by name if all have one, else by position.
+/// compared by name if all have one, else by position, or by value if the lengths differ.
 #[must_use]
 pub fn differences(document: &Value, in_force: &Value) -> Vec<Advice> {
     let mut found = Vec::new();
